--- /dev/null
+++ b/packages/callers/_write_refusal.ts
@@ -0,0 +1,20 @@
+import type { ServerResponse } from "node:http";
+import type { Refusal } from "../verdicts/mod.ts";
+
+/** Writes a refusal as the whole answer. */
+export function writeRefusal(response: ServerResponse, refusal: Refusal): void {
+    if (response.headersSent || response.destroyed) {
+        response.destroy();
+        return;
+    }
+    const body = JSON.stringify(refusal.toBody());
+    const headers: Record<string, string> = {
+        "content-type": "application/json",
+        "content-length": String(Buffer.byteLength(body)),
+    };
+    if (refusal.retryAfterSeconds !== undefined) {
+        headers["retry-after"] = String(refusal.retryAfterSeconds);
+    }
+    response.writeHead(refusal.status, headers);
+    response.end(body);
+}
--- /dev/null
+++ b/packages/callers/caller_server.ts
@@ -0,0 +1,259 @@
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { hashKey } from "../configuration/mod.ts";
+import { parseAddress } from "../instances/mod.ts";
+import { Refusal } from "../verdicts/mod.ts";
+import type { Exchange } from "./_exchange.ts";
+import { readBody } from "./_read_body.ts";
+import { writeRefusal } from "./_write_refusal.ts";
+import { authenticate } from "./authenticate.ts";
+import type { CallerIdentity } from "./caller_identity.ts";
+import type { CallerServerOptions } from "./caller_server_options.ts";
+
+const NOBODY: CallerIdentity = { organisation: "", keyHash: "", key: "" };
+const MODEL_PATHS: Record<string, "chat" | "completion"> = {
+    "/v1/chat/completions": "chat",
+    "/v1/completions": "completion",
+};
+
+/**
+ * Accepts callers.
+ *
+ * @example
+ * ```ts
+ * const server = new CallerServer(options);
+ * await server.listen();
+ * await server.close();
+ * ```
+ */
+export class CallerServer {
+    readonly #server: Server;
+    #sequence = 0;
+    #closing = false;
+
+    /**
+     * @param options What the server works with.
+     */
+    constructor(private readonly options: CallerServerOptions) {
+        const { callers } = options.settings;
+        const limits = {
+            maxHeaderSize: callers.maximumHeaderBytes,
+            requestTimeout: callers.requestTimeoutMilliseconds,
+            headersTimeout: callers.requestTimeoutMilliseconds,
+        };
+        const listener = (request: IncomingMessage, response: ServerResponse) => void this.#serve(request, response);
+        this.#server = options.tls
+            ? createTlsServer({ ...limits, ...options.tls }, listener)
+            : createServer(limits, listener);
+        this.#server.maxConnections = callers.maximumConnections;
+        this.#server.on("drop", () => {
+            options.metrics.increment("refusals_total", { reason: "too-many-connections" });
+        });
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @returns A promise that resolves once the port is open.
+     * @throws {Error} If the port is in use.
+     */
+    async listen(): Promise<void> {
+        const { host, port } = parseAddress(this.options.settings.callersAddress);
+        this.#server.listen(port, host);
+        await once(this.#server, "listening");
+    }
+
+    /**
+     * Stops to accept, lets requests under way end and closes.
+     *
+     * @returns A promise that resolves once every connection is closed.
+     */
+    async close(): Promise<void> {
+        this.#closing = true;
+        this.#server.close();
+        this.#server.closeIdleConnections();
+        await this.options.active.whenIdle();
+        const closed = once(this.#server, "close");
+        this.#server.closeIdleConnections();
+        await closed;
+    }
+
+    /** Closes every connection at once. */
+    closeAllConnections(): void {
+        this.#server.closeAllConnections();
+    }
+
+    async #serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const startedAt = monotonicMilliseconds();
+        const id = `${this.options.instanceId}/${this.#sequence++}`;
+        response.setHeader("x-request-id", id);
+        if (this.#closing) {
+            response.setHeader("connection", "close");
+        }
+        response.on("error", () => {});
+        const path = request.url ?? "/";
+        if (this.#serveOperators(path, response)) {
+            return;
+        }
+        let refusal: Refusal | undefined;
+        let organisation = "";
+        try {
+            const caller = this.#identify(request, path);
+            if (caller instanceof Refusal) {
+                refusal = caller;
+            }
+            else {
+                organisation = caller.organisation;
+                refusal = await this.#serveCaller(request, response, id, caller);
+            }
+        }
+        catch (error) {
+            this.options.logger.error("request failed", { request: id, error: String(error) });
+            refusal = new Refusal(500, "internal-error", "may-have-run", "The request failed");
+        }
+        if (refusal && !response.writableEnded) {
+            writeRefusal(response, refusal);
+        }
+        this.#record(id, request, organisation, refusal, monotonicMilliseconds() - startedAt);
+    }
+
+    #serveOperators(path: string, response: ServerResponse): boolean {
+        if (path === "/healthz") {
+            response.writeHead(200).end("ok\n");
+            return true;
+        }
+        if (path === "/readyz") {
+            const why = this.options.unready();
+            response.writeHead(why === undefined ? 200 : 503).end(`${why ?? "ready"}\n`);
+            return true;
+        }
+        if (path === "/metrics") {
+            response.writeHead(200, { "content-type": "text/plain; version=0.0.4" });
+            response.end(this.options.metrics.render());
+            return true;
+        }
+        return false;
+    }
+
+    #identify(request: IncomingMessage, path: string): CallerIdentity | Refusal {
+        const { configuration, plain, keysRefused, unready } = this.options;
+        const why = unready();
+        if (why !== undefined && why !== "shutting down") {
+            return new Refusal(503, "not-ready", "not-run", `The instance is not ready: ${why}`, {
+                retryAfterSeconds: 1,
+            });
+        }
+        if (plain.find(withoutQuery(path))?.route.open) {
+            return NOBODY;
+        }
+        const caller = authenticate(request.headers, configuration.document);
+        if (caller.isErr()) {
+            return caller.error;
+        }
+        return keysRefused() ?? caller.value;
+    }
+
+    async #serveCaller(
+        request: IncomingMessage,
+        response: ServerResponse,
+        id: string,
+        caller: CallerIdentity,
+    ): Promise<Refusal | undefined> {
+        const { active, settings, configuration, invariants } = this.options;
+        const entry = active.add(caller);
+        response.on("close", () => {
+            if (!response.writableFinished) {
+                entry.abort.abort();
+            }
+        });
+        try {
+            const body = await readBody(request, settings.callers.maximumBodyBytes);
+            if (body.isErr()) {
+                response.setHeader("connection", "close");
+                return body.error;
+            }
+            const path = request.url ?? "/";
+            if (caller.key !== "" && (path.includes(caller.key) || body.value.includes(caller.key))) {
+                const message = "The key may be sent only in the Authorization header";
+                return new Refusal(400, "malformed-request", "not-run", message);
+            }
+            const exchange: Exchange = {
+                id,
+                caller,
+                request,
+                path,
+                body: body.value,
+                response,
+                signal: entry.abort.signal,
+            };
+            const granted = configuration.document.keys[caller.keyHash]?.organisation;
+            if (caller.keyHash !== "" && granted !== caller.organisation) {
+                return new Refusal(401, "key-withdrawn", "not-run", "The key was withdrawn");
+            }
+            invariants.check(
+                "key-belongs-to-organisation",
+                caller.key === "" || caller.keyHash === hashKey(caller.key),
+            );
+            return await this.#route(exchange);
+        }
+        finally {
+            active.remove(entry);
+        }
+    }
+
+    async #route(exchange: Exchange): Promise<Refusal | undefined> {
+        const { models, plain } = this.options;
+        const path = withoutQuery(exchange.path);
+        const form = MODEL_PATHS[path];
+        if (form) {
+            return exchange.request.method === "POST"
+                ? await models.handle(exchange, form)
+                : new Refusal(405, "malformed-request", "not-run", "Use POST");
+        }
+        if (path === "/v1/models") {
+            this.#listModels(exchange.response);
+            return undefined;
+        }
+        const found = plain.find(path);
+        return found
+            ? await plain.handle(exchange, found.name, found.route)
+            : new Refusal(404, "route-unknown", "not-run", "No route has this path");
+    }
+
+    #listModels(response: ServerResponse): void {
+        const names = Object.keys(this.options.configuration.document.models);
+        const data = names.map(id => ({ id, object: "model", owned_by: "laburnumslip" }));
+        const body = JSON.stringify({ object: "list", data });
+        response.writeHead(200, { "content-type": "application/json" });
+        response.end(body);
+    }
+
+    #record(
+        id: string,
+        request: IncomingMessage,
+        organisation: string,
+        refusal: Refusal | undefined,
+        milliseconds: number,
+    ): void {
+        const { metrics, logger } = this.options;
+        metrics.increment("requests_total", { result: refusal ? "refused" : "served" });
+        metrics.observe("request", milliseconds);
+        if (refusal) {
+            metrics.increment("refusals_total", { reason: refusal.reason, verdict: refusal.verdict });
+        }
+        logger.info("request", {
+            request: id,
+            path: withoutQuery(request.url ?? "/"),
+            organisation,
+            milliseconds: Math.round(milliseconds),
+            ...(refusal ? { reason: refusal.reason, verdict: refusal.verdict } : {}),
+        });
+    }
+}
+
+function withoutQuery(path: string): string {
+    const question = path.indexOf("?");
+    return question === -1 ? path : path.slice(0, question);
+}
--- /dev/null
+++ b/packages/callers/mod.ts
@@ -0,0 +1,12 @@
+/** The interface for callers: OpenAI-style requests, plain routes, health and metrics. */
+export { ActiveRequests } from "./active_requests.ts";
+export { authenticate } from "./authenticate.ts";
+export type { CallerIdentity } from "./caller_identity.ts";
+export { CallerServer } from "./caller_server.ts";
+export type { CallerServerOptions } from "./caller_server_options.ts";
+export { ModelHandler } from "./model_handler.ts";
+export type { ModelHandlerOptions } from "./model_handler_options.ts";
+export type { ModelRequest } from "./model_request.ts";
+export { parseModelRequest } from "./parse_model_request.ts";
+export { PlainHandler } from "./plain_handler.ts";
+export type { PlainHandlerOptions } from "./plain_handler_options.ts";
--- /dev/null
+++ b/packages/clocks/mod.ts
@@ -0,0 +1,4 @@
+/** Time sources and delays. */
+export { monotonicMilliseconds } from "./monotonic_milliseconds.ts";
+export { RepeatingTask } from "./repeating_task.ts";
+export { sleep } from "./sleep.ts";
--- /dev/null
+++ b/packages/configuration/apply_operations.ts
@@ -0,0 +1,28 @@
+import type { ConfigurationDocument } from "./configuration_document.ts";
+import type { Operation } from "./operation.ts";
+
+/**
+ * Applies operations to a document.
+ *
+ * @param document The document; it is left as it is.
+ * @param operations The operations, in order.
+ * @returns A new document that shares unchanged entries with the old one.
+ * @example
+ * ```ts
+ * applyOperations(emptyDocument(), [{ collection: "drainedServers", name: "decode-1", value: { since: "" } }]);
+ * ```
+ */
+export function applyOperations(document: ConfigurationDocument, operations: Operation[]): ConfigurationDocument {
+    const next: ConfigurationDocument = { ...document };
+    for (const operation of operations) {
+        const collection: Record<string, unknown> = { ...next[operation.collection] };
+        if (operation.value === undefined) {
+            delete collection[operation.name];
+        }
+        else {
+            collection[operation.name] = operation.value;
+        }
+        Object.assign(next, { [operation.collection]: collection });
+    }
+    return next;
+}
--- /dev/null
+++ b/packages/configuration/change_schema.ts
@@ -0,0 +1,25 @@
+import { z } from "zod";
+import type { Change } from "./change.ts";
+
+const operation = z.object({
+    collection: z.enum([
+        "failureDomains",
+        "organisations",
+        "models",
+        "backendServers",
+        "selectors",
+        "routes",
+        "keys",
+        "drainedServers",
+        "drainedDomains",
+    ]),
+    name: z.string(),
+    value: z.unknown().optional(),
+});
+
+/** Schema of a change as it comes from the store, another instance or an operator. */
+export const changeSchema: z.ZodType<Change> = z.object({
+    version: z.int().min(0),
+    attempt: z.string().max(64),
+    operations: z.array(operation).max(100_000),
+}) as unknown as z.ZodType<Change>;
--- /dev/null
+++ b/packages/configuration/declaration.ts
@@ -0,0 +1,5 @@
+import type { z } from "zod";
+import type { declarationSchema } from "./declaration_schema.ts";
+
+/** Checked declaration, with defaults filled in. */
+export type Declaration = z.infer<typeof declarationSchema>;
--- /dev/null
+++ b/packages/configuration/hash_key.ts
@@ -0,0 +1,15 @@
+import { createHash } from "node:crypto";
+
+/**
+ * Hashes a caller's key; only the hash is kept.
+ *
+ * @param key The key.
+ * @returns SHA-256 in hexadecimal digits.
+ * @example
+ * ```ts
+ * hashKey("secret").length; // 64
+ * ```
+ */
+export function hashKey(key: string): string {
+    return createHash("sha256").update(key).digest("hex");
+}
--- /dev/null
+++ b/packages/demo/mod.ts
@@ -0,0 +1,2 @@
+/** The demonstration that README starts. */
+export { runDemo } from "./run_demo.ts";
--- /dev/null
+++ b/packages/documents/locate_field.ts
@@ -0,0 +1,30 @@
+import { findNodeAtLocation, parseTree } from "jsonc-parser";
+import type { DocumentError } from "./document_error.ts";
+
+/**
+ * Finds the place of a field in a document.
+ *
+ * @param text The document.
+ * @param finding What was found.
+ * @param finding.path Path of the field.
+ * @param finding.message What is wrong with it.
+ * @returns The finding with its place; that of the nearest parent if the field is absent.
+ * @example
+ * ```ts
+ * locateField('{ "a": 1 }', { path: "a", message: "is wrong" }).column; // 8
+ * ```
+ */
+export function locateField(text: string, finding: { path: string; message: string; }): DocumentError {
+    const root = parseTree(text, [], { allowTrailingComma: true });
+    const path = finding.path === "" ? [] : finding.path.split(".");
+    let offset = 0;
+    for (let length = path.length; root && length >= 0; length--) {
+        const node = findNodeAtLocation(root, path.slice(0, length));
+        if (node) {
+            offset = node.offset;
+            break;
+        }
+    }
+    const before = text.slice(0, offset).split("\n");
+    return { ...finding, line: before.length, column: (before.at(-1)?.length ?? 0) + 1 };
+}
--- /dev/null
+++ b/packages/documents/mod.ts
@@ -0,0 +1,5 @@
+/** Parsing of JSON with comments against a schema, with the place of each error. */
+export type { DocumentError } from "./document_error.ts";
+export { formatDocumentError } from "./format_document_error.ts";
+export { locateField } from "./locate_field.ts";
+export { parseDocument } from "./parse_document.ts";
--- /dev/null
+++ b/packages/fleet/mod.ts
@@ -0,0 +1,5 @@
+/** Spreads epochs and configurations between instances and tells how fresh they are. */
+export { ConfigurationFollower } from "./configuration_follower.ts";
+export type { ConfigurationFollowerOptions } from "./configuration_follower_options.ts";
+export { Heartbeats } from "./heartbeats.ts";
+export type { HeartbeatsOptions } from "./heartbeats_options.ts";
--- /dev/null
+++ b/packages/harness/fleet.ts
@@ -0,0 +1,413 @@
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { sleep } from "../clocks/mod.ts";
+import { type Declaration, diffDocuments, emptyDocument, hashKey, type Operation } from "../configuration/mod.ts";
+import { OperatorClient } from "../operators/mod.ts";
+import type { StandInConfiguration } from "../stand_ins/mod.ts";
+import { callFleet } from "./call_fleet.ts";
+import type { CallOptions } from "./call_options.ts";
+import type { CallResult } from "./call_result.ts";
+import type { EngineDescription } from "./engine_description.ts";
+import { exampleDeclaration } from "./example_declaration.ts";
+import type { FleetOptions } from "./fleet_options.ts";
+import { freePorts } from "./free_ports.ts";
+import { ManagedProcess } from "./managed_process.ts";
+
+const SECRET = "fleet-secret";
+const READY_ATTEMPTS = 400;
+const READY_PAUSE_MILLISECONDS = 50;
+const ROUTER_PROGRAM = "dist/laburnumslip.cjs";
+const STAND_IN_PROGRAM = "dist/development.cjs";
+
+const DEFAULT_ENGINES: EngineDescription[] = [
+    { name: "prefill-1", role: "prefill", failureDomain: "domain-1", capacity: 2 },
+    { name: "prefill-2", role: "prefill", failureDomain: "domain-2", capacity: 2 },
+    { name: "decode-1", role: "decode", failureDomain: "domain-1", capacity: 20 },
+    { name: "decode-2", role: "decode", failureDomain: "domain-2", capacity: 20 },
+];
+
+const DEFAULT_ORGANISATIONS: Declaration["organisations"] = {
+    north: { tokensPerSecond: 50_000, burstTokens: 200_000, weight: 1, labels: {} },
+    south: { tokensPerSecond: 50_000, burstTokens: 200_000, weight: 1, labels: {} },
+};
+
+/** An instance of the fleet. */
+interface FleetInstance {
+    name: string;
+    callersAddress: string;
+    instancesAddress: string;
+    settingsFile: string;
+    process: ManagedProcess;
+    listed: boolean;
+}
+
+/**
+ * A fleet of instances and stand-ins, each a process of its own on this machine.
+ *
+ * @example
+ * ```ts
+ * const fleet = await Fleet.start({ instances: 3 });
+ * const result = await fleet.call(0, "/v1/models", { key: fleet.key("north") });
+ * await fleet.close();
+ * ```
+ */
+export class Fleet {
+    readonly instances: FleetInstance[] = [];
+    readonly engines: (EngineDescription & { address: string; })[] = [];
+    readonly services: { name: string; address: string; failureDomain: string; }[] = [];
+    readonly #standIns: ManagedProcess[] = [];
+    readonly #failureDomains: string[];
+    #directory = "";
+    #storeAddress = "";
+    #listAddress = "";
+
+    private constructor(private readonly options: FleetOptions) {
+        this.#failureDomains = options.failureDomains ?? ["domain-1", "domain-2", "domain-3"];
+    }
+
+    /**
+     * Starts a fleet, applies its declaration and grants a key to each organisation.
+     *
+     * @param options Sizes; all are optional.
+     * @returns The fleet, once every instance is ready.
+     */
+    static async start(options: FleetOptions = {}): Promise<Fleet> {
+        const fleet = new Fleet(options);
+        try {
+            await fleet.#startAll();
+            return fleet;
+        }
+        catch (error) {
+            await fleet.close();
+            throw error;
+        }
+    }
+
+    /** Address of the store. */
+    get storeAddress(): string {
+        return this.#storeAddress;
+    }
+
+    /** Address of the instance list. */
+    get listAddress(): string {
+        return this.#listAddress;
+    }
+
+    /** The organisations. */
+    get organisations(): Declaration["organisations"] {
+        return this.options.organisations ?? DEFAULT_ORGANISATIONS;
+    }
+
+    /**
+     * Returns the key of an organisation.
+     *
+     * @param organisation Name of the organisation.
+     * @returns The key that was granted at the start.
+     */
+    key(organisation: string): string {
+        return `key-of-${organisation}-0123456789abcdef`;
+    }
+
+    /**
+     * Calls an instance.
+     *
+     * @param index Number of the instance.
+     * @param path Path with query.
+     * @param options Key, body and limits.
+     * @returns What the caller saw.
+     */
+    async call(index: number, path: string, options: CallOptions = {}): Promise<CallResult> {
+        return await callFleet(this.#instance(index).callersAddress, path, options);
+    }
+
+    /**
+     * Sets faults of a stand-in and reads what it saw.
+     *
+     * @param address Address of the stand-in.
+     * @param faults Faults to set; none if absent.
+     * @returns What the stand-in saw.
+     */
+    async control<Seen>(address: string, faults?: object): Promise<Seen> {
+        const response = await fetch(`http://${address}/control`, {
+            method: faults ? "POST" : "GET",
+            ...(faults ? { body: JSON.stringify(faults) } : {}),
+        });
+        return await response.json() as Seen;
+    }
+
+    /**
+     * Changes the configuration as an operator would.
+     *
+     * @param operations The change.
+     * @param index Instance to ask.
+     * @returns The version in which the change stands.
+     * @throws {Error} If it was not stored.
+     */
+    async change(operations: Operation[], index = 0): Promise<number> {
+        const client = this.operator(index);
+        const outcome = await client.change(operations);
+        client.close();
+        if (outcome.isErr() || outcome.value.kind !== "stored") {
+            throw new Error(`Cannot change the configuration: ${JSON.stringify(outcome)}`);
+        }
+        return outcome.value.version;
+    }
+
+    /**
+     * Creates a client for operators.
+     *
+     * @param index Instance to call.
+     * @returns The client; close it after use.
+     */
+    operator(index = 0): OperatorClient {
+        return new OperatorClient(this.#instance(index).instancesAddress, SECRET);
+    }
+
+    /**
+     * Reads one series of an instance's metrics.
+     *
+     * @param index Number of the instance.
+     * @param pattern Start of the series, without the project's prefix.
+     * @returns The sum over all series that start so.
+     */
+    async metric(index: number, pattern: string): Promise<number> {
+        const { text } = await this.call(index, "/metrics");
+        return text
+            .split("\n")
+            .filter(line => line.startsWith(`laburnumslip_${pattern}`))
+            .reduce((sum, line) => sum + Number(line.slice(line.lastIndexOf(" ") + 1)), 0);
+    }
+
+    /**
+     * Starts a new process in place of an instance that ended.
+     *
+     * @param index Number of the instance.
+     * @returns A promise that resolves once it is ready.
+     */
+    async restart(index: number): Promise<void> {
+        const instance = this.#instance(index);
+        instance.process = this.#spawn(instance.name, instance.settingsFile);
+        instance.listed = true;
+        await this.updateList();
+        await this.whenReady(index);
+    }
+
+    /**
+     * Waits until an instance is ready.
+     *
+     * @param index Number of the instance.
+     * @throws {Error} If it ends or is not ready in time.
+     */
+    async whenReady(index: number): Promise<void> {
+        const instance = this.#instance(index);
+        for (let attempt = 0; attempt < READY_ATTEMPTS; attempt++) {
+            const { status } = await this.call(index, "/readyz", { timeoutMilliseconds: 1_000 });
+            if (status === 200) {
+                return;
+            }
+            if (instance.process.ended) {
+                break;
+            }
+            await sleep(READY_PAUSE_MILLISECONDS);
+        }
+        const log = await readFile(join(this.#directory, `${instance.name}.log`), "utf8");
+        throw new Error(`Instance ${instance.name} is not ready:\n${log.slice(-2_000)}`);
+    }
+
+    /**
+     * Waits until every instance is a member and every home is active.
+     *
+     * @throws {Error} If that takes too long.
+     */
+    async whenSettled(): Promise<void> {
+        for (let attempt = 0; attempt < READY_ATTEMPTS; attempt++) {
+            const living = this.instances.filter(({ process }) => !process.ended);
+            const settled = await Promise.all(living.map(async instance => {
+                const index = this.instances.indexOf(instance);
+                const members = await this.metric(index, "members ");
+                return members === living.length && await this.metric(index, "homes_pending ") === 0;
+            }));
+            if (settled.every(Boolean) && await this.#sumOfHomes(living) === this.#homeCount()) {
+                return;
+            }
+            await sleep(READY_PAUSE_MILLISECONDS);
+        }
+        throw new Error("The fleet does not settle");
+    }
+
+    /**
+     * Publishes the living instances in the platform's list.
+     *
+     * @returns A promise that resolves once the list has them.
+     */
+    async updateList(): Promise<void> {
+        const instances = this.instances
+            .filter(({ listed }) => listed)
+            .map(({ name, instancesAddress }) => ({ name, address: instancesAddress, state: "live" }));
+        await this.control(this.#listAddress, { instances });
+    }
+
+    /**
+     * Ends every process and removes the files.
+     *
+     * @returns A promise that resolves once nothing is left.
+     */
+    async close(): Promise<void> {
+        const processes = [...this.instances.map(({ process }) => process), ...this.#standIns];
+        await Promise.all(processes.map(async process => {
+            process.wake();
+            await process.kill();
+        }));
+        if (this.#directory !== "") {
+            await rm(this.#directory, { recursive: true, force: true });
+        }
+    }
+
+    /**
+     * Reads the log of an instance.
+     *
+     * @param index Number of the instance.
+     * @returns The log.
+     */
+    async log(index: number): Promise<string> {
+        return await readFile(join(this.#directory, `${this.#instance(index).name}.log`), "utf8");
+    }
+
+    #instance(index: number): FleetInstance {
+        const instance = this.instances[index];
+        if (!instance) {
+            throw new Error(`The fleet has no instance ${index}`);
+        }
+        return instance;
+    }
+
+    async #startAll(): Promise<void> {
+        this.#directory = await mkdtemp(join(tmpdir(), "laburnumslip-"));
+        await writeFile(join(this.#directory, "secret"), SECRET);
+        await this.#startStandIns();
+        await this.#startInstances();
+        await this.#configure();
+        await this.whenSettled();
+    }
+
+    async #startStandIns(): Promise<void> {
+        const descriptions = this.options.engines ?? DEFAULT_ENGINES;
+        const serviceCount = this.options.services ?? 1;
+        const ports = await freePorts(2 + descriptions.length + serviceCount);
+        const next = () => `127.0.0.1:${ports.shift()}`;
+        this.#storeAddress = next();
+        this.#listAddress = next();
+        for (const description of descriptions) {
+            this.engines.push({ ...description, address: next() });
+        }
+        for (let index = 0; index < serviceCount; index++) {
+            const failureDomain = this.#failureDomains[index % this.#failureDomains.length] ?? "domain-1";
+            this.services.push({ name: `service-${index + 1}`, address: next(), failureDomain });
+        }
+        const groups: StandInConfiguration[] = [
+            [{ kind: "store", address: this.#storeAddress }],
+            [{ kind: "instance-list", address: this.#listAddress }],
+            ...this.services.map(({ address }): StandInConfiguration => [{ kind: "service", address }]),
+            ...this.#engineGroups(),
+        ];
+        for (const [index, group] of groups.entries()) {
+            const file = join(this.#directory, `stand-ins-${index}.json`);
+            await writeFile(file, JSON.stringify(group));
+            const log = join(this.#directory, `stand-ins-${index}.log`);
+            this.#standIns.push(new ManagedProcess([STAND_IN_PROGRAM, "stand-ins", file], log));
+        }
+        await Promise.all(groups.flat().map(({ address }) => this.#whenAnswering(address)));
+    }
+
+    #engineGroups(): StandInConfiguration[] {
+        const size = this.options.enginesPerProcess ?? 1;
+        const groups: StandInConfiguration[] = [];
+        for (let start = 0; start < this.engines.length; start += size) {
+            const part = this.engines.slice(start, start + size);
+            groups.push(part.map(({ address, engine, role, capacity }) => {
+                const pieces = role === "decode" ? { pieces: capacity } : {};
+                return { kind: "engine", address, engine: { ...pieces, ...engine } };
+            }));
+        }
+        return groups;
+    }
+
+    async #whenAnswering(address: string): Promise<void> {
+        for (let attempt = 0; attempt < READY_ATTEMPTS; attempt++) {
+            const answered = await this.control(address).then(() => true, () => false);
+            if (answered) {
+                return;
+            }
+            await sleep(READY_PAUSE_MILLISECONDS);
+        }
+        throw new Error(`The stand-in at ${address} does not answer`);
+    }
+
+    async #startInstances(): Promise<void> {
+        const count = this.options.instances ?? 3;
+        const ports = await freePorts(2 * count);
+        for (let index = 0; index < count; index++) {
+            const name = `instance-${index + 1}`;
+            const settingsFile = join(this.#directory, `${name}.jsonc`);
+            const callersAddress = `127.0.0.1:${ports[2 * index]}`;
+            const instancesAddress = `127.0.0.1:${ports[2 * index + 1]}`;
+            const failureDomain = this.#failureDomains[index % this.#failureDomains.length];
+            await writeFile(
+                settingsFile,
+                JSON.stringify({
+                    name,
+                    failureDomain,
+                    callersAddress,
+                    instancesAddress,
+                    storeAddress: this.#storeAddress,
+                    instanceListAddress: this.#listAddress,
+                    secretFile: join(this.#directory, "secret"),
+                    drain: { graceMilliseconds: this.options.graceMilliseconds ?? 200 },
+                    policy: this.options.policy ?? "today",
+                    stopOnViolation: true,
+                }),
+            );
+            const process = this.#spawn(name, settingsFile);
+            this.instances.push({ name, callersAddress, instancesAddress, settingsFile, process, listed: true });
+        }
+        await this.updateList();
+        await Promise.all(this.instances.map((_, index) => this.whenReady(index)));
+    }
+
+    #spawn(name: string, settingsFile: string): ManagedProcess {
+        const log = join(this.#directory, `${name}.log`);
+        return new ManagedProcess([ROUTER_PROGRAM, "serve", settingsFile], log);
+    }
+
+    async #configure(): Promise<void> {
+        const declaration = {
+            ...exampleDeclaration(this.#failureDomains, this.engines, this.services, this.organisations),
+            ...this.options.declaration,
+        };
+        const operations = diffDocuments(emptyDocument(), declaration);
+        for (const organisation of Object.keys(this.organisations)) {
+            const value = { organisation, label: "granted at the start" };
+            operations.push({ collection: "keys", name: hashKey(this.key(organisation)), value });
+        }
+        const version = await this.change(operations);
+        const client = this.operator();
+        const { missing } = await client.waitInForce(version, 10_000);
+        client.close();
+        if (missing.length > 0) {
+            throw new Error(`The configuration is not in force at ${missing.join(", ")}`);
+        }
+    }
+
+    #homeCount(): number {
+        const sharesPerOrganisation = 3;
+        return Object.keys(this.organisations).length * sharesPerOrganisation + this.engines.length;
+    }
+
+    async #sumOfHomes(living: FleetInstance[]): Promise<number> {
+        const counts = await Promise.all(
+            living.map(instance => this.metric(this.instances.indexOf(instance), "homes_active ")),
+        );
+        return counts.reduce((sum, count) => sum + count, 0);
+    }
+}
--- /dev/null
+++ b/packages/harness/fleet_options.ts
@@ -0,0 +1,24 @@
+import type { Declaration } from "../configuration/mod.ts";
+import type { EngineDescription } from "./engine_description.ts";
+
+/** Options of a {@linkcode Fleet}. */
+export interface FleetOptions {
+    /** Number of instances. Default: 3. */
+    instances?: number;
+    /** Failure domains. Default: `["domain-1", "domain-2", "domain-3"]`. */
+    failureDomains?: string[];
+    /** Engines. Default: two for prefill and two for decode. */
+    engines?: EngineDescription[];
+    /** Number of plain services. Default: 1. */
+    services?: number;
+    /** Organisations. Default: `north` and `south` with generous limits. */
+    organisations?: Declaration["organisations"];
+    /** Parts that replace those of the declaration. */
+    declaration?: Partial<Declaration>;
+    /** Placement policy of the instances. Default: `"today"`. */
+    policy?: "today" | "round-robin" | "least-loaded";
+    /** Milliseconds for which a leaving instance still accepts. Default: 200. */
+    graceMilliseconds?: number;
+    /** Engines to a stand-in process. Default: 1. */
+    enginesPerProcess?: number;
+}
--- /dev/null
+++ b/packages/instances/instance_client.ts
@@ -0,0 +1,224 @@
+import { isJSONRPCResponse, JSONRPCClient, type JSONRPCResponse } from "json-rpc-2.0";
+import { err, ok, type Result } from "neverthrow";
+import { randomBytes } from "node:crypto";
+import { connect, type Socket } from "node:net";
+import { handshake } from "./_handshake.ts";
+import { Traffic } from "./_traffic.ts";
+import { CallFailure } from "./call_failure.ts";
+import { encodeFrame } from "./encode_frame.ts";
+import { FrameDecoder } from "./frame_decoder.ts";
+import type { InstanceClientOptions } from "./instance_client_options.ts";
+import type { InstanceIdentity } from "./instance_identity.ts";
+import { parseAddress } from "./parse_address.ts";
+
+const DEFAULT_MAXIMUM_FRAME_BYTES = 4 * 1_024 * 1_024;
+const CONNECT_TIMEOUT_MILLISECONDS = 2_000;
+const DEFAULT_CALL_TIMEOUT_MILLISECONDS = 2_000;
+
+/** An open connection after its handshake. */
+interface Connection {
+    socket: Socket;
+    rpc: JSONRPCClient;
+    incarnation: string;
+}
+
+/**
+ * Calls one other instance over a connection that is kept open and opened again when needed.
+ *
+ * @example
+ * ```ts
+ * const client = new InstanceClient("127.0.0.1:7200", { name: "b", incarnation: "2" }, "secret", { metrics });
+ * const result = await client.call<string>("echo", { text: "hello" });
+ * client.close();
+ * ```
+ */
+export class InstanceClient {
+    #connection: Promise<Result<Connection, CallFailure>> | undefined;
+    #closed = false;
+    readonly #traffic: Traffic;
+
+    /**
+     * @param address IP number and port of the other instance.
+     * @param identity This instance or operator.
+     * @param secret Secret shared by all instances and operators.
+     * @param options Optional parts.
+     */
+    constructor(
+        readonly address: string,
+        private readonly identity: InstanceIdentity,
+        private readonly secret: string,
+        private readonly options: InstanceClientOptions,
+    ) {
+        this.#traffic = new Traffic(options.metrics);
+    }
+
+    /**
+     * Calls a method.
+     *
+     * @param method Name of the method.
+     * @param params Its parameters.
+     * @param timeoutMilliseconds Time allowed for the answer.
+     * @returns The result, or why there is none.
+     */
+    async call<Value>(
+        method: string,
+        params: object,
+        timeoutMilliseconds = DEFAULT_CALL_TIMEOUT_MILLISECONDS,
+    ): Promise<Result<Value, CallFailure>> {
+        const connection = await this.#connect();
+        if (connection.isErr()) {
+            return err(connection.error);
+        }
+        try {
+            const value: unknown = await connection.value.rpc.timeout(timeoutMilliseconds).request(method, params);
+            return ok(value as Value);
+        }
+        catch (error) {
+            const message = error instanceof Error ? error.message : String(error);
+            const kind = message === "Request timeout" ? "timeout" : "error";
+            return err(new CallFailure(kind, "may-have-run", `Cannot call ${method}: ${message}`));
+        }
+    }
+
+    /** Closes the connection; calls under way fail. */
+    close(): void {
+        this.#closed = true;
+        this.#connection?.then(
+            connection => connection.isOk() && connection.value.socket.destroy(),
+            () => {},
+        );
+    }
+
+    async #connect(): Promise<Result<Connection, CallFailure>> {
+        if (this.#closed) {
+            return err(new CallFailure("unreachable", "not-run", "The connection is closed"));
+        }
+        this.#connection ??= this.#open();
+        const connection = await this.#connection;
+        if (connection.isErr()) {
+            this.#connection = undefined;
+        }
+        return connection;
+    }
+
+    async #open(): Promise<Result<Connection, CallFailure>> {
+        const { host, port } = parseAddress(this.address);
+        const socket = connect({ host, port, noDelay: true });
+        const opened = await waitForConnect(socket);
+        if (opened.isErr()) {
+            socket.destroy();
+            return err(opened.error);
+        }
+        return await this.#greet(socket);
+    }
+
+    #greet(socket: Socket): Promise<Result<Connection, CallFailure>> {
+        return new Promise(resolve => {
+            const decoder = new FrameDecoder(this.options.maximumFrameBytes ?? DEFAULT_MAXIMUM_FRAME_BYTES);
+            const clientNonce = randomBytes(16).toString("hex");
+            let serverNonce: string | undefined;
+            let connection: Connection | undefined;
+            const fail = (kind: "unreachable" | "replaced", message: string) => {
+                resolve(err(new CallFailure(kind, "not-run", message)));
+                socket.destroy();
+            };
+            const timer = setTimeout(() => fail("unreachable", "No handshake in time"), CONNECT_TIMEOUT_MILLISECONDS);
+            const receive = (message: unknown, bytes: number) => {
+                if (connection) {
+                    this.#receive(connection, message, bytes);
+                    return;
+                }
+                if (serverNonce === undefined) {
+                    serverNonce = handshake.challenge.parse(message).nonce;
+                    socket.write(encodeFrame(this.#respond(serverNonce, clientNonce)));
+                    return;
+                }
+                clearTimeout(timer);
+                const welcome = handshake.welcome.parse(message);
+                if (!this.#trusts(welcome, serverNonce, clientNonce)) {
+                    fail("unreachable", "The other side does not know the secret");
+                    return;
+                }
+                const expected = this.options.incarnation;
+                if (expected !== undefined && expected !== welcome.incarnation) {
+                    fail("replaced", `Incarnation ${welcome.incarnation} answers in place of ${expected}`);
+                    return;
+                }
+                connection = this.#ready(socket, welcome.incarnation);
+                resolve(ok(connection));
+            };
+            socket.on("data", chunk => {
+                try {
+                    for (const frame of decoder.push(chunk as Buffer)) {
+                        receive(frame.message, frame.bytes);
+                    }
+                }
+                catch (error) {
+                    fail("unreachable", String(error));
+                }
+            });
+            socket.on("close", () => {
+                clearTimeout(timer);
+                this.#connection = undefined;
+                connection?.rpc.rejectAllPendingRequests("Connection closed");
+                resolve(err(new CallFailure("unreachable", "not-run", "Connection closed in the handshake")));
+            });
+        });
+    }
+
+    #respond(serverNonce: string, clientNonce: string): object {
+        const role = this.options.role ?? "instance";
+        const { name, incarnation } = this.identity;
+        const proof = handshake.prove(this.secret, "client", serverNonce, clientNonce, role, name, incarnation);
+        return { role, name, incarnation, nonce: clientNonce, proof };
+    }
+
+    #trusts(
+        welcome: { name: string; incarnation: string; proof: string; },
+        serverNonce: string,
+        clientNonce: string,
+    ): boolean {
+        const { name, incarnation, proof } = welcome;
+        const expected = handshake.prove(this.secret, "server", serverNonce, clientNonce, name, incarnation);
+        return handshake.matches(expected, proof);
+    }
+
+    #ready(socket: Socket, incarnation: string): Connection {
+        const rpc = new JSONRPCClient(request => {
+            if (socket.destroyed) {
+                throw new Error("Connection closed");
+            }
+            const frame = encodeFrame(request);
+            this.#traffic.sent(String(request.method), frame.length);
+            socket.write(frame);
+        });
+        return { socket, rpc, incarnation };
+    }
+
+    #receive(connection: Connection, message: unknown, bytes: number): void {
+        if (!isJSONRPCResponse(message)) {
+            throw new Error("Cannot read a frame: it is not a JSON-RPC response");
+        }
+        this.#traffic.received("response", bytes);
+        connection.rpc.receive(message as JSONRPCResponse);
+    }
+}
+
+function waitForConnect(socket: Socket): Promise<Result<void, CallFailure>> {
+    return new Promise(resolve => {
+        const timer = setTimeout(() => {
+            resolve(err(new CallFailure("unreachable", "not-run", "Connection timeout")));
+        }, CONNECT_TIMEOUT_MILLISECONDS);
+        socket.once("connect", () => {
+            clearTimeout(timer);
+            resolve(ok(undefined));
+        });
+        socket.once("error", (error: Error & { code?: string; }) => {
+            clearTimeout(timer);
+            const kind = error.code === "ECONNREFUSED" ? "refused" : "unreachable";
+            resolve(err(new CallFailure(kind, "not-run", `Cannot connect: ${error.message}`)));
+        });
+        // Later errors are followed by "close", which rejects the calls under way.
+        socket.on("error", () => {});
+    });
+}
--- /dev/null
+++ b/packages/instances/instance_id.ts
@@ -0,0 +1,15 @@
+import type { InstanceIdentity } from "./instance_identity.ts";
+
+/**
+ * Joins name and incarnation.
+ *
+ * @param identity The instance.
+ * @returns An id that no other process ever has.
+ * @example
+ * ```ts
+ * instanceId({ name: "a", incarnation: "1f" }); // "a/1f"
+ * ```
+ */
+export function instanceId(identity: InstanceIdentity): string {
+    return `${identity.name}/${identity.incarnation}`;
+}
--- /dev/null
+++ b/packages/instances/instance_pool.ts
@@ -0,0 +1,129 @@
+import { err, ok, type Result } from "neverthrow";
+import type { Metrics } from "../metrics/mod.ts";
+import { CallFailure } from "./call_failure.ts";
+import { InstanceClient } from "./instance_client.ts";
+import { instanceId } from "./instance_id.ts";
+import type { InstanceIdentity } from "./instance_identity.ts";
+import type { InstanceServer } from "./instance_server.ts";
+
+type Target = InstanceIdentity & { address: string; };
+
+/**
+ * Keeps one connection to each other instance.
+ *
+ * @example
+ * ```ts
+ * const pool = new InstancePool(self, "secret", metrics, server);
+ * await pool.call({ name: "b", incarnation: "2", address: "127.0.0.1:7201" }, "echo", { text: "hello" });
+ * pool.close();
+ * ```
+ */
+export class InstancePool {
+    readonly #clients = new Map<string, InstanceClient>();
+    readonly #deathListeners: ((target: Target) => void)[] = [];
+
+    /**
+     * @param identity This instance.
+     * @param secret Secret shared by all instances.
+     * @param metrics Receives message and byte counts.
+     * @param server Answers the calls that this instance makes to itself.
+     */
+    constructor(
+        private readonly identity: InstanceIdentity,
+        private readonly secret: string,
+        private readonly metrics: Metrics,
+        private readonly server: InstanceServer,
+    ) {}
+
+    /**
+     * Calls a method of another instance.
+     *
+     * @param target The instance.
+     * @param method Name of the method.
+     * @param params Its parameters.
+     * @param timeoutMilliseconds Time allowed for the answer.
+     * @returns The result, or why there is none.
+     */
+    async call<Value>(
+        target: Target | undefined,
+        method: string,
+        params: object,
+        timeoutMilliseconds?: number,
+    ): Promise<Result<Value, CallFailure>> {
+        if (!target) {
+            return err(new CallFailure("unreachable", "not-run", "No instance to call"));
+        }
+        if (instanceId(target) === instanceId(this.identity)) {
+            return await this.#callSelf(method, params);
+        }
+        const result = await this.#client(target).call<Value>(method, params, timeoutMilliseconds);
+        if (result.isErr() && result.error.provesDeath) {
+            this.#forget(target);
+            for (const listener of this.#deathListeners) {
+                listener(target);
+            }
+        }
+        return result;
+    }
+
+    /**
+     * Calls whichever instance answers at an address.
+     *
+     * @param address IP number and port.
+     * @param method Name of the method.
+     * @param params Its parameters.
+     * @returns The result, or why there is none.
+     */
+    async callAddress<Value>(address: string, method: string, params: object): Promise<Result<Value, CallFailure>> {
+        const client = new InstanceClient(address, this.identity, this.secret, { metrics: this.metrics });
+        const result = await client.call<Value>(method, params);
+        client.close();
+        return result;
+    }
+
+    /**
+     * Registers a function that is called when a failed call proves that an instance no longer exists.
+     *
+     * @param listener The function.
+     */
+    onDeath(listener: (target: Target) => void): void {
+        this.#deathListeners.push(listener);
+    }
+
+    /** Closes every connection. */
+    close(): void {
+        for (const client of this.#clients.values()) {
+            client.close();
+        }
+        this.#clients.clear();
+    }
+
+    async #callSelf<Value>(method: string, params: object): Promise<Result<Value, CallFailure>> {
+        try {
+            return ok(await this.server.invoke(method, params) as Value);
+        }
+        catch (error) {
+            return err(new CallFailure("error", "may-have-run", String(error)));
+        }
+    }
+
+    #client(target: Target): InstanceClient {
+        const id = instanceId(target);
+        let client = this.#clients.get(id);
+        if (!client) {
+            const { incarnation } = target;
+            client = new InstanceClient(target.address, this.identity, this.secret, {
+                metrics: this.metrics,
+                incarnation,
+            });
+            this.#clients.set(id, client);
+        }
+        return client;
+    }
+
+    #forget(target: Target): void {
+        const id = instanceId(target);
+        this.#clients.get(id)?.close();
+        this.#clients.delete(id);
+    }
+}
--- /dev/null
+++ b/packages/instances/instance_server.ts
@@ -0,0 +1,206 @@
+import { JSONRPCErrorException, type JSONRPCRequest, JSONRPCServer } from "json-rpc-2.0";
+import { randomBytes } from "node:crypto";
+import { once } from "node:events";
+import { createServer, type Server, type Socket } from "node:net";
+import type { z } from "zod";
+import type { Logger } from "../logs/mod.ts";
+import { handshake } from "./_handshake.ts";
+import { Traffic } from "./_traffic.ts";
+import type { CallContext } from "./call_context.ts";
+import { encodeFrame } from "./encode_frame.ts";
+import { FrameDecoder } from "./frame_decoder.ts";
+import type { InstanceIdentity } from "./instance_identity.ts";
+import type { InstanceServerOptions } from "./instance_server_options.ts";
+import { parseAddress } from "./parse_address.ts";
+
+const DEFAULT_MAXIMUM_FRAME_BYTES = 4 * 1_024 * 1_024;
+const HANDSHAKE_TIMEOUT_MILLISECONDS = 5_000;
+const HANDSHAKE_MAXIMUM_FRAME_BYTES = 1_024;
+const INVALID_PARAMS = -32_602;
+const NOT_PERMITTED = -32_001;
+
+/**
+ * Accepts connections of other instances and of operators and answers their calls.
+ *
+ * @example
+ * ```ts
+ * const server = new InstanceServer({ name: "a", incarnation: "1" }, "secret", { metrics, logger });
+ * server.handle("echo", z.object({ text: z.string() }), async ({ text }) => text);
+ * await server.listen("127.0.0.1:7200");
+ * await server.close();
+ * ```
+ */
+export class InstanceServer {
+    readonly #rpc = new JSONRPCServer<CallContext>();
+    readonly #sockets = new Set<Socket>();
+    readonly #server: Server;
+    readonly #traffic: Traffic;
+    readonly #logger: Logger;
+    readonly #maximumFrameBytes: number;
+
+    /**
+     * @param identity This instance.
+     * @param secret Secret shared by all instances and operators.
+     * @param options Optional parts.
+     */
+    constructor(
+        private readonly identity: InstanceIdentity,
+        private readonly secret: string,
+        options: InstanceServerOptions,
+    ) {
+        this.#traffic = new Traffic(options.metrics);
+        this.#logger = options.logger;
+        this.#maximumFrameBytes = options.maximumFrameBytes ?? DEFAULT_MAXIMUM_FRAME_BYTES;
+        this.#server = createServer(socket => {
+            this.#serve(socket).catch(error => {
+                this.#logger.warn("instance connection closed", { error: String(error) });
+                socket.destroy();
+            });
+        });
+    }
+
+    /**
+     * Registers the handler of a method.
+     *
+     * @param method Name of the method.
+     * @param schema Schema of its parameters.
+     * @param handler Computes the result.
+     * @param role Role that the caller needs.
+     */
+    handle<Schema extends z.ZodType>(
+        method: string,
+        schema: Schema,
+        handler: (params: z.infer<Schema>, context: CallContext) => Promise<unknown>,
+        role: "instance" | "operator" | "any" = "instance",
+    ): void {
+        this.#rpc.addMethod(method, async (params: unknown, context: CallContext) => {
+            if (role !== "any" && role !== context.role) {
+                throw new JSONRPCErrorException(`Cannot call ${method} as ${context.role}`, NOT_PERMITTED);
+            }
+            const parsed = schema.safeParse(params);
+            if (!parsed.success) {
+                throw new JSONRPCErrorException(`Cannot parse the parameters of ${method}`, INVALID_PARAMS);
+            }
+            return await handler(parsed.data, context) ?? {};
+        });
+    }
+
+    /**
+     * Calls a method of this instance itself.
+     *
+     * @param method Name of the method.
+     * @param params Its parameters.
+     * @returns The result.
+     * @throws {Error} If the handler failed.
+     */
+    async invoke(method: string, params: object): Promise<unknown> {
+        const request = { jsonrpc: "2.0" as const, id: 0, method, params };
+        const response = await this.#rpc.receive(request, { role: "instance", ...this.identity });
+        if (!response || response.error) {
+            throw new Error(response?.error?.message ?? `No answer from ${method}`);
+        }
+        return response.result;
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @param address IP number and port.
+     * @returns A promise that resolves once the port is open.
+     * @throws {Error} If the port is in use.
+     */
+    async listen(address: string): Promise<void> {
+        const { host, port } = parseAddress(address);
+        this.#server.listen(port, host);
+        await once(this.#server, "listening");
+    }
+
+    /**
+     * Closes the port and every connection. Called only when the process is about to exit, since a refused
+     * connection proves to other instances that this one no longer holds anything.
+     *
+     * @returns A promise that resolves once all is closed.
+     */
+    async close(): Promise<void> {
+        for (const socket of this.#sockets) {
+            socket.destroy();
+        }
+        this.#server.close();
+        await once(this.#server, "close");
+    }
+
+    async #serve(socket: Socket): Promise<void> {
+        this.#sockets.add(socket);
+        socket.setNoDelay(true);
+        socket.on("error", () => socket.destroy());
+        socket.on("close", () => this.#sockets.delete(socket));
+        const context = await this.#welcome(socket);
+        if (!context) {
+            this.#logger.warn("refused an instance connection: wrong secret", { remote: socket.remoteAddress });
+            socket.destroy();
+            return;
+        }
+        const decoder = new FrameDecoder(this.#maximumFrameBytes);
+        for await (const chunk of socket) {
+            for (const frame of decoder.push(chunk as Buffer)) {
+                this.#answer(socket, frame.message as JSONRPCRequest, frame.bytes, context);
+            }
+        }
+    }
+
+    async #welcome(socket: Socket): Promise<CallContext | undefined> {
+        const nonce = randomBytes(16).toString("hex");
+        socket.write(encodeFrame({ nonce }));
+        const message = await readFrame(socket);
+        const response = handshake.response.safeParse(message);
+        if (!response.success) {
+            return undefined;
+        }
+        const { role, name, incarnation, proof } = response.data;
+        const expected = handshake.prove(this.secret, "client", nonce, response.data.nonce, role, name, incarnation);
+        if (!handshake.matches(expected, proof)) {
+            return undefined;
+        }
+        socket.write(encodeFrame({
+            ...this.identity,
+            proof: handshake.prove(
+                this.secret,
+                "server",
+                nonce,
+                response.data.nonce,
+                this.identity.name,
+                this.identity.incarnation,
+            ),
+        }));
+        return { role, name, incarnation };
+    }
+
+    #answer(socket: Socket, request: JSONRPCRequest, bytes: number, context: CallContext): void {
+        const kind = this.#rpc.hasMethod(request.method) ? request.method : "unknown";
+        this.#traffic.received(kind, bytes);
+        this.#rpc.receive(request, context).then(
+            response => {
+                if (response && !socket.destroyed) {
+                    const frame = encodeFrame(response);
+                    this.#traffic.sent(kind, frame.length);
+                    socket.write(frame);
+                }
+            },
+            error => this.#logger.error("call failed", { kind, error: String(error) }),
+        );
+    }
+}
+
+async function readFrame(socket: Socket): Promise<unknown> {
+    const decoder = new FrameDecoder(HANDSHAKE_MAXIMUM_FRAME_BYTES);
+    const signal = AbortSignal.timeout(HANDSHAKE_TIMEOUT_MILLISECONDS);
+    while (true) {
+        const [chunk] = await once(socket, "data", { signal }) as [Buffer];
+        socket.pause();
+        const [frame] = decoder.push(chunk);
+        if (frame) {
+            return frame.message;
+        }
+        socket.resume();
+    }
+}
--- /dev/null
+++ b/packages/instances/instance_server_options.ts
@@ -0,0 +1,12 @@
+import type { Logger } from "../logs/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+
+/** Options of {@linkcode InstanceServer}. */
+export interface InstanceServerOptions {
+    /** Receives message and byte counts. */
+    metrics: Metrics;
+    /** Receives refused handshakes and malformed frames. */
+    logger: Logger;
+    /** Longest frame in bytes. Default: 4 MiB. */
+    maximumFrameBytes?: number;
+}
--- /dev/null
+++ b/packages/instances/parse_address.ts
@@ -0,0 +1,15 @@
+/**
+ * Splits an address into its parts.
+ *
+ * @param address IP number and port, such as `127.0.0.1:80` or `[::1]:80`.
+ * @returns The parts.
+ * @example
+ * ```ts
+ * parseAddress("127.0.0.1:80"); // { host: "127.0.0.1", port: 80 }
+ * ```
+ */
+export function parseAddress(address: string): { host: string; port: number; } {
+    const colon = address.lastIndexOf(":");
+    const host = address.slice(0, colon).replace(/^\[|\]$/g, "");
+    return { host, port: Number(address.slice(colon + 1)) };
+}
--- /dev/null
+++ b/packages/invariants/invariant_name.ts
@@ -0,0 +1,9 @@
+/** Name of an invariant; the label of its counters. */
+export type InvariantName =
+    | "share-level-within-burst"
+    | "reservations-within-capacity"
+    | "configuration-version-never-decreases"
+    | "epoch-never-decreases"
+    | "event-belongs-to-request"
+    | "once-only-dispatch-follows-intent"
+    | "key-belongs-to-organisation";
--- /dev/null
+++ b/packages/invariants/mod.ts
@@ -0,0 +1,3 @@
+/** Invariants asserted while the program runs. */
+export type { InvariantName } from "./invariant_name.ts";
+export { Invariants } from "./invariants.ts";
--- /dev/null
+++ b/packages/limits/charge_answer.ts
@@ -0,0 +1,9 @@
+/** Answer of the home of a share to a charge. */
+export interface ChargeAnswer {
+    /** Whether this instance is the home and the share is active. */
+    active: boolean;
+    /** Tokens taken. */
+    granted: number;
+    /** Tokens left. */
+    level: number;
+}
--- /dev/null
+++ b/packages/limits/organisation_limiter.ts
@@ -0,0 +1,281 @@
+import { err, ok, type Result } from "neverthrow";
+import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
+import type { ConfigurationState } from "../configuration/mod.ts";
+import type { InstancePool } from "../instances/mod.ts";
+import type { Membership } from "../membership/mod.ts";
+import { Refusal } from "../verdicts/mod.ts";
+import type { Charge } from "./charge.ts";
+import type { ChargeAnswer } from "./charge_answer.ts";
+import { limitTimes } from "./limit_times.ts";
+import { shareOf } from "./share_of.ts";
+import { SHARES_PER_ORGANISATION } from "./shares_per_organisation.ts";
+
+const CALL_TIMEOUT_MILLISECONDS = 250;
+const UNAVAILABLE_MILLISECONDS = 500;
+const SHORTEST_WAIT_MILLISECONDS = 20;
+const MAXIMUM_WAITING_PER_ORGANISATION = 64;
+
+/** What this instance last heard of a share. */
+interface ShareHint {
+    level: number;
+    at: number;
+    unavailableUntil: number;
+}
+
+/**
+ * Charges requests to their organisations at the homes of the shares.
+ *
+ * @example
+ * ```ts
+ * const limiter = new OrganisationLimiter(membership, pool, configuration);
+ * const charge = await limiter.charge("north", "request-1", 500);
+ * if (charge.isOk()) {
+ *     limiter.settle(charge.value, 120);
+ * }
+ * ```
+ */
+export class OrganisationLimiter {
+    readonly #hints = new Map<string, ShareHint[]>();
+    readonly #waiting = new Map<string, number>();
+    #sequence = 0;
+
+    /**
+     * @param membership Says which instance is the home of a share.
+     * @param pool Calls the homes.
+     * @param configuration Says the rates and bursts.
+     */
+    constructor(
+        private readonly membership: Membership,
+        private readonly pool: InstancePool,
+        private readonly configuration: ConfigurationState,
+    ) {}
+
+    /**
+     * Charges tokens, waiting a short time for the rate if need be.
+     *
+     * @param organisation Name of the organisation.
+     * @param requestId Id of the request.
+     * @param amount Tokens of the prompt and the permitted output.
+     * @param signal Ends the wait, when the caller is gone.
+     * @returns The charge, which covers a dispatch within its validity, or a refusal.
+     */
+    async charge(
+        organisation: string,
+        requestId: string,
+        amount: number,
+        signal?: AbortSignal,
+    ): Promise<Result<Charge, Refusal>> {
+        const limits = this.configuration.document.organisations[organisation];
+        if (!limits) {
+            return err(new Refusal(403, "key-unknown", "not-run", "The organisation no longer exists"));
+        }
+        const share = shareOf(limits);
+        if (amount > share.burstTokens * SHARES_PER_ORGANISATION) {
+            const message = `The request may take ${amount} tokens, more than the organisation's burst ever holds`;
+            return err(new Refusal(400, "burst-exceeded", "not-run", message));
+        }
+        const waiting = this.#waiting.get(organisation) ?? 0;
+        if (waiting >= MAXIMUM_WAITING_PER_ORGANISATION) {
+            return err(rateLimited(1_000));
+        }
+        this.#waiting.set(organisation, waiting + 1);
+        try {
+            return await this.#chargeWithPatience(organisation, requestId, amount, signal);
+        }
+        finally {
+            this.#waiting.set(organisation, (this.#waiting.get(organisation) ?? 1) - 1);
+        }
+    }
+
+    /**
+     * Tells whether a charge still covers a dispatch.
+     *
+     * @param charge The charge.
+     * @returns Whether it is fresh enough.
+     */
+    covers(charge: Charge): boolean {
+        return monotonicMilliseconds() - charge.askedAt < limitTimes.chargeValidityMilliseconds;
+    }
+
+    /**
+     * Returns the unused part of a charge. A lost return costs the organisation tokens, never the limit.
+     *
+     * @param charge The charge.
+     * @param used Tokens that the request used.
+     */
+    settle(charge: Charge, used: number): void {
+        let left = used;
+        for (const part of charge.parts) {
+            const partUsed = Math.min(part.amount, left);
+            left -= partUsed;
+            if (partUsed < part.amount) {
+                const { index, id } = part;
+                const params = { organisation: charge.organisation, index, id, used: partUsed };
+                void this.pool.call(this.#homeOf(charge.organisation, index), "limits.settle", params);
+            }
+        }
+    }
+
+    async #chargeWithPatience(
+        organisation: string,
+        requestId: string,
+        amount: number,
+        signal: AbortSignal | undefined,
+    ): Promise<Result<Charge, Refusal>> {
+        const deadline = monotonicMilliseconds() + limitTimes.patienceMilliseconds;
+        while (true) {
+            const charge = await this.#attempt(organisation, requestId, amount);
+            if (charge) {
+                return ok(charge);
+            }
+            const wait = this.#expectedWait(organisation, amount);
+            if (monotonicMilliseconds() + wait > deadline || signal?.aborted) {
+                return err(this.#refuse(organisation, wait));
+            }
+            await sleep(Math.max(SHORTEST_WAIT_MILLISECONDS, wait), signal);
+        }
+    }
+
+    #refuse(organisation: string, waitMilliseconds: number): Refusal {
+        const now = monotonicMilliseconds();
+        const reachable = this.#hintsOf(organisation).some(hint => hint.unavailableUntil <= now);
+        if (reachable) {
+            return rateLimited(waitMilliseconds);
+        }
+        return new Refusal(503, "limit-unavailable", "not-run", "The organisation's limit is not available", {
+            retryAfterSeconds: 1,
+        });
+    }
+
+    async #attempt(organisation: string, requestId: string, amount: number): Promise<Charge | undefined> {
+        const askedAt = monotonicMilliseconds();
+        const indexes = this.#indexesByLevel(organisation);
+        const { burstTokens } = this.#share(organisation);
+        for (const index of amount <= burstTokens ? indexes : []) {
+            if (this.#estimate(organisation, index) < amount) {
+                continue;
+            }
+            const part = await this.#take(organisation, index, requestId, amount, false);
+            if (part) {
+                return { organisation, amount, askedAt, parts: [part] };
+            }
+        }
+        return await this.#attemptInParts(organisation, requestId, amount, indexes);
+    }
+
+    /** Takes a request that no single share can pay from several of them. */
+    async #attemptInParts(
+        organisation: string,
+        requestId: string,
+        amount: number,
+        indexes: number[],
+    ): Promise<Charge | undefined> {
+        const askedAt = monotonicMilliseconds();
+        const estimates = indexes.map(index => this.#estimate(organisation, index));
+        const total = estimates.reduce((sum, estimate) => sum + estimate, 0);
+        if (total < amount) {
+            return undefined;
+        }
+        const charge: Charge = { organisation, amount, askedAt, parts: [] };
+        let missing = amount;
+        for (const index of indexes) {
+            const part = await this.#take(organisation, index, requestId, missing, true);
+            if (part) {
+                charge.parts.push(part);
+                missing -= part.amount;
+            }
+            if (missing <= 0) {
+                return charge;
+            }
+        }
+        this.settle(charge, 0);
+        return undefined;
+    }
+
+    async #take(
+        organisation: string,
+        index: number,
+        requestId: string,
+        amount: number,
+        partial: boolean,
+    ): Promise<Charge["parts"][number] | undefined> {
+        const hint = this.#hintsOf(organisation)[index];
+        const home = this.#homeOf(organisation, index);
+        if (!hint || !home) {
+            return undefined;
+        }
+        const id = `${requestId}.${this.#sequence++}`;
+        const params = { organisation, index, id, amount, partial };
+        const answer = await this.pool.call<ChargeAnswer>(home, "limits.charge", params, CALL_TIMEOUT_MILLISECONDS);
+        const now = monotonicMilliseconds();
+        if (answer.isErr() || !answer.value.active) {
+            hint.unavailableUntil = now + UNAVAILABLE_MILLISECONDS;
+            if (answer.isErr() && answer.error.verdict === "may-have-run") {
+                void this.pool.call(home, "limits.settle", { organisation, index, id, used: 0 });
+            }
+            return undefined;
+        }
+        hint.level = answer.value.level;
+        hint.at = now;
+        hint.unavailableUntil = 0;
+        return answer.value.granted > 0 ? { index, id, amount: answer.value.granted } : undefined;
+    }
+
+    #homeOf(organisation: string, index: number) {
+        return this.membership.homeOf({ group: `organisation/${organisation}`, index });
+    }
+
+    #share(organisation: string): { tokensPerSecond: number; burstTokens: number; } {
+        const limits = this.configuration.document.organisations[organisation];
+        return limits ? shareOf(limits) : { tokensPerSecond: 0, burstTokens: 0 };
+    }
+
+    #hintsOf(organisation: string): ShareHint[] {
+        let hints = this.#hints.get(organisation);
+        if (!hints) {
+            hints = Array.from({ length: SHARES_PER_ORGANISATION }, () => ({
+                level: Number.POSITIVE_INFINITY,
+                at: 0,
+                unavailableUntil: 0,
+            }));
+            this.#hints.set(organisation, hints);
+        }
+        return hints;
+    }
+
+    #indexesByLevel(organisation: string): number[] {
+        const levels = this.#hintsOf(organisation).map((_, index) => this.#estimate(organisation, index));
+        // Equal levels are tried in random order, so that instances do not all start with the same home.
+        return levels
+            .map((level, index) => ({ level, index, tie: Math.random() }))
+            .sort((left, right) => right.level - left.level || left.tie - right.tie)
+            .map(({ index }) => index);
+    }
+
+    /** Expected level of a share, as other instances charge it too; 0 while its home cannot be reached. */
+    #estimate(organisation: string, index: number): number {
+        const hint = this.#hintsOf(organisation)[index];
+        const now = monotonicMilliseconds();
+        if (!hint || hint.unavailableUntil > now) {
+            return 0;
+        }
+        const { tokensPerSecond, burstTokens } = this.#share(organisation);
+        return Math.min(burstTokens, hint.level + tokensPerSecond * (now - hint.at) / 1_000);
+    }
+
+    #expectedWait(organisation: string, amount: number): number {
+        const { tokensPerSecond } = this.#share(organisation);
+        const estimates = this.#hintsOf(organisation).map((_, index) => this.#estimate(organisation, index));
+        const missingInOne = amount - Math.max(...estimates);
+        const missingInAll = amount - estimates.reduce((sum, estimate) => sum + estimate, 0);
+        const waitForOne = missingInOne / tokensPerSecond;
+        const waitForAll = missingInAll / (tokensPerSecond * SHARES_PER_ORGANISATION);
+        return Math.max(0, Math.min(waitForOne, waitForAll) * 1_000);
+    }
+}
+
+function rateLimited(waitMilliseconds: number): Refusal {
+    const message = "The organisation is over its rate";
+    const retryAfterSeconds = Math.max(1, Math.ceil(waitMilliseconds / 1_000));
+    return new Refusal(429, "rate-limited", "not-run", message, { retryAfterSeconds });
+}
--- /dev/null
+++ b/packages/limits/share_of.ts
@@ -0,0 +1,31 @@
+import type { Organisation } from "../configuration/mod.ts";
+import { limitTimes } from "./limit_times.ts";
+import { SHARES_PER_ORGANISATION } from "./shares_per_organisation.ts";
+
+/** Rate and burst of one share. */
+interface Share {
+    tokensPerSecond: number;
+    burstTokens: number;
+}
+
+/**
+ * Computes the share of an organisation's limit that one home spends.
+ *
+ * Tokens may reach an engine later than they were charged. What the rate adds in that time is taken off the burst, so
+ * that the limit also holds for the tokens as the engines see them.
+ *
+ * @param organisation The organisation.
+ * @returns The share's rate and burst.
+ * @example
+ * ```ts
+ * shareOf({ tokensPerSecond: 300, burstTokens: 900, weight: 1, labels: {} }); // 100 a second, burst 250
+ * ```
+ */
+export function shareOf(organisation: Organisation): Share {
+    const delaySeconds = (limitTimes.chargeValidityMilliseconds + limitTimes.transitMilliseconds) / 1_000;
+    const usableBurst = organisation.burstTokens - organisation.tokensPerSecond * delaySeconds;
+    return {
+        tokensPerSecond: organisation.tokensPerSecond / SHARES_PER_ORGANISATION,
+        burstTokens: usableBurst / SHARES_PER_ORGANISATION,
+    };
+}
--- /dev/null
+++ b/packages/logs/create_logger.ts
@@ -0,0 +1,35 @@
+import { createConsola, type LogObject } from "consola";
+import type { Logger } from "./logger.ts";
+
+/**
+ * Creates a logger that writes one JSON object a line to standard error.
+ *
+ * @param instance Name of the instance, part of each entry.
+ * @returns The logger.
+ * @example
+ * ```ts
+ * createLogger("instance-1").info("listening", { port: 8080 });
+ * ```
+ */
+export function createLogger(instance: string): Logger {
+    const consola = createConsola({
+        reporters: [{ log: entry => process.stderr.write(formatEntry(instance, entry)) }],
+    });
+    return {
+        info: (message, fields) => consola.info({ message, additional: undefined, fields }),
+        warn: (message, fields) => consola.warn({ message, additional: undefined, fields }),
+        error: (message, fields) => consola.error({ message, additional: undefined, fields }),
+    };
+}
+
+function formatEntry(instance: string, entry: LogObject): string {
+    const fields = entry["fields"] as Record<string, unknown> | undefined;
+    const line = {
+        time: entry.date.toISOString(),
+        level: entry.type,
+        instance,
+        message: entry.message ?? String(entry.args[0] ?? ""),
+        ...fields,
+    };
+    return `${JSON.stringify(line)}\n`;
+}
--- /dev/null
+++ b/packages/membership/epoch_record_schema.ts
@@ -0,0 +1,16 @@
+import { z } from "zod";
+import type { EpochRecord } from "./epoch_record.ts";
+
+const member = z.object({
+    name: z.string().max(64),
+    incarnation: z.string().max(64),
+    address: z.string().max(64),
+    failureDomain: z.string().max(64),
+});
+
+/** Schema of the epoch record as it comes from the store or another instance. */
+export const epochRecordSchema: z.ZodType<EpochRecord> = z.object({
+    epoch: z.int().min(0),
+    members: z.array(member).max(10_000),
+    history: z.array(z.object({ epoch: z.int().min(0), members: z.array(z.string().max(130)) })),
+});
--- /dev/null
+++ b/packages/metrics/metrics.ts
@@ -0,0 +1,108 @@
+import { build, type Histogram } from "hdr-histogram-js";
+
+type Labels = Record<string, string>;
+
+const HIGHEST_TRACKABLE_MICROSECONDS = 3_600_000_000;
+const QUANTILES = [50, 90, 95, 99, 99.9];
+
+/**
+ * Registry of the metrics of one instance.
+ *
+ * @example
+ * ```ts
+ * const metrics = new Metrics();
+ * metrics.increment("refusals_total", { reason: "rate-limited" });
+ * metrics.render(); // 'laburnumslip_refusals_total{reason="rate-limited"} 1\n'
+ * ```
+ */
+export class Metrics {
+    readonly #counters = new Map<string, number>();
+    readonly #gauges = new Map<string, () => number>();
+    readonly #histograms = new Map<string, Histogram>();
+
+    /**
+     * Adds to a counter.
+     *
+     * @param name Name without the project's prefix, ending in `_total`.
+     * @param labels Labels with a bounded set of values.
+     * @param amount Amount to add.
+     */
+    increment(name: string, labels: Labels = {}, amount = 1): void {
+        const key = formatSeries(name, labels);
+        this.#counters.set(key, (this.#counters.get(key) ?? 0) + amount);
+    }
+
+    /**
+     * Reads a counter.
+     *
+     * @param name Name without the project's prefix.
+     * @param labels The counter's labels.
+     * @returns The value, 0 when it was never incremented.
+     */
+    count(name: string, labels: Labels = {}): number {
+        return this.#counters.get(formatSeries(name, labels)) ?? 0;
+    }
+
+    /**
+     * Registers a gauge that is read at each exposition.
+     *
+     * @param name Name without the project's prefix.
+     * @param read Returns the present value.
+     * @param labels Labels with a bounded set of values.
+     */
+    gauge(name: string, read: () => number, labels: Labels = {}): void {
+        this.#gauges.set(formatSeries(name, labels), read);
+    }
+
+    /**
+     * Records a duration.
+     *
+     * @param name Name without the project's prefix or unit.
+     * @param milliseconds The duration.
+     */
+    observe(name: string, milliseconds: number): void {
+        let histogram = this.#histograms.get(name);
+        if (!histogram) {
+            histogram = build({
+                highestTrackableValue: HIGHEST_TRACKABLE_MICROSECONDS,
+                numberOfSignificantValueDigits: 2,
+            });
+            this.#histograms.set(name, histogram);
+        }
+        const microseconds = Math.round(Math.max(0, milliseconds) * 1_000);
+        histogram.recordValue(Math.min(microseconds, HIGHEST_TRACKABLE_MICROSECONDS));
+    }
+
+    /**
+     * Renders all metrics.
+     *
+     * @returns The text exposition.
+     */
+    render(): string {
+        const lines: string[] = [];
+        for (const [series, value] of this.#counters) {
+            lines.push(`laburnumslip_${series} ${value}`);
+        }
+        for (const [series, read] of this.#gauges) {
+            lines.push(`laburnumslip_${series} ${read()}`);
+        }
+        for (const [name, histogram] of this.#histograms) {
+            lines.push(...renderHistogram(name, histogram));
+        }
+        return `${lines.join("\n")}\n`;
+    }
+}
+
+function renderHistogram(name: string, histogram: Histogram): string[] {
+    const lines = QUANTILES.map(quantile => {
+        const seconds = histogram.getValueAtPercentile(quantile) / 1_000_000;
+        return `laburnumslip_${name}_seconds{quantile="${quantile / 100}"} ${seconds}`;
+    });
+    lines.push(`laburnumslip_${name}_seconds_count ${histogram.totalCount}`);
+    return lines;
+}
+
+function formatSeries(name: string, labels: Labels): string {
+    const pairs = Object.entries(labels).map(([key, value]) => `${key}="${value.replace(/["\\\n]/g, "_")}"`);
+    return pairs.length === 0 ? name : `${name}{${pairs.join(",")}}`;
+}
--- /dev/null
+++ b/packages/once/begin_answer.ts
@@ -0,0 +1,8 @@
+import type { OnceRecord } from "./once_record.ts";
+
+/** Answer to an instance that wants to send a once-only call. */
+export type BeginAnswer =
+    | { kind: "begun"; }
+    | { kind: "exists"; record: OnceRecord; }
+    | { kind: "full"; }
+    | { kind: "unavailable"; };
--- /dev/null
+++ b/packages/once/kept_answer.ts
@@ -0,0 +1,9 @@
+/** A service's answer, kept for callers that send their call again. */
+export interface KeptAnswer {
+    /** HTTP status code. */
+    status: number;
+    /** Headers. */
+    headers: Record<string, string | string[]>;
+    /** The body in base64. */
+    body: string;
+}
--- /dev/null
+++ b/packages/once/once_parameters.ts
@@ -0,0 +1,37 @@
+import { z } from "zod";
+
+const key = z.string().regex(/^[0-9a-f]{32}$/);
+const attempt = z.string().max(200);
+
+const answer = z.object({
+    status: z.int().min(100).max(999),
+    headers: z.record(z.string(), z.union([z.string(), z.array(z.string())])),
+    body: z.string(),
+});
+
+/** Parameters of the calls to the home of a shard, and the value of a shard in the store. */
+export const onceParameters = {
+    /** `once.begin`: records the intent to send a call. */
+    begin: z.object({ key, attempt, fingerprint: z.string().max(64), owner: z.string().max(130) }),
+    /** `once.finish`: records how it ended; `"withdrawn"` removes an intent that was never sent. */
+    finish: z.object({
+        key,
+        attempt,
+        state: z.enum(["finished", "unknown", "withdrawn"]),
+        answer: answer.optional(),
+    }),
+    /** Value of a shard. */
+    shard: z.object({
+        records: z.record(
+            z.string(),
+            z.object({
+                attempt,
+                fingerprint: z.string(),
+                owner: z.string(),
+                at: z.number(),
+                state: z.enum(["started", "finished", "unknown"]),
+                answer: answer.optional(),
+            }),
+        ),
+    }),
+};
--- /dev/null
+++ b/packages/operators/main.ts
@@ -0,0 +1,3 @@
+import { createProgram } from "./create_program.ts";
+
+createProgram().parse(process.argv);
--- /dev/null
+++ b/packages/placement/create_placement_policy.ts
@@ -0,0 +1,25 @@
+import { LeastLoadedPolicy } from "./least_loaded_policy.ts";
+import type { PlacementPolicy } from "./placement_policy.ts";
+import { RoundRobinPolicy } from "./round_robin_policy.ts";
+import { TodayPolicy } from "./today_policy.ts";
+
+/**
+ * Creates the policy that the settings name.
+ *
+ * @param name Name of the policy.
+ * @returns The policy.
+ * @example
+ * ```ts
+ * createPlacementPolicy("today").reserves; // true
+ * ```
+ */
+export function createPlacementPolicy(name: "today" | "round-robin" | "least-loaded"): PlacementPolicy {
+    switch (name) {
+        case "today":
+            return new TodayPolicy();
+        case "round-robin":
+            return new RoundRobinPolicy();
+        case "least-loaded":
+            return new LeastLoadedPolicy();
+    }
+}
--- /dev/null
+++ b/packages/reservations/_ramp.ts
@@ -0,0 +1,34 @@
+import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { reservationTimes } from "./reservation_times.ts";
+
+/** Limits the requests at a server that has just started: one at first, one more for each success. */
+export class Ramp {
+    #allowed: number;
+    #steppedAt = Number.NEGATIVE_INFINITY;
+
+    constructor(
+        private readonly full: number,
+        allowed: number,
+    ) {
+        this.#allowed = Math.min(full, Math.max(1, allowed));
+    }
+
+    /** Requests allowed at a time. */
+    get allowed(): number {
+        return this.#allowed;
+    }
+
+    /** Starts again with one request. */
+    reset(): void {
+        this.#allowed = 1;
+    }
+
+    /** Allows one more request after a success. */
+    grow(): void {
+        const now = monotonicMilliseconds();
+        if (now - this.#steppedAt >= reservationTimes.rampStepMilliseconds) {
+            this.#allowed = Math.min(this.full, this.#allowed + 1);
+            this.#steppedAt = now;
+        }
+    }
+}
--- /dev/null
+++ b/packages/reservations/held_reservation.ts
@@ -0,0 +1,11 @@
+/** A reservation that this instance holds or has asked for. */
+export interface HeldReservation {
+    /** Name of the backend server. */
+    server: string;
+    /** Id of the request. */
+    id: string;
+    /** Organisation that the request runs for. */
+    organisation: string;
+    /** Pieces reserved. */
+    pieces: number;
+}
--- /dev/null
+++ b/packages/reservations/held_reservations.ts
@@ -0,0 +1,67 @@
+import type { HeldReservation } from "./held_reservation.ts";
+
+/**
+ * The reservations of this instance, for homes that ask.
+ *
+ * @example
+ * ```ts
+ * const held = new HeldReservations();
+ * held.add({ server: "decode-1", id: "a", organisation: "north", pieces: 1 });
+ * held.has("a"); // true
+ * ```
+ */
+export class HeldReservations {
+    readonly #byId = new Map<string, Map<string, HeldReservation>>();
+
+    /** Number of requests that hold something. */
+    get size(): number {
+        return this.#byId.size;
+    }
+
+    /**
+     * Notes a reservation before it is asked for.
+     *
+     * @param reservation The reservation.
+     */
+    add(reservation: HeldReservation): void {
+        const servers = this.#byId.get(reservation.id) ?? new Map<string, HeldReservation>();
+        servers.set(reservation.server, reservation);
+        this.#byId.set(reservation.id, servers);
+    }
+
+    /**
+     * Removes a reservation.
+     *
+     * @param id Id of the request.
+     * @param server Name of the backend server.
+     */
+    remove(id: string, server: string): void {
+        const servers = this.#byId.get(id);
+        servers?.delete(server);
+        if (servers?.size === 0) {
+            this.#byId.delete(id);
+        }
+    }
+
+    /**
+     * Tells whether a request holds anything at a server.
+     *
+     * @param id Id of the request.
+     * @param server Name of the backend server; any if absent.
+     * @returns Whether it does.
+     */
+    has(id: string, server?: string): boolean {
+        const servers = this.#byId.get(id);
+        return servers !== undefined && (server === undefined || servers.has(server));
+    }
+
+    /**
+     * Lists the reservations at some servers.
+     *
+     * @param servers Names of the servers.
+     * @returns The reservations.
+     */
+    at(servers: Set<string>): HeldReservation[] {
+        return [...this.#byId.values()].flatMap(held => [...held.values()]).filter(({ server }) => servers.has(server));
+    }
+}
--- /dev/null
+++ b/packages/reservations/reservation_client.ts
@@ -0,0 +1,139 @@
+import { monotonicMilliseconds } from "../clocks/mod.ts";
+import type { InstancePool, InstanceServer } from "../instances/mod.ts";
+import type { Membership } from "../membership/mod.ts";
+import { HeldReservations } from "./held_reservations.ts";
+import { reservationParameters } from "./reservation_parameters.ts";
+import { reservationTimes } from "./reservation_times.ts";
+import type { ReserveAnswer } from "./reserve_answer.ts";
+import type { ReserveRequest } from "./reserve_request.ts";
+import type { ServerHint } from "./server_hint.ts";
+
+const ANSWER_MARGIN_MILLISECONDS = 500;
+const AVOID_MILLISECONDS = 500;
+
+/** A reservation granted to this instance. */
+interface Grant {
+    server: string;
+    id: string;
+    pieces: number;
+    askedAt: number;
+}
+
+/**
+ * Reserves capacity of backend servers at their homes.
+ *
+ * @example
+ * ```ts
+ * const reservations = new ReservationClient(membership, pool, server);
+ * const grant = await reservations.reserve(request);
+ * if (grant) {
+ *     reservations.release(grant, "done");
+ * }
+ * ```
+ */
+export class ReservationClient {
+    readonly held = new HeldReservations();
+    readonly #hints = new Map<string, ServerHint>();
+
+    /**
+     * @param membership Says which instance is the home of a server.
+     * @param pool Calls the homes.
+     * @param server Answers homes that ask what this instance holds.
+     */
+    constructor(
+        private readonly membership: Membership,
+        private readonly pool: InstancePool,
+        server: InstanceServer,
+    ) {
+        server.handle("requests.holdings", reservationParameters.holdings, async ({ servers }) => {
+            return this.held.at(new Set(servers));
+        });
+        server.handle("requests.held", reservationParameters.held, async ({ ids }) => {
+            return ids.filter(id => this.held.has(id));
+        });
+    }
+
+    /**
+     * Reserves capacity.
+     *
+     * @param request The request.
+     * @returns The grant, or the home's refusal.
+     */
+    async reserve(request: ReserveRequest): Promise<Grant | ReserveAnswer> {
+        const askedAt = monotonicMilliseconds();
+        const { server, id, pieces, organisation } = request;
+        this.held.add({ server, id, pieces, organisation });
+        const answer = await this.pool.call<ReserveAnswer>(
+            this.membership.homeOf({ group: `server/${server}`, index: 0 }),
+            "servers.reserve",
+            request,
+            request.waitMilliseconds + ANSWER_MARGIN_MILLISECONDS,
+        );
+        const now = monotonicMilliseconds();
+        if (answer.isOk()) {
+            this.#note(server, answer.value, now);
+            if (answer.value.granted) {
+                return { server, id, pieces, askedAt };
+            }
+            this.held.remove(id, server);
+            return answer.value;
+        }
+        this.release({ server, id, pieces, askedAt }, "unused");
+        const refusal: ReserveAnswer = { granted: false, why: "not-home", free: 0, waiting: 0 };
+        this.#note(server, refusal, now);
+        return refusal;
+    }
+
+    /**
+     * Tells whether a grant may still be used.
+     *
+     * @param grant The grant.
+     * @returns Whether it is fresh enough.
+     */
+    covers(grant: Grant): boolean {
+        return monotonicMilliseconds() - grant.askedAt < reservationTimes.validityMilliseconds;
+    }
+
+    /**
+     * Gives a grant back.
+     *
+     * @param grant The grant.
+     * @param outcome How it ended; see the parameters of `servers.release`.
+     */
+    release(grant: Grant, outcome: "done" | "unused" | "failed" | "orphaned"): void {
+        const { server, id } = grant;
+        this.held.remove(id, server);
+        const home = this.membership.homeOf({ group: `server/${server}`, index: 0 });
+        void this.pool.call(home, "servers.release", { server, id, outcome });
+    }
+
+    /**
+     * Returns what was last heard of a server's load.
+     *
+     * @param server Name of the server.
+     * @returns The hint, or undefined if nothing was heard.
+     */
+    hint(server: string): ServerHint | undefined {
+        return this.#hints.get(server);
+    }
+
+    /**
+     * Takes over what was heard of a server's load in another way.
+     *
+     * @param server Name of the server.
+     * @param hint The hint.
+     */
+    noteHint(server: string, hint: ServerHint): void {
+        this.#hints.set(server, hint);
+    }
+
+    #note(server: string, answer: ReserveAnswer, now: number): void {
+        const avoid = answer.why === "not-home" || answer.why === "down" || answer.why === "drained";
+        this.noteHint(server, {
+            free: answer.free,
+            waiting: answer.waiting,
+            at: now,
+            avoidUntil: avoid ? now + AVOID_MILLISECONDS : 0,
+        });
+    }
+}
--- /dev/null
+++ b/packages/reservations/server_hint.ts
@@ -0,0 +1,11 @@
+/** What an instance last heard of a backend server's load. */
+export interface ServerHint {
+    /** Pieces left. */
+    free: number;
+    /** Requests that wait. */
+    waiting: number;
+    /** Monotonic time in milliseconds at which it was heard. */
+    at: number;
+    /** Monotonic time in milliseconds until which the server is passed over. */
+    avoidUntil: number;
+}
--- /dev/null
+++ b/packages/reservations/server_ledger.ts
@@ -0,0 +1,315 @@
+import { monotonicMilliseconds } from "../clocks/mod.ts";
+import type { EngineReport } from "../engines/mod.ts";
+import { Ramp } from "./_ramp.ts";
+import { FairQueue } from "./fair_queue.ts";
+import type { HeldReservation } from "./held_reservation.ts";
+import { reservationTimes } from "./reservation_times.ts";
+import type { ReserveAnswer } from "./reserve_answer.ts";
+import type { ReserveRequest } from "./reserve_request.ts";
+
+const MAXIMUM_WAITING = 256;
+const MAXIMUM_WAITING_PER_ORGANISATION = 64;
+
+/** Capacity reserved for one request. */
+interface Reservation {
+    pieces: number;
+    confirmedAt: number;
+    orphaned: boolean;
+}
+
+interface Waiter {
+    id: string;
+    organisation: string;
+    weight: number;
+    priority: number;
+    cost: number;
+    answer: (answer: ReserveAnswer) => void;
+    timer: NodeJS.Timeout;
+}
+
+/** Handed from one home of a server to the next. */
+interface LedgerHandover {
+    allowed: number;
+    bootId: string | undefined;
+}
+
+/**
+ * The capacity of one backend server over all instances.
+ *
+ * @example
+ * ```ts
+ * const ledger = new ServerLedger(20, {});
+ * ledger.open();
+ * const answer = await ledger.reserve(request, 1);
+ * ledger.release(request.id, "done");
+ * ```
+ */
+export class ServerLedger {
+    readonly #reservations = new Map<string, Reservation>();
+    readonly #queue = new FairQueue<Waiter>();
+    readonly #ramp: Ramp;
+    #state: "opening" | "open" | "closed" = "opening";
+    #bootId: string | undefined;
+    #down = false;
+    #drained = false;
+
+    /**
+     * @param capacity Pieces of the server.
+     * @param handover What the former home knew, if it could say.
+     */
+    constructor(
+        readonly capacity: number,
+        handover: Partial<LedgerHandover>,
+    ) {
+        this.#ramp = new Ramp(capacity, handover.allowed ?? 1);
+        this.#bootId = handover.bootId;
+    }
+
+    /** Pieces reserved. */
+    get reserved(): number {
+        let sum = 0;
+        for (const { pieces } of this.#reservations.values()) {
+            sum += pieces;
+        }
+        return sum;
+    }
+
+    /** Requests that a cold server is allowed at a time. */
+    get allowed(): number {
+        return this.#ramp.allowed;
+    }
+
+    /** Requests that wait. */
+    get waiting(): number {
+        return this.#queue.size;
+    }
+
+    /** Whether the server did not answer last. */
+    get down(): boolean {
+        return this.#down;
+    }
+
+    /**
+     * Adds what an instance holds already.
+     *
+     * @param held Its reservations.
+     */
+    learn(held: HeldReservation[]): void {
+        for (const { id, pieces } of held) {
+            this.#adopt(id, pieces);
+        }
+    }
+
+    /** Starts to grant, once every instance has said what it holds. */
+    open(): void {
+        if (this.#state === "opening") {
+            this.#state = "open";
+        }
+        this.#pump();
+    }
+
+    /**
+     * Reserves capacity, waiting if need be.
+     *
+     * @param request The request.
+     * @param weight Weight of its organisation.
+     * @returns The answer.
+     */
+    reserve(request: ReserveRequest, weight: number): Promise<ReserveAnswer> {
+        if (this.#reservations.has(request.id)) {
+            return Promise.resolve(this.#describe(true));
+        }
+        const refusal = this.#refuseAtOnce(request);
+        if (refusal) {
+            return Promise.resolve(this.#describe(false, refusal));
+        }
+        return new Promise(resolve => {
+            const waiter: Waiter = {
+                id: request.id,
+                organisation: request.organisation,
+                weight,
+                priority: request.priority,
+                cost: request.pieces,
+                answer: resolve,
+                timer: setTimeout(() => {
+                    this.#queue.remove(waiter);
+                    resolve(this.#describe(false, "deadline"));
+                    this.#pump();
+                }, request.waitMilliseconds),
+            };
+            this.#queue.push(waiter);
+            this.#pump();
+        });
+    }
+
+    /**
+     * Ends a reservation.
+     *
+     * @param id Id of the request.
+     * @param outcome How it ended; see the parameters of `servers.release`.
+     */
+    release(id: string, outcome: "done" | "unused" | "failed" | "orphaned"): void {
+        const reservation = this.#reservations.get(id);
+        if (outcome === "orphaned") {
+            if (reservation) {
+                reservation.orphaned = true;
+            }
+            return;
+        }
+        this.#reservations.delete(id);
+        if (outcome === "done") {
+            this.#ramp.grow();
+        }
+        if (outcome === "failed") {
+            this.#ramp.reset();
+        }
+        this.#pump();
+    }
+
+    /**
+     * Takes the server out or back in.
+     *
+     * @param drained Whether it gets no new work.
+     */
+    setDrained(drained: boolean): void {
+        if (this.#drained && !drained) {
+            this.#ramp.reset();
+        }
+        this.#drained = drained;
+        if (drained) {
+            this.#refuseWaiters("drained");
+        }
+    }
+
+    /** Notes that the server does not answer. */
+    noteDown(): void {
+        this.#down = true;
+        this.#ramp.reset();
+        this.#refuseWaiters("down");
+    }
+
+    /**
+     * Compares the ledger with what the engine reports.
+     *
+     * @param report The report.
+     * @param askedAt Monotonic time in milliseconds before the report was asked for.
+     */
+    reconcile(report: EngineReport, askedAt: number): void {
+        if (this.#bootId !== undefined && report.bootId !== this.#bootId) {
+            this.#ramp.reset();
+        }
+        this.#bootId = report.bootId;
+        this.#down = false;
+        const running = new Set(report.running.map(({ id }) => id));
+        for (const { id, pieces } of report.running) {
+            this.#adopt(id, pieces);
+        }
+        for (const [id, reservation] of this.#reservations) {
+            if (reservation.orphaned && !running.has(id) && reservation.confirmedAt < askedAt) {
+                this.#reservations.delete(id);
+            }
+        }
+        this.#pump();
+    }
+
+    /**
+     * Lists reservations whose owners have to say whether they still hold them.
+     *
+     * @returns Ids of the requests.
+     */
+    unconfirmed(): string[] {
+        const before = monotonicMilliseconds() - reservationTimes.confirmMilliseconds;
+        return [...this.#reservations].filter(([, entry]) => entry.confirmedAt < before).map(([id]) => id);
+    }
+
+    /**
+     * Lists reservations that no instance holds any more and that the engine must cancel.
+     *
+     * @returns Ids of the requests.
+     */
+    orphans(): string[] {
+        return [...this.#reservations].filter(([, { orphaned }]) => orphaned).map(([id]) => id);
+    }
+
+    /**
+     * Notes what an owner said.
+     *
+     * @param id Id of the request.
+     * @param held Whether the owner still holds it.
+     */
+    confirm(id: string, held: boolean): void {
+        const reservation = this.#reservations.get(id);
+        if (reservation) {
+            reservation.confirmedAt = monotonicMilliseconds();
+            reservation.orphaned = !held;
+        }
+    }
+
+    /**
+     * Stops granting; requests that wait are told to ask again.
+     *
+     * @returns What the next home needs.
+     */
+    close(): LedgerHandover {
+        this.#state = "closed";
+        this.#refuseWaiters("not-home");
+        return { allowed: this.#ramp.allowed, bootId: this.#bootId };
+    }
+
+    #adopt(id: string, pieces: number): void {
+        if (!this.#reservations.has(id)) {
+            this.#reservations.set(id, { pieces, confirmedAt: Number.NEGATIVE_INFINITY, orphaned: false });
+        }
+    }
+
+    #refuseAtOnce(request: ReserveRequest): ReserveAnswer["why"] {
+        if (this.#state === "closed") {
+            return "not-home";
+        }
+        if (this.#down) {
+            return "down";
+        }
+        if (this.#drained) {
+            return "drained";
+        }
+        if (request.pieces > this.capacity) {
+            return "too-large";
+        }
+        const full = this.#queue.size >= MAXIMUM_WAITING
+            || this.#queue.countOf(request.organisation) >= MAXIMUM_WAITING_PER_ORGANISATION;
+        const mustWait = this.#queue.size > 0 || !this.#fits(request.pieces);
+        return full || request.waitMilliseconds <= 0 && mustWait ? "full" : undefined;
+    }
+
+    #fits(pieces: number): boolean {
+        return this.#state === "open" && this.#reservations.size < this.#ramp.allowed
+            && this.reserved + pieces <= this.capacity;
+    }
+
+    #pump(): void {
+        let next = this.#queue.peek();
+        while (next && this.#fits(next.cost)) {
+            this.#queue.shift();
+            clearTimeout(next.timer);
+            this.#reservations.set(next.id, {
+                pieces: next.cost,
+                confirmedAt: monotonicMilliseconds(),
+                orphaned: false,
+            });
+            next.answer(this.#describe(true));
+            next = this.#queue.peek();
+        }
+    }
+
+    #refuseWaiters(why: ReserveAnswer["why"]): void {
+        for (let waiter = this.#queue.shift(); waiter; waiter = this.#queue.shift()) {
+            clearTimeout(waiter.timer);
+            waiter.answer(this.#describe(false, why));
+        }
+    }
+
+    #describe(granted: boolean, why?: ReserveAnswer["why"]): ReserveAnswer {
+        const open = Math.min(this.capacity - this.reserved, this.#ramp.allowed - this.#reservations.size);
+        return { granted, ...(why ? { why } : {}), free: Math.max(0, open), waiting: this.#queue.size };
+    }
+}
--- /dev/null
+++ b/packages/reservations/server_state.ts
@@ -0,0 +1,231 @@
+import { monotonicMilliseconds, RepeatingTask } from "../clocks/mod.ts";
+import type { ConfigurationDocument, ConfigurationState } from "../configuration/mod.ts";
+import type { EnginePool } from "../engines/mod.ts";
+import type { HomedState } from "../homes/mod.ts";
+import { instanceId, type InstancePool, type InstanceServer } from "../instances/mod.ts";
+import type { Invariants } from "../invariants/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import type { HomeKey, Member, Membership } from "../membership/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+import type { HeldReservation } from "./held_reservation.ts";
+import { reservationParameters } from "./reservation_parameters.ts";
+import { reservationTimes } from "./reservation_times.ts";
+import type { ReserveAnswer } from "./reserve_answer.ts";
+import { ServerLedger } from "./server_ledger.ts";
+
+const GROUP_PREFIX = "server/";
+const CALL_TIMEOUT_MILLISECONDS = 1_000;
+const NOT_HOME: ReserveAnswer = { granted: false, why: "not-home", free: 0, waiting: 0 };
+
+/** What the state works with. */
+interface ServerStateOptions {
+    configuration: ConfigurationState;
+    membership: Membership;
+    pool: InstancePool;
+    server: InstanceServer;
+    engines: EnginePool;
+    invariants: Invariants;
+    metrics: Metrics;
+    logger: Logger;
+}
+
+/** A ledger with the task that compares it with its engine. */
+interface Tended {
+    ledger: ServerLedger;
+    sweep: RepeatingTask;
+}
+
+/**
+ * The ledgers of the backend servers that this instance is the home of.
+ *
+ * @example
+ * ```ts
+ * const servers = new ServerState(options);
+ * const homes = new Homes([servers], homesOptions);
+ * ```
+ */
+export class ServerState implements HomedState {
+    readonly #tended = new Map<string, Tended>();
+
+    /**
+     * @param options What the state works with.
+     */
+    constructor(private readonly options: ServerStateOptions) {
+        const { server, configuration } = options;
+        server.handle("servers.reserve", reservationParameters.reserve, async request => {
+            const ledger = this.#tended.get(request.server)?.ledger;
+            if (!ledger) {
+                return NOT_HOME;
+            }
+            const weight = configuration.document.organisations[request.organisation]?.weight ?? 1;
+            const answer = await ledger.reserve(request, weight);
+            options.invariants.check("reservations-within-capacity", ledger.reserved <= ledger.capacity, {
+                server: request.server,
+                reserved: ledger.reserved,
+            });
+            return answer;
+        });
+        server.handle("servers.release", reservationParameters.release, async ({ server: name, id, outcome }) => {
+            this.#tended.get(name)?.ledger.release(id, outcome);
+            return {};
+        });
+        configuration.onChange(document => this.#applyDrains(document));
+    }
+
+    /** @inheritdoc */
+    keys(document: ConfigurationDocument): HomeKey[] {
+        return Object.entries(document.backendServers)
+            .filter(([, server]) => server.role !== "service")
+            .map(([name]) => ({ group: `${GROUP_PREFIX}${name}`, index: 0 }));
+    }
+
+    /** @inheritdoc */
+    activate(key: HomeKey, handover: unknown): void {
+        const name = key.group.slice(GROUP_PREFIX.length);
+        const server = this.options.configuration.document.backendServers[name];
+        if (!server || this.#tended.has(name)) {
+            return;
+        }
+        const ledger = new ServerLedger(server.capacity, readHandover(handover));
+        ledger.setDrained(isDrained(this.options.configuration.document, name));
+        const engine = this.options.engines.at(server.address);
+        const sweep = new RepeatingTask(
+            reservationTimes.sweepMilliseconds,
+            async () => {
+                const askedAt = monotonicMilliseconds();
+                const report = await engine.report();
+                if (report.isErr()) {
+                    ledger.noteDown();
+                    return;
+                }
+                ledger.reconcile(report.value, askedAt);
+                await this.#confirmOwners(ledger);
+                for (const id of ledger.orphans()) {
+                    this.options.metrics.increment("orphans_cancelled_total");
+                    await engine.cancel(id);
+                }
+            },
+            error =>
+                this.options.logger.error("cannot compare with the engine", { server: name, error: String(error) }),
+        );
+        this.#tended.set(name, { ledger, sweep });
+        void this.#open(name, ledger);
+    }
+
+    /** @inheritdoc */
+    deactivate(key: HomeKey): unknown {
+        const name = key.group.slice(GROUP_PREFIX.length);
+        const tended = this.#tended.get(name);
+        this.#tended.delete(name);
+        void tended?.sweep.close();
+        return tended?.ledger.close();
+    }
+
+    /**
+     * Describes the ledgers for operators.
+     *
+     * @returns One row a server.
+     */
+    describe(): {
+        server: string;
+        capacity: number;
+        reserved: number;
+        allowed: number;
+        waiting: number;
+        down: boolean;
+    }[] {
+        return [...this.#tended].map(([server, { ledger }]) => ({
+            server,
+            capacity: ledger.capacity,
+            reserved: ledger.reserved,
+            allowed: ledger.allowed,
+            waiting: ledger.waiting,
+            down: ledger.down,
+        }));
+    }
+
+    /** Stops the tasks. */
+    async close(): Promise<void> {
+        await Promise.all([...this.#tended.values()].map(({ sweep }) => sweep.close()));
+    }
+
+    /**
+     * Collects what every instance holds of a server before anything is granted. An instance that does not answer may
+     * hold a reservation that it has not used yet, which is void after its validity.
+     */
+    async #open(name: string, ledger: ServerLedger): Promise<void> {
+        const { membership } = this.options;
+        const until = monotonicMilliseconds() + reservationTimes.validityMilliseconds;
+        let silent: Member[] = membership.record.members;
+        while (silent.length > 0 && monotonicMilliseconds() < until) {
+            const answers = await Promise.all(silent.map(member => this.#askHoldings(member, name, ledger)));
+            silent = silent.filter((member, index) => !answers[index] && !membership.isGone(instanceId(member)));
+        }
+        ledger.open();
+    }
+
+    async #askHoldings(member: Member, name: string, ledger: ServerLedger): Promise<boolean> {
+        const answer = await this.options.pool.call<HeldReservation[]>(
+            member,
+            "requests.holdings",
+            { servers: [name] },
+            CALL_TIMEOUT_MILLISECONDS,
+        );
+        if (answer.isErr()) {
+            return false;
+        }
+        ledger.learn(answer.value);
+        return true;
+    }
+
+    async #confirmOwners(ledger: ServerLedger): Promise<void> {
+        const idsByOwner = new Map<string, string[]>();
+        for (const id of ledger.unconfirmed()) {
+            const owner = ownerOf(id);
+            idsByOwner.set(owner, [...idsByOwner.get(owner) ?? [], id]);
+        }
+        await Promise.all([...idsByOwner].map(([owner, ids]) => this.#confirmOwner(ledger, owner, ids)));
+    }
+
+    async #confirmOwner(ledger: ServerLedger, owner: string, ids: string[]): Promise<void> {
+        const { membership, pool } = this.options;
+        if (membership.isGone(owner)) {
+            ids.forEach(id => ledger.confirm(id, false));
+            return;
+        }
+        const answer = await pool.call<string[]>(
+            membership.find(owner),
+            "requests.held",
+            { ids },
+            CALL_TIMEOUT_MILLISECONDS,
+        );
+        if (answer.isOk()) {
+            const held = new Set(answer.value);
+            ids.forEach(id => ledger.confirm(id, held.has(id)));
+        }
+    }
+
+    #applyDrains(document: ConfigurationDocument): void {
+        for (const [name, { ledger }] of this.#tended) {
+            ledger.setDrained(isDrained(document, name));
+        }
+    }
+}
+
+/** Request ids are the id of the instance that the caller is connected to and a number. */
+function ownerOf(id: string): string {
+    return id.slice(0, id.lastIndexOf("/"));
+}
+
+function isDrained(document: ConfigurationDocument, name: string): boolean {
+    const domain = document.backendServers[name]?.failureDomain ?? "";
+    return name in document.drainedServers || domain in document.drainedDomains;
+}
+
+function readHandover(handover: unknown): { allowed?: number; bootId?: string; } {
+    const { allowed, bootId } = (handover ?? {}) as { allowed?: unknown; bootId?: unknown; };
+    return {
+        ...(typeof allowed === "number" ? { allowed } : {}),
+        ...(typeof bootId === "string" ? { bootId } : {}),
+    };
+}
--- /dev/null
+++ b/packages/routing/_model_run.ts
@@ -0,0 +1,417 @@
+import { err, ok, type Result } from "neverthrow";
+import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
+import { type DecodeEvent, EngineFailure, type PrefillResult } from "../engines/mod.ts";
+import type { Charge } from "../limits/mod.ts";
+import type { Candidate, PlacementRequest } from "../placement/mod.ts";
+import { Refusal } from "../verdicts/mod.ts";
+import type { AttemptOutcome } from "./_attempt_outcome.ts";
+import type { Completion } from "./completion.ts";
+import type { ModelJob } from "./model_job.ts";
+import type { ModelRouterOptions } from "./model_router_options.ts";
+import type { RetryBudget } from "./retry_budget.ts";
+import { selectServers } from "./select_servers.ts";
+import { selectTraffic } from "./select_traffic.ts";
+
+const MAXIMUM_ATTEMPTS = 4;
+const QUEUE_MILLISECONDS = 10_000;
+const WAIT_SLICE_MILLISECONDS = 4_000;
+const SERVERS_TRIED_WITHOUT_WAITING = 3;
+const PAUSE_WITHOUT_SERVERS_MILLISECONDS = 100;
+const PREFILL_TIMEOUT_MILLISECONDS = 15_000;
+const FIRST_EVENT_TIMEOUT_MILLISECONDS = 3_000;
+
+type Grant = { server: string; id: string; pieces: number; askedAt: number; };
+
+/** One model request on its way; an attempt is one pass through prefill and decode. */
+export class ModelRun {
+    #charge: Charge;
+    #dispatched = false;
+    #mayHaveRun = false;
+    #attempt = 0;
+    #settled = false;
+    #useUnknown = false;
+    #undelivered = 0;
+    #deliveredBefore = 0;
+    readonly #delivered: string[] = [];
+    readonly #queueDeadline = monotonicMilliseconds() + QUEUE_MILLISECONDS;
+
+    constructor(
+        private readonly job: ModelJob,
+        charge: Charge,
+        private readonly options: ModelRouterOptions,
+        private readonly budget: RetryBudget,
+        private readonly emit: (text: string) => Promise<void>,
+        private readonly signal: AbortSignal,
+    ) {
+        this.#charge = charge;
+    }
+
+    /** Tries until the answer is complete or may not be tried again. */
+    async execute(): Promise<Result<Completion, Refusal>> {
+        try {
+            while (true) {
+                this.#attempt++;
+                const outcome = await this.#tryOnce();
+                if (outcome.kind === "completed") {
+                    return ok(outcome.completion);
+                }
+                if (this.signal.aborted) {
+                    return err(this.#refusalOfSignal());
+                }
+                if (outcome.kind === "refused") {
+                    return err(outcome.refusal);
+                }
+                this.options.metrics.increment("retries_total", { reason: outcome.reason });
+                if (this.#attempt >= MAXIMUM_ATTEMPTS || !this.budget.take()) {
+                    return err(this.#refuse(502, "backend-failed", outcome.message));
+                }
+            }
+        }
+        finally {
+            this.#settle();
+        }
+    }
+
+    async #tryOnce(): Promise<AttemptOutcome> {
+        const decode = await this.#reserve("decode", this.#pieces(), this.options.failureDomain);
+        if (decode instanceof Refusal) {
+            return { kind: "refused", refusal: decode };
+        }
+        const domain = this.#server(decode.server)?.failureDomain ?? this.options.failureDomain;
+        const prefill = await this.#reserve("prefill", 1, domain);
+        if (prefill instanceof Refusal) {
+            this.#release(decode, "unused");
+            return { kind: "refused", refusal: prefill };
+        }
+        const stop = await this.#coverCharge() ?? this.#mayNotStart(decode, prefill);
+        if (stop) {
+            this.#release(decode, "unused");
+            this.#release(prefill, "unused");
+            return stop;
+        }
+        const computed = await this.#prefill(prefill);
+        if (computed.isErr()) {
+            this.#release(decode, "unused");
+            return computed.error;
+        }
+        return await this.#decode(decode, prefill.server, computed.value);
+    }
+
+    async #prefill(grant: Grant): Promise<Result<PrefillResult, AttemptOutcome>> {
+        const { engines, policy } = this.options;
+        const engine = engines.at(this.#server(grant.server)?.address ?? "");
+        const signal = AbortSignal.any([this.signal, AbortSignal.timeout(PREFILL_TIMEOUT_MILLISECONDS)]);
+        this.#dispatched = true;
+        const result = await engine.prefill({
+            request: grant.id,
+            model: this.job.model,
+            prompt: this.job.prompt,
+            generated: this.#delivered.join(""),
+            priority: this.#priority(),
+        }, signal);
+        if (result.isOk()) {
+            this.#mayHaveRun = true;
+            this.#release(grant, "done");
+            policy.notePrefill(grant.server, this.#placement(""));
+            return ok(result.value);
+        }
+        this.#mayHaveRun ||= result.error.verdict === "may-have-run";
+        await this.#abandon(grant, result.error);
+        const reason = result.error.kind === "down"
+            ? "prefill-down"
+            : result.error.kind === "timeout"
+            ? "prefill-timeout"
+            : "prefill-refused";
+        return err({ kind: "failed", reason, message: result.error.message });
+    }
+
+    async #decode(grant: Grant, source: string, prefill: PrefillResult): Promise<AttemptOutcome> {
+        const { engines, metrics } = this.options;
+        if (this.signal.aborted) {
+            metrics.increment("wasted_prefills_total", { reason: "caller-gone" });
+            this.#release(grant, "unused");
+            return { kind: "refused", refusal: this.#refusalOfSignal() };
+        }
+        const engine = engines.at(this.#server(grant.server)?.address ?? "");
+        const firstEvent = new AbortController();
+        const timer = setTimeout(() => {
+            firstEvent.abort(new DOMException("No event in time", "TimeoutError"));
+        }, FIRST_EVENT_TIMEOUT_MILLISECONDS);
+        this.#deliveredBefore = this.#delivered.length;
+        try {
+            const stream = await engine.decode({
+                request: grant.id,
+                model: this.job.model,
+                source: this.#server(source)?.address ?? "",
+                handle: prefill.handle,
+                offset: this.#delivered.length,
+                maximumTokens: this.job.maximumTokens,
+                priority: this.#priority(),
+            }, AbortSignal.any([this.signal, firstEvent.signal]));
+            if (stream.isErr()) {
+                throw stream.error;
+            }
+            const outcome = await this.#relay(stream.value, grant.id, () => clearTimeout(timer));
+            if (outcome.kind === "completed") {
+                this.#release(grant, "done");
+            }
+            else {
+                await this.#abandon(grant, new EngineFailure("refused", "may-have-run", "Stream given up"));
+            }
+            return outcome;
+        }
+        catch (error) {
+            if (!(error instanceof EngineFailure)) {
+                await this.#abandon(grant, new EngineFailure("cancelled", "may-have-run", String(error)));
+                throw error;
+            }
+            await this.#abandon(grant, error);
+            return this.#classify(error, this.#delivered.length > this.#deliveredBefore);
+        }
+        finally {
+            clearTimeout(timer);
+        }
+    }
+
+    async #relay(
+        stream: AsyncIterable<DecodeEvent>,
+        id: string,
+        onFirst: () => void,
+    ): Promise<AttemptOutcome> {
+        for await (const event of stream) {
+            onFirst();
+            if (event.request !== id || event.offset > this.#delivered.length) {
+                return { kind: "failed", reason: "stream-crossed", message: "An event belongs to another request" };
+            }
+            if (event.finish !== undefined && event.offset === this.#delivered.length) {
+                const { promptTokens } = this.job;
+                const outputTokens = this.#delivered.length;
+                return { kind: "completed", completion: { finish: event.finish, promptTokens, outputTokens } };
+            }
+            if (event.text !== undefined && event.offset === this.#delivered.length) {
+                this.options.invariants.check("event-belongs-to-request", event.request === id);
+                this.#delivered.push(event.text);
+                await this.emit(event.text);
+            }
+            // An event with a lower offset repeats what was delivered.
+            if (this.signal.aborted) {
+                return { kind: "refused", refusal: this.#refusalOfSignal() };
+            }
+        }
+        return { kind: "failed", reason: "stream-broken", message: "The stream ended before the answer did" };
+    }
+
+    #classify(error: EngineFailure, delivered: boolean): AttemptOutcome {
+        const { metrics } = this.options;
+        if (!delivered) {
+            metrics.increment("wasted_prefills_total", { reason: error.kind });
+        }
+        if (error.kind === "handle-gone") {
+            return { kind: "failed", reason: "handle-expired", message: error.message };
+        }
+        if (error.kind === "refused") {
+            return { kind: "failed", reason: "decode-refused", message: error.message };
+        }
+        const reason = error.kind === "timeout" ? "decode-timeout" : "decode-down";
+        return { kind: "failed", reason, message: error.message };
+    }
+
+    /** Frees what the engine may hold and gives the grant back. */
+    async #abandon(grant: Grant, failure: EngineFailure): Promise<void> {
+        if (failure.verdict === "not-run") {
+            this.#release(grant, failure.kind === "down" ? "failed" : "unused");
+            return;
+        }
+        const engine = this.options.engines.at(this.#server(grant.server)?.address ?? "");
+        const cancelled = await engine.cancel(grant.id);
+        this.#noteGenerated(cancelled.isOk() ? cancelled.value.generated : undefined);
+        if (cancelled.isErr() && cancelled.error.verdict === "may-have-run") {
+            this.#release(grant, "orphaned");
+            return;
+        }
+        const serverFailed = failure.kind === "down" || failure.kind === "timeout";
+        this.#release(grant, serverFailed ? "failed" : "unused");
+    }
+
+    async #reserve(role: "prefill" | "decode", pieces: number, domain: string): Promise<Grant | Refusal> {
+        const { policy } = this.options;
+        while (monotonicMilliseconds() < this.#queueDeadline && !this.signal.aborted) {
+            const candidates = policy.order(this.#candidates(role, pieces), this.#placement(domain));
+            const [best] = candidates;
+            if (!best) {
+                return this.#refuse(503, "no-backend-server", `No ${role} server may take the request`, 1);
+            }
+            if (!policy.reserves) {
+                return { server: best.name, id: this.#attemptId(), pieces, askedAt: monotonicMilliseconds() };
+            }
+            const grant = await this.#reserveAny(candidates, pieces);
+            if (grant) {
+                return grant;
+            }
+        }
+        if (this.signal.aborted) {
+            return this.#refusalOfSignal();
+        }
+        return this.#refuse(503, "queue-deadline", `No ${role} server had room in time`, 2);
+    }
+
+    /** Asks a few servers at once for room, then waits at the one with the shortest queue. */
+    async #reserveAny(candidates: Candidate[], pieces: number): Promise<Grant | undefined> {
+        const tried = candidates.slice(0, SERVERS_TRIED_WITHOUT_WAITING);
+        for (const { name } of tried) {
+            const answer = await this.#ask(name, pieces, 0);
+            if ("askedAt" in answer) {
+                return answer;
+            }
+        }
+        const { reservations } = this.options;
+        const queueable = tried
+            .filter(({ name }) => (reservations.hint(name)?.avoidUntil ?? 0) === 0)
+            .sort((left, right) => queueOf(reservations.hint(left.name)) - queueOf(reservations.hint(right.name)));
+        const [shortest] = queueable;
+        if (!shortest) {
+            await sleep(PAUSE_WITHOUT_SERVERS_MILLISECONDS, this.signal);
+            return undefined;
+        }
+        const left = this.#queueDeadline - monotonicMilliseconds();
+        const answer = await this.#ask(shortest.name, pieces, Math.min(WAIT_SLICE_MILLISECONDS, Math.max(0, left)));
+        if ("askedAt" in answer) {
+            return answer;
+        }
+        if (answer.why === "full") {
+            await sleep(PAUSE_WITHOUT_SERVERS_MILLISECONDS, this.signal);
+        }
+        return undefined;
+    }
+
+    #ask(server: string, pieces: number, waitMilliseconds: number) {
+        return this.options.reservations.reserve({
+            server,
+            id: this.#attemptId(),
+            organisation: this.job.organisation,
+            pieces,
+            priority: this.#priority(),
+            waitMilliseconds,
+        });
+    }
+
+    /** Makes sure that the charge is recent when the request is dispatched for the first time. */
+    async #coverCharge(): Promise<AttemptOutcome | undefined> {
+        const { limiter } = this.options;
+        while (!this.#dispatched && !limiter.covers(this.#charge)) {
+            limiter.settle(this.#charge, 0);
+            this.#settled = true;
+            const charge = await limiter.charge(
+                this.job.organisation,
+                this.job.id,
+                this.#charge.amount,
+                this.signal,
+            );
+            if (charge.isErr()) {
+                return { kind: "refused", refusal: charge.error };
+            }
+            this.#charge = charge.value;
+            this.#settled = false;
+        }
+        return undefined;
+    }
+
+    /** Counts tokens that an engine generated and this instance did not receive. */
+    #noteGenerated(generated: number | undefined): void {
+        if (generated === undefined) {
+            this.#useUnknown = true;
+            return;
+        }
+        const received = this.#delivered.length - this.#deliveredBefore;
+        this.#undelivered += Math.max(0, generated - received);
+    }
+
+    #mayNotStart(...grants: Grant[]): AttemptOutcome | undefined {
+        if (this.signal.aborted) {
+            return { kind: "refused", refusal: this.#refusalOfSignal() };
+        }
+        if (grants.every(grant => this.options.reservations.covers(grant))) {
+            return undefined;
+        }
+        return { kind: "failed", reason: "reservation-expired", message: "A reservation expired before its use" };
+    }
+
+    #candidates(role: "prefill" | "decode", pieces: number): Candidate[] {
+        const { configuration, reservations } = this.options;
+        const selector = selectTraffic(configuration.document, this.job.organisation, this.job.model);
+        if (!selector) {
+            return [];
+        }
+        const wanted = { role, model: this.job.model, labels: selector.servers };
+        return selectServers(configuration.document, wanted)
+            .filter(([, server]) => server.capacity >= pieces)
+            .map(([name, server]) => ({ name, server, hint: reservations.hint(name) }));
+    }
+
+    #placement(failureDomain: string): PlacementRequest {
+        return { model: this.job.model, prompt: this.job.prompt, failureDomain };
+    }
+
+    #pieces(): number {
+        const model = this.options.configuration.document.models[this.job.model];
+        const tokens = this.job.promptTokens + this.job.maximumTokens;
+        return Math.ceil(tokens / (model?.tokensPerPiece ?? tokens));
+    }
+
+    #priority(): number {
+        const { document } = this.options.configuration;
+        return selectTraffic(document, this.job.organisation, this.job.model)?.priority ?? 0;
+    }
+
+    #server(name: string) {
+        return this.options.configuration.document.backendServers[name];
+    }
+
+    /** Unique for each attempt, so that what is left of one is told from the next. */
+    #attemptId(): string {
+        return `${this.job.id}.${this.#attempt}`;
+    }
+
+    #release(grant: Grant, outcome: "done" | "unused" | "failed" | "orphaned"): void {
+        if (this.options.policy.reserves) {
+            this.options.reservations.release(grant, outcome);
+        }
+    }
+
+    #settle(): void {
+        if (!this.#settled) {
+            this.options.limiter.settle(this.#charge, this.#tokensUsed());
+        }
+    }
+
+    #tokensUsed(): number {
+        if (!this.#mayHaveRun) {
+            return 0;
+        }
+        return this.#useUnknown
+            ? this.#charge.amount
+            : this.job.promptTokens + this.#delivered.length + this.#undelivered;
+    }
+
+    #refusalOfSignal(): Refusal {
+        const reason: unknown = this.signal.reason;
+        if (reason instanceof Refusal) {
+            return this.#refuse(reason.status, reason.reason, reason.message);
+        }
+        return this.#refuse(499, "caller-gone", "The caller is gone");
+    }
+
+    #refuse(
+        status: number,
+        reason: Refusal["reason"],
+        message: string,
+        retryAfterSeconds?: number,
+    ): Refusal {
+        const verdict = this.#mayHaveRun ? "may-have-run" : "not-run";
+        return new Refusal(status, reason, verdict, message, retryAfterSeconds ? { retryAfterSeconds } : {});
+    }
+}
+
+function queueOf(hint: { waiting: number; } | undefined): number {
+    return hint?.waiting ?? 0;
+}
--- /dev/null
+++ b/packages/routing/model_router.ts
@@ -0,0 +1,49 @@
+import { err, type Result } from "neverthrow";
+import type { Refusal } from "../verdicts/mod.ts";
+import { ModelRun } from "./_model_run.ts";
+import type { Completion } from "./completion.ts";
+import type { ModelJob } from "./model_job.ts";
+import type { ModelRouterOptions } from "./model_router_options.ts";
+import { RetryBudget } from "./retry_budget.ts";
+
+/**
+ * Serves model requests: charges the organisation, reserves decode memory, computes the prompt and streams the answer.
+ *
+ * @example
+ * ```ts
+ * const router = new ModelRouter(options);
+ * const completion = await router.run(job, async text => process.stdout.write(text), signal);
+ * ```
+ */
+export class ModelRouter {
+    readonly #budget = new RetryBudget();
+
+    /**
+     * @param options What the router works with.
+     */
+    constructor(private readonly options: ModelRouterOptions) {}
+
+    /**
+     * Serves one request.
+     *
+     * @param job The request.
+     * @param emit Receives the tokens of the answer in order, each once; may delay to slow the stream down.
+     * @param signal Ends the request; its reason may be the refusal to give.
+     * @returns How the answer ended, or a refusal.
+     */
+    async run(
+        job: ModelJob,
+        emit: (text: string) => Promise<void>,
+        signal: AbortSignal,
+    ): Promise<Result<Completion, Refusal>> {
+        this.#budget.noteRequest();
+        const { limiter } = this.options;
+        const amount = job.promptTokens + job.maximumTokens;
+        const charge = await limiter.charge(job.organisation, job.id, amount, signal);
+        if (charge.isErr()) {
+            return err(charge.error);
+        }
+        const run = new ModelRun(job, charge.value, this.options, this.#budget, emit, signal);
+        return await run.execute();
+    }
+}
--- /dev/null
+++ b/packages/runtime/_load_reports.ts
@@ -0,0 +1,32 @@
+import { monotonicMilliseconds, RepeatingTask } from "../clocks/mod.ts";
+import type { ConfigurationState } from "../configuration/mod.ts";
+import type { EnginePool } from "../engines/mod.ts";
+import type { ReservationClient } from "../reservations/mod.ts";
+
+const INTERVAL_MILLISECONDS = 1_000;
+
+/** Reads the engines' own reports for policies that reserve nothing. */
+export class LoadReports {
+    readonly #task: RepeatingTask;
+
+    constructor(configuration: ConfigurationState, engines: EnginePool, reservations: ReservationClient) {
+        this.#task = new RepeatingTask(INTERVAL_MILLISECONDS, async () => {
+            const servers = Object.entries(configuration.document.backendServers);
+            await Promise.all(
+                servers.filter(([, { role }]) => role !== "service").map(async ([name, server]) => {
+                    const report = await engines.at(server.address).report();
+                    if (report.isOk()) {
+                        const used = report.value.running.reduce((sum, { pieces }) => sum + pieces, 0);
+                        const free = Math.max(0, server.capacity - used);
+                        reservations.noteHint(name, { free, waiting: 0, at: monotonicMilliseconds(), avoidUntil: 0 });
+                    }
+                }),
+            );
+        });
+    }
+
+    /** Stops the reading. */
+    async close(): Promise<void> {
+        await this.#task.close();
+    }
+}
--- /dev/null
+++ b/packages/runtime/_operator_calls.ts
@@ -0,0 +1,69 @@
+import { z } from "zod";
+import { changeSchema, type ConfigurationState } from "../configuration/mod.ts";
+import type { EnginePool } from "../engines/mod.ts";
+import type { ConfigurationFollower, Heartbeats } from "../fleet/mod.ts";
+import type { Homes } from "../homes/mod.ts";
+import type { InstanceServer } from "../instances/mod.ts";
+import type { Membership } from "../membership/mod.ts";
+import type { ServerState } from "../reservations/mod.ts";
+
+interface OperatorCallOptions {
+    server: InstanceServer;
+    configuration: ConfigurationState;
+    membership: Membership;
+    follower: ConfigurationFollower;
+    heartbeats: Heartbeats;
+    homes: Homes;
+    serverState: ServerState;
+    engines: EnginePool;
+}
+
+const changeParameters = z.object({
+    /** Version the change was made for; any if absent. */
+    baseVersion: z.int().min(0).optional(),
+    change: changeSchema,
+});
+
+const orderParameters = z.object({
+    server: z.string().max(64),
+    kind: z.enum(["load-model", "load-adapter", "load-version", "change-role"]),
+    target: z.string().min(1).max(128),
+});
+
+/** Registers the calls that the command line makes. */
+export function registerOperatorCalls(options: OperatorCallOptions): void {
+    const { server, configuration, membership, follower, heartbeats, homes, serverState, engines } = options;
+    server.handle("operators.configuration", z.object({}), async () => configuration.snapshot(), "operator");
+    server.handle("operators.change", changeParameters, async ({ baseVersion, change }) => {
+        const outcome = await follower.change(baseVersion, change.operations, change.attempt);
+        return outcome.match(
+            value => value,
+            failure => ({ kind: "failed", verdict: failure.verdict, message: failure.message }),
+        );
+    }, "operator");
+    server.handle("operators.status", z.object({}), async () => ({
+        instance: membership.self.name,
+        epoch: membership.record.epoch,
+        version: configuration.version,
+        homes: homes.activeCount,
+        pending: homes.pendingCount,
+        servers: serverState.describe(),
+        fleet: [
+            { instance: membership.self.name, version: configuration.version, epoch: membership.record.epoch },
+            ...await heartbeats.survey(),
+        ],
+    }), "operator");
+    server.handle("operators.order", orderParameters, async ({ server: name, kind, target }) => {
+        const backendServer = configuration.document.backendServers[name];
+        if (!backendServer) {
+            return { kind: "failed", message: `Backend server ${name} is not configured` };
+        }
+        // The version of the configuration grows with each change and never decreases, which a fence needs.
+        const fence = configuration.version;
+        const result = await engines.at(backendServer.address).order({ fence, kind, target });
+        return result.match(
+            () => ({ kind: "done" }),
+            failure => ({ kind: "failed", verdict: failure.verdict, message: failure.message }),
+        );
+    }, "operator");
+}
--- /dev/null
+++ b/packages/services/call_service.ts
@@ -0,0 +1,109 @@
+import { err, ok, type Result } from "neverthrow";
+import { type IncomingMessage, request as httpRequest } from "node:http";
+import { connect, type Socket } from "node:net";
+import { removeHopByHopHeaders } from "../headers/mod.ts";
+import type { ServiceAnswer } from "./service_answer.ts";
+import { ServiceFailure } from "./service_failure.ts";
+import type { ServiceRequest } from "./service_request.ts";
+
+const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+const MAXIMUM_ANSWER_BYTES = 4 * 1_024 * 1_024;
+
+/**
+ * Calls a service once, over a connection of its own, and never repeats the call.
+ *
+ * Nothing is sent before the connection stands, so that a failure to connect proves that the call has not run.
+ *
+ * @param address IP number and port, such as `127.0.0.1:80`.
+ * @param request The call.
+ * @param timeoutMilliseconds Time allowed for the whole answer.
+ * @param mayStart Asked once the connection stands; if it returns false, nothing is sent.
+ * @returns The answer, or a failure that says whether the call may have run.
+ * @example
+ * ```ts
+ * const answer = await callService("127.0.0.1:80", { method: "GET", path: "/", headers: {}, body: Buffer.alloc(0) }, 1_000);
+ * ```
+ */
+export async function callService(
+    address: string,
+    request: ServiceRequest,
+    timeoutMilliseconds: number,
+    mayStart: () => boolean = () => true,
+): Promise<Result<ServiceAnswer, ServiceFailure>> {
+    const socket = await openConnection(address);
+    if (socket.isErr()) {
+        return err(socket.error);
+    }
+    if (!mayStart()) {
+        socket.value.destroy();
+        return err(new ServiceFailure("not-run", "The call was withdrawn before it was sent"));
+    }
+    return await exchange(socket.value, request, timeoutMilliseconds);
+}
+
+function openConnection(address: string): Promise<Result<Socket, ServiceFailure>> {
+    const colon = address.lastIndexOf(":");
+    const socket = connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), noDelay: true });
+    return new Promise(resolve => {
+        const fail = (message: string) => {
+            clearTimeout(timer);
+            socket.destroy();
+            resolve(err(new ServiceFailure("not-run", `Cannot connect to the service: ${message}`)));
+        };
+        const timer = setTimeout(() => fail("timeout"), CONNECT_TIMEOUT_MILLISECONDS);
+        socket.once("error", error => fail(error.message));
+        socket.once("connect", () => {
+            clearTimeout(timer);
+            resolve(ok(socket));
+        });
+    });
+}
+
+function exchange(
+    socket: Socket,
+    request: ServiceRequest,
+    timeoutMilliseconds: number,
+): Promise<Result<ServiceAnswer, ServiceFailure>> {
+    return new Promise(resolve => {
+        const fail = (message: string) => {
+            clearTimeout(timer);
+            socket.destroy();
+            resolve(err(new ServiceFailure("may-have-run", `The service's answer was lost: ${message}`)));
+        };
+        const timer = setTimeout(() => fail("timeout"), timeoutMilliseconds);
+        const call = httpRequest({
+            createConnection: () => socket,
+            method: request.method,
+            path: request.path,
+            headers: { ...request.headers, "content-length": request.body.length, connection: "close" },
+        });
+        call.on("error", error => fail(error.message));
+        call.on("response", response => {
+            readWhole(response).then(
+                body => {
+                    clearTimeout(timer);
+                    const headers = removeHopByHopHeaders(response.headers);
+                    resolve(ok({ status: response.statusCode ?? 502, headers, body }));
+                },
+                error => fail(String(error)),
+            );
+        });
+        call.end(request.body);
+    });
+}
+
+async function readWhole(response: IncomingMessage): Promise<Buffer> {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    for await (const chunk of response) {
+        chunks.push(chunk as Buffer);
+        length += (chunk as Buffer).length;
+        if (length > MAXIMUM_ANSWER_BYTES) {
+            throw new Error(`Answer is longer than ${MAXIMUM_ANSWER_BYTES} bytes`);
+        }
+    }
+    if (!response.complete) {
+        throw new Error("Answer was cut");
+    }
+    return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/packages/services/service_answer.ts
@@ -0,0 +1,9 @@
+/** The whole answer of a plain service. */
+export interface ServiceAnswer {
+    /** HTTP status code. */
+    status: number;
+    /** Headers, without hop-by-hop headers. */
+    headers: Record<string, string | string[]>;
+    /** The whole body. */
+    body: Buffer;
+}
--- /dev/null
+++ b/packages/settings/mod.ts
@@ -0,0 +1,3 @@
+/** Settings of one instance. */
+export type { Settings } from "./settings.ts";
+export { settingsSchema } from "./settings_schema.ts";
--- /dev/null
+++ b/packages/stand_ins/engine_stand_in.ts
@@ -0,0 +1,477 @@
+import { createHash, randomBytes } from "node:crypto";
+import type { ServerResponse } from "node:http";
+import { sleep } from "../clocks/mod.ts";
+import type { EngineStandInOptions } from "./engine_stand_in_options.ts";
+import { expectedAnswer } from "./expected_answer.ts";
+import { StandInServer } from "./stand_in_server.ts";
+
+type Request = Parameters<StandInServer["answer"]>[0];
+
+const DEFAULTS: Required<EngineStandInOptions> = {
+    pieces: 20,
+    tokensPerPiece: 4_000,
+    bytesPerToken: 4,
+    prefillTokensPerSecond: 20_000,
+    stepMilliseconds: 20,
+    stepMillisecondsPerRequest: 0.5,
+    handleLifetimeMilliseconds: 800,
+    linkTokensPerSecond: 200_000,
+    prefixCacheTokens: 200_000,
+    coldMilliseconds: 5_000,
+    startsCold: false,
+    networkMilliseconds: 0,
+};
+const PREFIX_CHUNK_CHARACTERS = 1_024;
+/** Time for which a stream whose reader is gone may still be resumed. */
+const RESUME_MILLISECONDS = 60_000;
+
+/** A computed prompt that waits to be fetched. */
+interface Handle {
+    prompt: string;
+    generated: string;
+    promptTokens: number;
+    expiresAt: number;
+}
+
+/** A request in decode memory. */
+interface Stream {
+    request: string;
+    pieces: number;
+    prompt: string;
+    offset: number;
+    limit: number;
+    generated: number;
+    finished: boolean;
+    faithful: boolean;
+    reader: ServerResponse | undefined;
+    buffer: string[];
+    entry: TraceEntry;
+}
+
+/** What an oracle reads of one request. */
+interface TraceEntry {
+    request: string;
+    kind: "prefill" | "decode";
+    at: number;
+    promptTokens: number;
+    maximumTokens: number;
+    generated: number;
+}
+
+/**
+ * A model engine with the interface of docs/ENGINE.md: prefill, decode, resume, cancel, reports and orders.
+ *
+ * Faults: `crash` (drops everything and starts cold), `cold` (turns cold without a sign), `down` (drops each call),
+ * `stallTransfers`, `crossEvents` (share of the events that carry another request's id), `repeatEvents` (share of the
+ * events sent twice), `loseCancelAnswers` (share of the cancels whose answer is cut), `poison` (text in a prompt that
+ * crashes the engine).
+ *
+ * @example
+ * ```ts
+ * const engine = new EngineStandIn("127.0.0.1:9000", { pieces: 20 });
+ * await engine.listen();
+ * ```
+ */
+export class EngineStandIn extends StandInServer {
+    readonly #options: Required<EngineStandInOptions>;
+    readonly #handles = new Map<string, Handle>();
+    readonly #streams = new Map<string, Stream>();
+    readonly #prefills = new Map<string, { cancelled: boolean; }>();
+    readonly #prefixes = new Map<string, number>();
+    readonly #trace: TraceEntry[] = [];
+    readonly #counts = {
+        boots: 1,
+        overloads: 0,
+        memoryRefusals: 0,
+        handleExpiries: 0,
+        crossed: 0,
+        repeated: 0,
+        cancels: 0,
+        lostCancelAnswers: 0,
+        stalled: 0,
+        poisoned: 0,
+        mostPieces: 0,
+        prefills: 0,
+        prefillTokens: 0,
+        cachedTokens: 0,
+        transfers: 0,
+        refusedOrders: 0,
+    };
+    #bootId = randomBytes(4).toString("hex");
+    #coldSince: number;
+    #prefillTail: Promise<void> = Promise.resolve();
+    #linkTail: Promise<void> = Promise.resolve();
+    #ticking = false;
+    #highestFence = 0;
+
+    /**
+     * @param address IP number and port.
+     * @param options Sizes and speeds.
+     */
+    constructor(address: string, options: EngineStandInOptions = {}) {
+        super(address);
+        this.#options = { ...DEFAULTS, ...options };
+        this.#coldSince = this.#options.startsCold ? performance.now() : Number.NEGATIVE_INFINITY;
+    }
+
+    /** @inheritdoc */
+    protected async answer(request: Request): Promise<void> {
+        const { method, path, response } = request;
+        await sleep(this.#options.networkMilliseconds);
+        if (this.faults["down"] === true) {
+            response.destroy();
+            return;
+        }
+        if (method === "POST" && path === "/v1/prefill") {
+            await this.#prefill(request);
+        }
+        else if (method === "POST" && path === "/v1/decode") {
+            await this.#decode(request);
+        }
+        else if (method === "GET" && path.startsWith("/v1/kv/")) {
+            this.#export(path.slice("/v1/kv/".length), response);
+        }
+        else if (method === "GET" && path.startsWith("/v1/streams/")) {
+            this.#resume(decodeURIComponent(path.slice("/v1/streams/".length)), request);
+        }
+        else if (method === "DELETE" && path.startsWith("/v1/requests/")) {
+            this.#cancel(decodeURIComponent(path.slice("/v1/requests/".length)), response);
+        }
+        else if (method === "GET" && path === "/v1/requests") {
+            this.reply(response, 200, { bootId: this.#bootId, running: this.#running() });
+        }
+        else if (method === "POST" && path === "/v1/orders") {
+            this.#order(request);
+        }
+        else {
+            this.reply(response, 404, { error: "no such path" });
+        }
+    }
+
+    /** @inheritdoc */
+    protected describe(): object {
+        const handles = [...this.#handles.values()].filter(({ expiresAt }) => expiresAt > performance.now()).length;
+        return { bootId: this.#bootId, running: this.#running(), handles, counts: this.#counts, trace: this.#trace };
+    }
+
+    /** @inheritdoc */
+    protected override onFaults(): void {
+        if (this.faults["crash"] === true) {
+            this.faults["crash"] = false;
+            this.#crash();
+        }
+        if (this.faults["cold"] === true) {
+            this.faults["cold"] = false;
+            this.#coldSince = performance.now();
+        }
+    }
+
+    async #prefill({ body, response }: Request): Promise<void> {
+        const { request, prompt, generated } = JSON.parse(body) as {
+            request: string;
+            prompt: string;
+            generated: string;
+        };
+        const promptTokens = this.#countTokens(prompt);
+        this.#note({ request, kind: "prefill", at: Date.now(), promptTokens, maximumTokens: 0, generated: 0 });
+        const poison = this.faults["poison"];
+        if (typeof poison === "string" && poison !== "" && prompt.includes(poison)) {
+            this.#counts.poisoned++;
+            this.#crash();
+            return;
+        }
+        const work = { cancelled: false };
+        this.#prefills.set(request, work);
+        if (this.#overloaded()) {
+            return;
+        }
+        const cachedTokens = this.#usePrefixCache(prompt);
+        const bootId = this.#bootId;
+        await this.#inTurn(promptTokens + this.#countTokens(generated) - cachedTokens, work);
+        this.#prefills.delete(request);
+        if (work.cancelled || bootId !== this.#bootId || response.destroyed) {
+            response.destroy();
+            return;
+        }
+        this.#counts.prefills++;
+        this.#counts.prefillTokens += promptTokens;
+        this.#counts.cachedTokens += cachedTokens;
+        const handle = randomBytes(8).toString("hex");
+        const lifetime = this.#options.handleLifetimeMilliseconds;
+        this.#handles.set(handle, { prompt, generated, promptTokens, expiresAt: performance.now() + lifetime });
+        setTimeout(() => this.#handles.delete(handle), lifetime + 100).unref();
+        this.reply(response, 200, { handle, expiresInMilliseconds: lifetime, cachedTokens, promptTokens });
+    }
+
+    /** Prefills run one after the other. */
+    async #inTurn(tokens: number, work: { cancelled: boolean; }): Promise<void> {
+        const before = this.#prefillTail;
+        let done = () => {};
+        this.#prefillTail = new Promise(resolve => {
+            done = resolve;
+        });
+        await before;
+        if (!work.cancelled) {
+            await sleep(Math.max(0, tokens) / this.#options.prefillTokensPerSecond * 1_000);
+        }
+        done();
+    }
+
+    async #decode({ body, response }: Request): Promise<void> {
+        const order = JSON.parse(body) as {
+            request: string;
+            source: string;
+            handle: string;
+            offset: number;
+            maximumTokens: number;
+        };
+        const bootId = this.#bootId;
+        const entry = this.#note({
+            request: order.request,
+            kind: "decode",
+            at: Date.now(),
+            promptTokens: 0,
+            maximumTokens: order.maximumTokens,
+            generated: 0,
+        });
+        const kv = await this.#import(order.source, order.handle, response);
+        if (!kv || bootId !== this.#bootId) {
+            response.destroy();
+            return;
+        }
+        entry.promptTokens = kv.promptTokens;
+        const pieces = Math.ceil((kv.promptTokens + order.maximumTokens) / this.#options.tokensPerPiece);
+        if (this.#usedPieces() + pieces > this.#options.pieces) {
+            this.#counts.memoryRefusals++;
+            this.reply(response, 503, { error: "no memory" });
+            return;
+        }
+        const answer = expectedAnswer(kv.prompt);
+        const prefix = Array.from({ length: order.offset }, (_, index) => answer.token(index)).join("");
+        const stream: Stream = {
+            request: order.request,
+            pieces,
+            prompt: kv.prompt,
+            offset: order.offset,
+            limit: Math.min(answer.naturalTokens, order.maximumTokens),
+            generated: 0,
+            finished: false,
+            faithful: prefix === kv.generated,
+            reader: response,
+            buffer: [],
+            entry,
+        };
+        this.#streams.set(order.request, stream);
+        this.#counts.mostPieces = Math.max(this.#counts.mostPieces, this.#usedPieces());
+        if (this.#overloaded()) {
+            return;
+        }
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        response.flushHeaders();
+        response.on("close", () => {
+            stream.reader = undefined;
+        });
+        this.#startTicking();
+    }
+
+    async #import(source: string, handle: string, response: ServerResponse): Promise<Handle | undefined> {
+        if (this.faults["stallTransfers"] === true) {
+            this.#counts.stalled++;
+            await sleep(RESUME_MILLISECONDS);
+            return undefined;
+        }
+        const answer = await fetch(`http://${source}/v1/kv/${handle}`).catch(() => undefined);
+        if (!answer?.ok) {
+            this.#counts.handleExpiries++;
+            this.reply(response, 410, { error: "no such KV cache" });
+            return undefined;
+        }
+        const kv = await answer.json() as Handle;
+        this.#counts.transfers++;
+        const before = this.#linkTail;
+        this.#linkTail = before.then(() => sleep(kv.promptTokens / this.#options.linkTokensPerSecond * 1_000));
+        await this.#linkTail;
+        return kv;
+    }
+
+    #export(handle: string, response: ServerResponse): void {
+        const kv = this.#handles.get(handle);
+        if (!kv || kv.expiresAt < performance.now()) {
+            this.reply(response, 410, { error: "expired" });
+            return;
+        }
+        this.#handles.delete(handle);
+        this.reply(response, 200, kv);
+    }
+
+    #resume(id: string, { query, response }: Request): void {
+        const stream = this.#streams.get(id);
+        if (!stream) {
+            this.reply(response, 404, { error: "no such stream" });
+            return;
+        }
+        response.writeHead(200, { "content-type": "text/event-stream" });
+        stream.reader = response;
+        response.write(stream.buffer.slice(Number(query.get("offset") ?? 0)).join(""));
+        if (stream.finished) {
+            this.#end(stream);
+        }
+    }
+
+    #cancel(id: string, response: ServerResponse): void {
+        this.#counts.cancels++;
+        const prefill = this.#prefills.get(id);
+        if (prefill) {
+            prefill.cancelled = true;
+            this.#prefills.delete(id);
+        }
+        const stream = this.#streams.get(id);
+        stream?.reader?.destroy();
+        this.#streams.delete(id);
+        if (Math.random() < Number(this.faults["loseCancelAnswers"] ?? 0)) {
+            this.#counts.lostCancelAnswers++;
+            response.destroy();
+            return;
+        }
+        this.reply(response, 200, { generated: stream?.generated ?? 0 });
+    }
+
+    #order({ body, response }: Request): void {
+        const { fence } = JSON.parse(body) as { fence: number; };
+        if (fence < this.#highestFence) {
+            this.#counts.refusedOrders++;
+            this.reply(response, 409, { error: "old fencing number" });
+            return;
+        }
+        this.#highestFence = fence;
+        this.reply(response, 200, {});
+    }
+
+    #startTicking(): void {
+        if (!this.#ticking) {
+            this.#ticking = true;
+            void this.#tick();
+        }
+    }
+
+    /** One step generates a token for each request that is not finished. */
+    async #tick(): Promise<void> {
+        while (true) {
+            const active = [...this.#streams.values()].filter(({ finished }) => !finished);
+            if (active.length === 0) {
+                this.#ticking = false;
+                return;
+            }
+            const { stepMilliseconds, stepMillisecondsPerRequest } = this.#options;
+            await sleep(stepMilliseconds + stepMillisecondsPerRequest * active.length);
+            active.forEach(stream => this.#step(stream));
+        }
+    }
+
+    #step(stream: Stream): void {
+        if (!this.#streams.has(stream.request)) {
+            return;
+        }
+        const index = stream.offset + stream.generated;
+        if (index >= stream.limit) {
+            const natural = expectedAnswer(stream.prompt).naturalTokens;
+            this.#send(stream, { offset: index, finish: index >= natural ? "stop" : "length" });
+            stream.finished = true;
+            this.#end(stream);
+            return;
+        }
+        const text = stream.faithful ? expectedAnswer(stream.prompt).token(index) : "unfaithful ";
+        stream.generated++;
+        stream.entry.generated = stream.generated;
+        this.#send(stream, { offset: index, text });
+    }
+
+    #send(stream: Stream, event: object): void {
+        let request = stream.request;
+        if (Math.random() < Number(this.faults["crossEvents"] ?? 0)) {
+            this.#counts.crossed++;
+            request = [...this.#streams.keys()].find(id => id !== stream.request) ?? "nobody/0/0.1";
+        }
+        const data = `data: ${JSON.stringify({ request, ...event })}\n\n`;
+        stream.buffer.push(data);
+        stream.reader?.write(data);
+        if (Math.random() < Number(this.faults["repeatEvents"] ?? 0)) {
+            this.#counts.repeated++;
+            stream.reader?.write(data);
+        }
+    }
+
+    /** A finished stream is kept until a reader has it, since it may be resumed. */
+    #end(stream: Stream): void {
+        if (stream.reader) {
+            stream.reader.end();
+            this.#streams.delete(stream.request);
+            return;
+        }
+        setTimeout(() => this.#streams.delete(stream.request), RESUME_MILLISECONDS).unref();
+    }
+
+    #overloaded(): boolean {
+        const warmth = (performance.now() - this.#coldSince) / this.#options.coldMilliseconds;
+        const bears = warmth >= 1 ? Number.POSITIVE_INFINITY : 1 + Math.floor(this.#options.pieces * warmth);
+        const load = this.#prefills.size + [...this.#streams.values()].filter(({ finished }) => !finished).length;
+        if (load <= bears) {
+            return false;
+        }
+        this.#counts.overloads++;
+        this.#crash();
+        return true;
+    }
+
+    #crash(): void {
+        this.#counts.boots++;
+        this.#bootId = randomBytes(4).toString("hex");
+        this.#coldSince = performance.now();
+        this.#streams.clear();
+        this.#prefills.forEach(work => {
+            work.cancelled = true;
+        });
+        this.#prefills.clear();
+        this.#handles.clear();
+        this.#prefixes.clear();
+        this.dropConnections();
+    }
+
+    #usePrefixCache(prompt: string): number {
+        let cachedCharacters = 0;
+        let hash = "";
+        let matching = true;
+        for (let end = PREFIX_CHUNK_CHARACTERS; end <= prompt.length; end += PREFIX_CHUNK_CHARACTERS) {
+            const chunk = prompt.slice(end - PREFIX_CHUNK_CHARACTERS, end);
+            hash = createHash("sha1").update(hash).update(chunk).digest("base64");
+            matching &&= this.#prefixes.has(hash);
+            cachedCharacters = matching ? end : cachedCharacters;
+            this.#prefixes.delete(hash);
+            this.#prefixes.set(hash, end);
+        }
+        const maximumChunks = this.#options.prefixCacheTokens * this.#options.bytesPerToken / PREFIX_CHUNK_CHARACTERS;
+        while (this.#prefixes.size > maximumChunks) {
+            const [oldest] = this.#prefixes.keys();
+            this.#prefixes.delete(oldest ?? "");
+        }
+        return Math.floor(cachedCharacters / this.#options.bytesPerToken);
+    }
+
+    #running(): { id: string; pieces: number; }[] {
+        const streams = [...this.#streams.values()].map(({ request, pieces }) => ({ id: request, pieces }));
+        return [...streams, ...[...this.#prefills.keys()].map(id => ({ id, pieces: 1 }))];
+    }
+
+    #usedPieces(): number {
+        return [...this.#streams.values()].reduce((sum, { pieces }) => sum + pieces, 0);
+    }
+
+    #countTokens(text: string): number {
+        return Math.ceil(Buffer.byteLength(text) / this.#options.bytesPerToken);
+    }
+
+    #note(entry: TraceEntry): TraceEntry {
+        this.#trace.push(entry);
+        return entry;
+    }
+}
--- /dev/null
+++ b/packages/stand_ins/instance_list_stand_in.ts
@@ -0,0 +1,40 @@
+import { StandInServer } from "./stand_in_server.ts";
+
+interface Listed {
+    name: string;
+    address: string;
+    state: "live" | "leaving";
+}
+
+/**
+ * The platform's list of instances. Control sets `instances`, which are listed after `lagMilliseconds`.
+ *
+ * @example
+ * ```ts
+ * const list = new InstanceListStandIn("127.0.0.1:7100");
+ * await list.listen();
+ * ```
+ */
+export class InstanceListStandIn extends StandInServer {
+    #visible: Listed[] = [];
+    #reads = 0;
+
+    /** @inheritdoc */
+    protected async answer({ response }: Parameters<StandInServer["answer"]>[0]): Promise<void> {
+        this.#reads++;
+        this.reply(response, 200, { instances: this.#visible });
+    }
+
+    /** @inheritdoc */
+    protected describe(): object {
+        return { reads: this.#reads, visible: this.#visible };
+    }
+
+    /** @inheritdoc */
+    protected override onFaults(): void {
+        const instances = (this.faults["instances"] ?? []) as Listed[];
+        setTimeout(() => {
+            this.#visible = instances;
+        }, Number(this.faults["lagMilliseconds"] ?? 0));
+    }
+}
--- /dev/null
+++ b/packages/stand_ins/mod.ts
@@ -0,0 +1,10 @@
+/** Small stand-ins for the outside systems, with faults that are switched on from outside. */
+export { EngineStandIn } from "./engine_stand_in.ts";
+export type { EngineStandInOptions } from "./engine_stand_in_options.ts";
+export { expectedAnswer } from "./expected_answer.ts";
+export { InstanceListStandIn } from "./instance_list_stand_in.ts";
+export { runStandIns } from "./run_stand_ins.ts";
+export { ServiceStandIn } from "./service_stand_in.ts";
+export type { StandInConfiguration } from "./stand_in_configuration.ts";
+export type { StandInServer } from "./stand_in_server.ts";
+export { StoreStandIn } from "./store_stand_in.ts";
--- /dev/null
+++ b/packages/stand_ins/service_stand_in.ts
@@ -0,0 +1,55 @@
+import { createHash } from "node:crypto";
+import { sleep } from "../clocks/mod.ts";
+import { StandInServer } from "./stand_in_server.ts";
+
+interface Call {
+    at: number;
+    method: string;
+    path: string;
+    key: string;
+    body: string;
+}
+
+/**
+ * A plain service that counts each call it ran.
+ *
+ * Faults: `delayMilliseconds`, `cutAnswers` (share of the calls whose answer is cut after running).
+ *
+ * @example
+ * ```ts
+ * const service = new ServiceStandIn("127.0.0.1:9500");
+ * await service.listen();
+ * ```
+ */
+export class ServiceStandIn extends StandInServer {
+    readonly #calls: Call[] = [];
+    #cut = 0;
+
+    /** @inheritdoc */
+    protected async answer(request: Parameters<StandInServer["answer"]>[0]): Promise<void> {
+        const { method, path, headers, body, response } = request;
+        const key = String(headers["idempotency-key"] ?? "");
+        this.#calls.push({ at: Date.now(), method, path, key, body: digest(body) });
+        await sleep(Number(this.faults["delayMilliseconds"] ?? 0));
+        if (Math.random() < Number(this.faults["cutAnswers"] ?? 0)) {
+            this.#cut++;
+            response.destroy();
+            return;
+        }
+        this.reply(response, 200, {
+            ran: true,
+            key,
+            echo: digest(body),
+            organisation: headers["x-organisation"] ?? "",
+        });
+    }
+
+    /** @inheritdoc */
+    protected describe(): object {
+        return { calls: this.#calls, cut: this.#cut };
+    }
+}
+
+function digest(text: string): string {
+    return createHash("sha256").update(text).digest("hex").slice(0, 16);
+}
--- /dev/null
+++ b/packages/stand_ins/stand_in_server.ts
@@ -0,0 +1,130 @@
+import { once } from "node:events";
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
+
+/** A request with its whole body. */
+interface StandInRequest {
+    method: string;
+    path: string;
+    query: URLSearchParams;
+    headers: IncomingMessage["headers"];
+    body: string;
+    response: ServerResponse;
+}
+
+type Faults = Record<string, unknown>;
+
+/**
+ * HTTP server of a stand-in, with the control route `/control`: POST sets faults, GET returns what was seen.
+ *
+ * @example
+ * ```ts
+ * class Echo extends StandInServer {
+ *     protected async answer(request) { this.reply(request.response, 200, { path: request.path }); }
+ *     protected describe() { return {}; }
+ * }
+ * ```
+ */
+export abstract class StandInServer {
+    protected faults: Faults = {};
+    #watchedTexts: string[] = [];
+    #watchedTextSeen = 0;
+    #bytesSearched = 0;
+    readonly #server: Server;
+
+    /**
+     * @param address IP number and port to listen at.
+     */
+    constructor(readonly address: string) {
+        this.#server = createServer({ keepAliveTimeout: 60_000 }, (request, response) => {
+            response.on("error", () => {});
+            this.#receive(request, response).catch(error => {
+                process.stderr.write(`stand-in failed: ${String(error)}\n`);
+                response.destroy();
+            });
+        });
+    }
+
+    /**
+     * Starts to listen.
+     *
+     * @returns A promise that resolves once the port is open.
+     */
+    async listen(): Promise<void> {
+        const colon = this.address.lastIndexOf(":");
+        this.#server.listen(Number(this.address.slice(colon + 1)), this.address.slice(0, colon));
+        await once(this.#server, "listening");
+    }
+
+    /**
+     * Closes the port and every connection.
+     *
+     * @returns A promise that resolves once all is closed.
+     */
+    async close(): Promise<void> {
+        const closed = once(this.#server, "close");
+        this.#server.close();
+        this.#server.closeAllConnections();
+        await closed;
+    }
+
+    /** Answers one request. */
+    protected abstract answer(request: StandInRequest): Promise<void>;
+
+    /** Returns what an oracle reads. */
+    protected abstract describe(): object;
+
+    /** Called after new faults were set. */
+    protected onFaults(): void {}
+
+    /** Writes a JSON answer. */
+    protected reply(response: ServerResponse, status: number, body: unknown): void {
+        response.writeHead(status, { "content-type": "application/json" });
+        response.end(JSON.stringify(body));
+    }
+
+    /** Closes every connection, as a crashed process would. */
+    protected dropConnections(): void {
+        this.#server.closeAllConnections();
+    }
+
+    async #receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const chunks: Buffer[] = [];
+        for await (const chunk of request) {
+            chunks.push(chunk as Buffer);
+        }
+        const body = Buffer.concat(chunks).toString("utf8");
+        const url = new URL(request.url ?? "/", "http://stand-in");
+        if (url.pathname === "/control") {
+            this.#control(request.method ?? "GET", body, response);
+            return;
+        }
+        this.#search(`${request.url}\n${request.rawHeaders.join("\n")}\n${body}`);
+        await this.answer({
+            method: request.method ?? "GET",
+            path: url.pathname,
+            query: url.searchParams,
+            headers: request.headers,
+            body,
+            response,
+        });
+    }
+
+    #control(method: string, body: string, response: ServerResponse): void {
+        if (method === "POST") {
+            const { watchFor, ...faults } = JSON.parse(body) as Faults & { watchFor?: string[]; };
+            this.#watchedTexts = watchFor ?? this.#watchedTexts;
+            this.faults = { ...this.faults, ...faults };
+            this.onFaults();
+        }
+        const search = { watchedTextSeen: this.#watchedTextSeen, bytesSearched: this.#bytesSearched };
+        this.reply(response, 200, { ...this.describe(), ...search });
+    }
+
+    /** Counts the requests that hold a text which must never arrive here, such as a caller's key. */
+    #search(text: string): void {
+        this.#bytesSearched += text.length;
+        if (this.#watchedTexts.some(watched => text.includes(watched))) {
+            this.#watchedTextSeen++;
+        }
+    }
+}
--- /dev/null
+++ b/packages/stand_ins/store_stand_in.ts
@@ -0,0 +1,147 @@
+import { sleep } from "../clocks/mod.ts";
+import { StandInServer } from "./stand_in_server.ts";
+
+const WRITES_PER_SECOND = 400;
+const READS_PER_SECOND = 2_000;
+const MAXIMUM_VALUE_BYTES = 1_000_000;
+
+interface Entry {
+    revision: number;
+    value: unknown;
+    previous: { revision: number; value: unknown; replacedAt: number; } | undefined;
+}
+
+type Request = Parameters<StoreStandIn["answer"]>[0];
+
+/**
+ * The platform's key-value service, as docs/STORE.md describes it.
+ *
+ * Faults: `outage` (connections are cut), `delayMilliseconds`, `loseAnswers` (share of the writes whose answer is cut
+ * after taking effect), `readLagMilliseconds` (reads return the value of some time ago).
+ *
+ * @example
+ * ```ts
+ * const store = new StoreStandIn("127.0.0.1:7000");
+ * await store.listen();
+ * ```
+ */
+export class StoreStandIn extends StandInServer {
+    readonly #entries = new Map<string, Entry>();
+    readonly #watchers = new Map<string, Set<() => void>>();
+    readonly #counts = { reads: 0, writes: 0, watches: 0, conflicts: 0, lostAnswers: 0, outageCalls: 0, limited: 0 };
+    #second = 0;
+    #readsThisSecond = 0;
+    #writesThisSecond = 0;
+    #mostWrites = 0;
+
+    /** @inheritdoc */
+    async answer(request: Parameters<StandInServer["answer"]>[0]): Promise<void> {
+        const { response } = request;
+        if (this.faults["outage"] === true) {
+            this.#counts.outageCalls++;
+            response.destroy();
+            return;
+        }
+        await sleep(Number(this.faults["delayMilliseconds"] ?? 0));
+        if (!this.#admit(request.method === "PUT")) {
+            this.#counts.limited++;
+            this.reply(response, 429, { error: "too many calls" });
+            return;
+        }
+        const key = decodeURIComponent(request.path.replace("/v1/values/", ""));
+        if (request.method === "PUT") {
+            this.#write(key, request);
+        }
+        else if (request.query.has("after")) {
+            await this.#watch(key, request);
+        }
+        else {
+            this.#counts.reads++;
+            this.reply(response, 200, this.#read(key));
+        }
+    }
+
+    /** @inheritdoc */
+    protected describe(): object {
+        return { counts: this.#counts, mostWritesInASecond: this.#mostWrites };
+    }
+
+    /** @inheritdoc */
+    protected override onFaults(): void {
+        if (this.faults["outage"] === true) {
+            // Waiting watches end with the outage too.
+            setImmediate(() => this.dropConnections());
+        }
+    }
+
+    #admit(write: boolean): boolean {
+        const second = Math.floor(performance.now() / 1_000);
+        if (second !== this.#second) {
+            this.#second = second;
+            this.#readsThisSecond = 0;
+            this.#writesThisSecond = 0;
+        }
+        if (write) {
+            this.#mostWrites = Math.max(this.#mostWrites, ++this.#writesThisSecond);
+            return this.#writesThisSecond <= WRITES_PER_SECOND;
+        }
+        return ++this.#readsThisSecond <= READS_PER_SECOND;
+    }
+
+    #read(key: string): { revision: number; value?: unknown; } {
+        const entry = this.#entries.get(key);
+        if (!entry) {
+            return { revision: 0 };
+        }
+        const lag = Number(this.faults["readLagMilliseconds"] ?? 0);
+        const { previous } = entry;
+        if (previous && performance.now() - previous.replacedAt < lag) {
+            return { revision: previous.revision, value: previous.value };
+        }
+        return { revision: entry.revision, value: entry.value };
+    }
+
+    #write(key: string, { body, query, response }: Request): void {
+        this.#counts.writes++;
+        const entry = this.#entries.get(key);
+        const revision = entry?.revision ?? 0;
+        if (body.length > MAXIMUM_VALUE_BYTES) {
+            this.reply(response, 413, { error: "value too large" });
+            return;
+        }
+        if (Number(query.get("revision")) !== revision) {
+            this.#counts.conflicts++;
+            this.reply(response, 409, { revision, value: entry?.value });
+            return;
+        }
+        const previous = entry
+            ? { revision, value: entry.value, replacedAt: performance.now() }
+            : undefined;
+        this.#entries.set(key, { revision: revision + 1, value: JSON.parse(body), previous });
+        this.#watchers.get(key)?.forEach(wake => wake());
+        if (Math.random() < Number(this.faults["loseAnswers"] ?? 0)) {
+            this.#counts.lostAnswers++;
+            response.destroy();
+            return;
+        }
+        this.reply(response, 200, { revision: revision + 1 });
+    }
+
+    async #watch(key: string, { query, response }: Request): Promise<void> {
+        this.#counts.watches++;
+        const after = Number(query.get("after"));
+        if ((this.#entries.get(key)?.revision ?? 0) <= after) {
+            const stop = new AbortController();
+            const wake = () => stop.abort();
+            const wakers = this.#watchers.get(key) ?? new Set();
+            this.#watchers.set(key, wakers.add(wake));
+            response.on("close", wake);
+            await sleep(Number(query.get("wait")), stop.signal);
+            wakers.delete(wake);
+        }
+        if (!response.destroyed) {
+            const entry = this.#entries.get(key);
+            this.reply(response, 200, { revision: entry?.revision ?? 0, value: entry?.value });
+        }
+    }
+}
--- /dev/null
+++ b/packages/verdicts/refusal.ts
@@ -0,0 +1,42 @@
+import type { RefusalOptions } from "./refusal_options.ts";
+import type { RefusalReason } from "./refusal_reason.ts";
+import type { Verdict } from "./verdict.ts";
+
+/**
+ * The answer to a caller whose request is not served.
+ *
+ * @example
+ * ```ts
+ * const refusal = new Refusal(429, "rate-limited", "not-run", "Organisation is over its rate", { retryAfterSeconds: 2 });
+ * refusal.verdict; // "not-run"
+ * ```
+ */
+export class Refusal {
+    readonly retryAfterSeconds: number | undefined;
+
+    /**
+     * @param status HTTP status code.
+     * @param reason Machine-readable reason.
+     * @param verdict Whether the request may have run.
+     * @param message Sentence for the caller.
+     * @param options Optional parts.
+     */
+    constructor(
+        readonly status: number,
+        readonly reason: RefusalReason,
+        readonly verdict: Verdict,
+        readonly message: string,
+        options: RefusalOptions = {},
+    ) {
+        this.retryAfterSeconds = options.retryAfterSeconds;
+    }
+
+    /**
+     * Returns the body sent to the caller.
+     *
+     * @returns JSON-serialisable body in the manner of the OpenAI error object.
+     */
+    toBody(): object {
+        return { error: { message: this.message, type: this.reason, code: this.reason, verdict: this.verdict } };
+    }
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,11 @@
+import { defineConfig } from "vitest/config";
+
+export default defineConfig({
+    test: {
+        include: ["packages/**/*_test.ts"],
+        globalSetup: ["tools/test_setup.mjs"],
+        testTimeout: 120_000,
+        hookTimeout: 120_000,
+        maxWorkers: 4,
+    },
+});
