Soak with oracles; requests that crash servers; void reservations

Cause: the promises need long runs under random faults, two at a time, whose checks read what the stand-ins saw.

Ruled out: a fault of the conviction rule itself. The traces showed that requests sent to a server that was already down were reported as suspects, and that the harness crashed the same engine again and again, because the control call was cut by the crash that it ordered.

Change: the home grants nothing at a failed server until the engine has answered again, and only a request that held a reservation when the server failed is a suspect; reservations granted before a restart are void; a suspect runs alone. Soak, oracles, workloads, seeded randomness.

--- a/packages/callers/model_handler.ts
+++ b/packages/callers/model_handler.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { countTokens, selectTraffic } from "../routing/mod.ts";
+import { fingerprintRequest } from "../suspects/mod.ts";
 import { Refusal } from "../verdicts/mod.ts";
 import { AnswerWriter } from "./_answer_writer.ts";
 import type { Exchange } from "./_exchange.ts";
@@ -41,7 +42,15 @@
         const writer = new AnswerWriter(exchange.id, request, exchange.response);
         let first = true;
         const result = await this.options.router.run(
-            { id: exchange.id, organisation, model, prompt, promptTokens, maximumTokens },
+            {
+                id: exchange.id,
+                organisation,
+                model,
+                prompt,
+                fingerprint: fingerprintRequest(organisation, model, prompt),
+                promptTokens,
+                maximumTokens,
+            },
             async text => {
                 if (first) {
                     this.options.metrics.observe("first_token", monotonicMilliseconds() - startedAt);
--- /dev/null
+++ b/packages/oracles/check_not_run.ts
@@ -0,0 +1,32 @@
+import type { EngineTrace } from "./engine_trace.ts";
+import type { Finding } from "./finding.ts";
+import type { ObservedCall } from "./observed_call.ts";
+import type { ServiceTrace } from "./service_trace.ts";
+
+/**
+ * Checks that no back end saw a request whose caller was told that it has not run.
+ *
+ * @param calls Calls as their callers saw them.
+ * @param engines What the engines saw.
+ * @param services What the services saw.
+ * @returns One check for each such refusal.
+ * @example
+ * ```ts
+ * checkNotRun(calls, engines, services).violations; // []
+ * ```
+ */
+export function checkNotRun(calls: ObservedCall[], engines: EngineTrace[], services: ServiceTrace[]): Finding {
+    const seen = new Set<string>();
+    for (const { request } of engines.flatMap(({ trace }) => trace)) {
+        // The engine's id is the request's id and the number of the attempt.
+        seen.add(request.slice(0, request.lastIndexOf(".")));
+    }
+    for (const { request } of services.flatMap(trace => trace.calls)) {
+        seen.add(request);
+    }
+    const refused = calls.filter(({ result }) => result.verdict === "not-run");
+    const violations = refused
+        .filter(({ result }) => seen.has(result.requestId))
+        .map(({ label, result }) => `${label} (${result.requestId}) was refused as not run: ${result.reason}`);
+    return { checks: refused.length, violations };
+}
--- /dev/null
+++ b/packages/oracles/check_once_only.ts
@@ -0,0 +1,37 @@
+import type { Finding } from "./finding.ts";
+import type { ObservedCall } from "./observed_call.ts";
+import type { ServiceTrace } from "./service_trace.ts";
+
+/**
+ * Checks that the services ran each key at most once, and at least once if a caller was told that it ran.
+ *
+ * @param calls Calls as their callers saw them.
+ * @param traces What the services saw.
+ * @returns One check a key.
+ * @example
+ * ```ts
+ * checkOnceOnly(calls, traces).violations; // []
+ * ```
+ */
+export function checkOnceOnly(calls: ObservedCall[], traces: ServiceTrace[]): Finding {
+    const runs = new Map<string, number>();
+    for (const { key } of traces.flatMap(trace => trace.calls)) {
+        if (key !== "") {
+            runs.set(key, (runs.get(key) ?? 0) + 1);
+        }
+    }
+    const once = calls.filter(({ kind }) => kind === "once-only");
+    const finding: Finding = { checks: 0, violations: [] };
+    for (const key of new Set([...runs.keys(), ...once.map(({ label }) => label)])) {
+        finding.checks++;
+        const count = runs.get(key) ?? 0;
+        if (count > 1) {
+            finding.violations.push(`${key} ran ${count} times`);
+        }
+        const answered = once.some(({ label, result }) => label === key && result.status === 200 && !result.broken);
+        if (answered && count === 0) {
+            finding.violations.push(`${key} was answered but never ran`);
+        }
+    }
+    return finding;
+}
--- /dev/null
+++ b/packages/oracles/finding.ts
@@ -0,0 +1,7 @@
+/** Result of one check. */
+export interface Finding {
+    /** How often the condition was examined. */
+    checks: number;
+    /** What broke it. */
+    violations: string[];
+}
--- /dev/null
+++ b/packages/oracles/mod.ts
@@ -0,0 +1,9 @@
+/** Checks of what must always hold, made from the traces of the stand-ins and from what callers saw. */
+export { checkAnswers } from "./check_answers.ts";
+export { checkLimits } from "./check_limits.ts";
+export { checkNotRun } from "./check_not_run.ts";
+export { checkOnceOnly } from "./check_once_only.ts";
+export type { EngineTrace } from "./engine_trace.ts";
+export type { Finding } from "./finding.ts";
+export type { ObservedCall } from "./observed_call.ts";
+export type { ServiceTrace } from "./service_trace.ts";
--- /dev/null
+++ b/packages/randomness/mod.ts
@@ -0,0 +1,2 @@
+/** Reproducible random numbers for experiments. */
+export { RandomSource } from "./random_source.ts";
--- a/packages/reservations/held_reservation.ts
+++ b/packages/reservations/held_reservation.ts
@@ -8,4 +8,6 @@
     organisation: string;
     /** Pieces reserved. */
     pieces: number;
+    /** Whether it must not be used any more, as the server started anew. */
+    void?: boolean;
 }
--- a/packages/reservations/held_reservations.ts
+++ b/packages/reservations/held_reservations.ts
@@ -55,6 +55,31 @@
         return servers !== undefined && (server === undefined || servers.has(server));
     }
 
+    /**
+     * Notes that a reservation must not be used any more.
+     *
+     * @param id Id of the request.
+     * @param server Name of the backend server.
+     */
+    markVoid(id: string, server: string): void {
+        const reservation = this.#byId.get(id)?.get(server);
+        if (reservation) {
+            reservation.void = true;
+        }
+    }
+
+    /**
+     * Tells whether a reservation may be used.
+     *
+     * @param id Id of the request.
+     * @param server Name of the backend server.
+     * @returns Whether it is held and not void.
+     */
+    isUsable(id: string, server: string): boolean {
+        const reservation = this.#byId.get(id)?.get(server);
+        return reservation !== undefined && reservation.void !== true;
+    }
+
     /**
      * Lists the reservations at some servers.
      *
--- a/packages/reservations/reservation_client.ts
+++ b/packages/reservations/reservation_client.ts
@@ -51,6 +51,10 @@
         server.handle("requests.held", reservationParameters.held, async ({ ids }) => {
             return ids.filter(id => this.held.has(id));
         });
+        server.handle("requests.void", reservationParameters.void, async ({ server: name, ids }) => {
+            ids.forEach(id => this.held.markVoid(id, name));
+            return {};
+        });
     }
 
     /**
@@ -78,7 +82,7 @@
             this.held.remove(id, server);
             return answer.value;
         }
-        this.release({ server, id, pieces, askedAt }, "unused");
+        void this.release({ server, id, pieces, askedAt }, "unused");
         const refusal: ReserveAnswer = { granted: false, why: "not-home", free: 0, waiting: 0 };
         this.#note(server, refusal, now);
         return refusal;
@@ -91,7 +95,8 @@
      * @returns Whether it is fresh enough.
      */
     covers(grant: Grant): boolean {
-        return monotonicMilliseconds() - grant.askedAt < reservationTimes.validityMilliseconds;
+        const fresh = monotonicMilliseconds() - grant.askedAt < reservationTimes.validityMilliseconds;
+        return fresh && this.held.isUsable(grant.id, grant.server);
     }
 
     /**
@@ -99,12 +104,14 @@
      *
      * @param grant The grant.
      * @param outcome How it ended; see the parameters of `servers.release`.
+     * @returns Whether the home knew the reservation; true if the home cannot say.
      */
-    release(grant: Grant, outcome: "done" | "unused" | "failed" | "orphaned"): void {
+    async release(grant: Grant, outcome: "done" | "unused" | "failed" | "orphaned"): Promise<boolean> {
         const { server, id } = grant;
         this.held.remove(id, server);
         const home = this.membership.homeOf({ group: `server/${server}`, index: 0 });
-        void this.pool.call(home, "servers.release", { server, id, outcome });
+        const answer = await this.pool.call<{ known: boolean; }>(home, "servers.release", { server, id, outcome });
+        return answer.isErr() || answer.value.known;
     }
 
     /**
--- a/packages/reservations/reservation_parameters.ts
+++ b/packages/reservations/reservation_parameters.ts
@@ -11,6 +11,7 @@
         organisation: z.string().max(64),
         pieces: z.int().min(1),
         priority: z.int().min(0).max(9),
+        alone: z.boolean(),
         waitMilliseconds: z.number().min(0).max(60_000),
     }),
     /** `servers.release` at the server's home. */
@@ -22,6 +23,8 @@
     }),
     /** `requests.holdings` at every instance: what it holds of some servers. */
     holdings: z.object({ servers: z.array(z.string().max(64)).max(10_000) }),
+    /** `requests.void` at an instance: reservations that must not be used, as the server started anew. */
+    void: z.object({ server: z.string().max(64), ids: z.array(id).max(10_000) }),
     /** `requests.held` at an instance: which of its requests are still under way. */
     held: z.object({ ids: z.array(id).max(10_000) }),
 };
--- a/packages/reservations/reservation_times.ts
+++ b/packages/reservations/reservation_times.ts
@@ -7,5 +7,5 @@
     /** Time after which a reservation is confirmed again with the instance that holds it. */
     confirmMilliseconds: 3_000,
     /** Shortest time between two steps of a cold server's ramp. */
-    rampStepMilliseconds: 250,
+    rampStepMilliseconds: 300,
 };
--- a/packages/reservations/reserve_request.ts
+++ b/packages/reservations/reserve_request.ts
@@ -10,6 +10,8 @@
     pieces: number;
     /** Priority; the highest number goes first. */
     priority: number;
+    /** Whether nothing else may run on the server meanwhile. */
+    alone: boolean;
     /** Milliseconds that the request may wait. */
     waitMilliseconds: number;
 }
--- a/packages/reservations/server_ledger.ts
+++ b/packages/reservations/server_ledger.ts
@@ -13,6 +13,7 @@
 /** Capacity reserved for one request. */
 interface Reservation {
     pieces: number;
+    alone: boolean;
     confirmedAt: number;
     orphaned: boolean;
 }
@@ -23,6 +24,7 @@
     weight: number;
     priority: number;
     cost: number;
+    alone: boolean;
     answer: (answer: ReserveAnswer) => void;
     timer: NodeJS.Timeout;
 }
@@ -50,6 +52,7 @@
     readonly #ramp: Ramp;
     #state: "opening" | "open" | "closed" = "opening";
     #bootId: string | undefined;
+    #onVoid: (ids: string[]) => void = () => {};
     #down = false;
     #drained = false;
 
@@ -130,6 +133,7 @@
                 weight,
                 priority: request.priority,
                 cost: request.pieces,
+                alone: request.alone,
                 answer: resolve,
                 timer: setTimeout(() => {
                     this.#queue.remove(waiter);
@@ -147,23 +151,26 @@
      *
      * @param id Id of the request.
      * @param outcome How it ended; see the parameters of `servers.release`.
+     * @returns Whether the reservation was known, so that the request may have been running when the server failed.
      */
-    release(id: string, outcome: "done" | "unused" | "failed" | "orphaned"): void {
+    release(id: string, outcome: "done" | "unused" | "failed" | "orphaned"): boolean {
         const reservation = this.#reservations.get(id);
         if (outcome === "orphaned") {
             if (reservation) {
                 reservation.orphaned = true;
             }
-            return;
+            return reservation !== undefined;
         }
         this.#reservations.delete(id);
         if (outcome === "done") {
             this.#ramp.grow();
         }
         if (outcome === "failed") {
-            this.#ramp.reset();
+            // Nothing more is granted until the engine has answered again.
+            this.noteDown();
         }
         this.#pump();
+        return reservation !== undefined;
     }
 
     /**
@@ -184,7 +191,7 @@
     /** Notes that the server does not answer. */
     noteDown(): void {
         this.#down = true;
-        this.#ramp.reset();
+        this.#noteRestart();
         this.#refuseWaiters("down");
     }
 
@@ -196,7 +203,7 @@
      */
     reconcile(report: EngineReport, askedAt: number): void {
         if (this.#bootId !== undefined && report.bootId !== this.#bootId) {
-            this.#ramp.reset();
+            this.#noteRestart();
         }
         this.#bootId = report.bootId;
         this.#down = false;
@@ -212,6 +219,15 @@
         this.#pump();
     }
 
+    /**
+     * Registers a function that is told which reservations must not be used any more, as the server started anew.
+     *
+     * @param listener The function.
+     */
+    onVoid(listener: (ids: string[]) => void): void {
+        this.#onVoid = listener;
+    }
+
     /**
      * Lists reservations whose owners have to say whether they still hold them.
      *
@@ -256,9 +272,21 @@
         return { allowed: this.#ramp.allowed, bootId: this.#bootId };
     }
 
+    #noteRestart(): void {
+        this.#ramp.reset();
+        if (this.#reservations.size > 0) {
+            this.#onVoid([...this.#reservations.keys()]);
+        }
+    }
+
     #adopt(id: string, pieces: number): void {
         if (!this.#reservations.has(id)) {
-            this.#reservations.set(id, { pieces, confirmedAt: Number.NEGATIVE_INFINITY, orphaned: false });
+            this.#reservations.set(id, {
+                pieces,
+                alone: false,
+                confirmedAt: Number.NEGATIVE_INFINITY,
+                orphaned: false,
+            });
         }
     }
 
@@ -277,22 +305,31 @@
         }
         const full = this.#queue.size >= MAXIMUM_WAITING
             || this.#queue.countOf(request.organisation) >= MAXIMUM_WAITING_PER_ORGANISATION;
-        const mustWait = this.#queue.size > 0 || !this.#fits(request.pieces);
+        const mustWait = this.#queue.size > 0 || !this.#fits(request.pieces, request.alone);
         return full || request.waitMilliseconds <= 0 && mustWait ? "full" : undefined;
     }
 
-    #fits(pieces: number): boolean {
-        return this.#state === "open" && this.#reservations.size < this.#ramp.allowed
+    #fits(pieces: number, alone: boolean): boolean {
+        if (alone && this.#reservations.size > 0 || this.#isTakenAlone()) {
+            return false;
+        }
+        return this.#state === "open" && !this.#down && this.#reservations.size < this.#ramp.allowed
             && this.reserved + pieces <= this.capacity;
     }
 
+    #isTakenAlone(): boolean {
+        const [only, ...others] = this.#reservations.values();
+        return only !== undefined && others.length === 0 && only.alone;
+    }
+
     #pump(): void {
         let next = this.#queue.peek();
-        while (next && this.#fits(next.cost)) {
+        while (next && this.#fits(next.cost, next.alone)) {
             this.#queue.shift();
             clearTimeout(next.timer);
             this.#reservations.set(next.id, {
                 pieces: next.cost,
+                alone: next.alone,
                 confirmedAt: monotonicMilliseconds(),
                 orphaned: false,
             });
--- a/packages/reservations/server_state.ts
+++ b/packages/reservations/server_state.ts
@@ -66,8 +66,8 @@
             return answer;
         });
         server.handle("servers.release", reservationParameters.release, async ({ server: name, id, outcome }) => {
-            this.#tended.get(name)?.ledger.release(id, outcome);
-            return {};
+            const known = this.#tended.get(name)?.ledger.release(id, outcome) ?? true;
+            return { known };
         });
         configuration.onChange(document => this.#applyDrains(document));
     }
@@ -88,6 +88,7 @@
         }
         const ledger = new ServerLedger(server.capacity, readHandover(handover));
         ledger.setDrained(isDrained(this.options.configuration.document, name));
+        ledger.onVoid(ids => this.#voidAll(name, ids));
         const engine = this.options.engines.at(server.address);
         const sweep = new RepeatingTask(
             reservationTimes.sweepMilliseconds,
@@ -178,12 +179,15 @@
         return true;
     }
 
-    async #confirmOwners(ledger: ServerLedger): Promise<void> {
-        const idsByOwner = new Map<string, string[]>();
-        for (const id of ledger.unconfirmed()) {
-            const owner = ownerOf(id);
-            idsByOwner.set(owner, [...idsByOwner.get(owner) ?? [], id]);
+    #voidAll(server: string, ids: string[]): void {
+        const { membership, pool } = this.options;
+        for (const [owner, owned] of groupByOwner(ids)) {
+            void pool.call(membership.find(owner), "requests.void", { server, ids: owned });
         }
+    }
+
+    async #confirmOwners(ledger: ServerLedger): Promise<void> {
+        const idsByOwner = groupByOwner(ledger.unconfirmed());
         await Promise.all([...idsByOwner].map(([owner, ids]) => this.#confirmOwner(ledger, owner, ids)));
     }
 
@@ -217,6 +221,15 @@
     return id.slice(0, id.lastIndexOf("/"));
 }
 
+function groupByOwner(ids: string[]): Map<string, string[]> {
+    const idsByOwner = new Map<string, string[]>();
+    for (const id of ids) {
+        const owner = ownerOf(id);
+        idsByOwner.set(owner, [...idsByOwner.get(owner) ?? [], id]);
+    }
+    return idsByOwner;
+}
+
 function isDrained(document: ConfigurationDocument, name: string): boolean {
     const domain = document.backendServers[name]?.failureDomain ?? "";
     return name in document.drainedServers || domain in document.drainedDomains;
--- a/packages/routing/_model_run.ts
+++ b/packages/routing/_model_run.ts
@@ -73,6 +73,10 @@
     }
 
     async #tryOnce(): Promise<AttemptOutcome> {
+        if (this.options.suspects.isConvicted(this.job.fingerprint)) {
+            const message = "The request crashed two servers and is not tried again";
+            return { kind: "refused", refusal: this.#refuse(422, "request-crashes-servers", message) };
+        }
         const decode = await this.#reserve("decode", this.#pieces(), this.options.failureDomain);
         if (decode instanceof Refusal) {
             return { kind: "refused", refusal: decode };
@@ -116,7 +120,7 @@
             return ok(result.value);
         }
         this.#mayHaveRun ||= result.error.verdict === "may-have-run";
-        await this.#abandon(grant, result.error);
+        await this.#abandon("prefill", grant, result.error);
         const reason = result.error.kind === "down"
             ? "prefill-down"
             : result.error.kind === "timeout"
@@ -127,10 +131,12 @@
 
     async #decode(grant: Grant, source: string, prefill: PrefillResult): Promise<AttemptOutcome> {
         const { engines, metrics } = this.options;
-        if (this.signal.aborted) {
-            metrics.increment("wasted_prefills_total", { reason: "caller-gone" });
+        const stop = this.#mayNotStart(grant);
+        if (stop) {
+            const reason = stop.kind === "failed" ? stop.reason : "caller-gone";
+            metrics.increment("wasted_prefills_total", { reason });
             this.#release(grant, "unused");
-            return { kind: "refused", refusal: this.#refusalOfSignal() };
+            return stop;
         }
         const engine = engines.at(this.#server(grant.server)?.address ?? "");
         const firstEvent = new AbortController();
@@ -156,16 +162,16 @@
                 this.#release(grant, "done");
             }
             else {
-                await this.#abandon(grant, new EngineFailure("refused", "may-have-run", "Stream given up"));
+                await this.#abandon("decode", grant, new EngineFailure("refused", "may-have-run", "Stream given up"));
             }
             return outcome;
         }
         catch (error) {
             if (!(error instanceof EngineFailure)) {
-                await this.#abandon(grant, new EngineFailure("cancelled", "may-have-run", String(error)));
+                await this.#abandon("decode", grant, new EngineFailure("cancelled", "may-have-run", String(error)));
                 throw error;
             }
-            await this.#abandon(grant, error);
+            await this.#abandon("decode", grant, error);
             return this.#classify(error, this.#delivered.length > this.#deliveredBefore);
         }
         finally {
@@ -217,7 +223,7 @@
     }
 
     /** Frees what the engine may hold and gives the grant back. */
-    async #abandon(grant: Grant, failure: EngineFailure): Promise<void> {
+    async #abandon(role: "prefill" | "decode", grant: Grant, failure: EngineFailure): Promise<void> {
         if (failure.verdict === "not-run") {
             this.#release(grant, failure.kind === "down" ? "failed" : "unused");
             return;
@@ -225,12 +231,20 @@
         const engine = this.options.engines.at(this.#server(grant.server)?.address ?? "");
         const cancelled = await engine.cancel(grant.id);
         this.#noteGenerated(cancelled.isOk() ? cancelled.value.generated : undefined);
-        if (cancelled.isErr() && cancelled.error.verdict === "may-have-run") {
-            this.#release(grant, "orphaned");
+        if (failure.kind === "down") {
+            await this.#reportCrash(role, grant);
             return;
         }
-        const serverFailed = failure.kind === "down" || failure.kind === "timeout";
-        this.#release(grant, serverFailed ? "failed" : "unused");
+        const lost = cancelled.isErr() && cancelled.error.verdict === "may-have-run";
+        this.#release(grant, lost ? "orphaned" : "unused");
+    }
+
+    /** Only a request that held a reservation when the server failed may be what crashed it. */
+    async #reportCrash(role: "prefill" | "decode", grant: Grant): Promise<void> {
+        const { policy, reservations, suspects } = this.options;
+        if (policy.reserves && await reservations.release(grant, "failed")) {
+            await suspects.report(this.job.fingerprint, grant.server, role);
+        }
     }
 
     async #reserve(role: "prefill" | "decode", pieces: number, domain: string): Promise<Grant | Refusal> {
@@ -244,7 +258,7 @@
             if (!policy.reserves) {
                 return { server: best.name, id: this.#attemptId(), pieces, askedAt: monotonicMilliseconds() };
             }
-            const grant = await this.#reserveAny(candidates, pieces);
+            const grant = await this.#reserveAny(role, candidates, pieces);
             if (grant) {
                 return grant;
             }
@@ -256,10 +270,14 @@
     }
 
     /** Asks a few servers at once for room, then waits at the one with the shortest queue. */
-    async #reserveAny(candidates: Candidate[], pieces: number): Promise<Grant | undefined> {
+    async #reserveAny(
+        role: "prefill" | "decode",
+        candidates: Candidate[],
+        pieces: number,
+    ): Promise<Grant | undefined> {
         const tried = candidates.slice(0, SERVERS_TRIED_WITHOUT_WAITING);
         for (const { name } of tried) {
-            const answer = await this.#ask(name, pieces, 0);
+            const answer = await this.#ask(role, name, pieces, 0);
             if ("askedAt" in answer) {
                 return answer;
             }
@@ -274,7 +292,8 @@
             return undefined;
         }
         const left = this.#queueDeadline - monotonicMilliseconds();
-        const answer = await this.#ask(shortest.name, pieces, Math.min(WAIT_SLICE_MILLISECONDS, Math.max(0, left)));
+        const wait = Math.min(WAIT_SLICE_MILLISECONDS, Math.max(0, left));
+        const answer = await this.#ask(role, shortest.name, pieces, wait);
         if ("askedAt" in answer) {
             return answer;
         }
@@ -284,13 +303,14 @@
         return undefined;
     }
 
-    #ask(server: string, pieces: number, waitMilliseconds: number) {
+    #ask(role: "prefill" | "decode", server: string, pieces: number, waitMilliseconds: number) {
         return this.options.reservations.reserve({
             server,
             id: this.#attemptId(),
             organisation: this.job.organisation,
             pieces,
             priority: this.#priority(),
+            alone: this.options.suspects.isAloneAt(this.job.fingerprint, role),
             waitMilliseconds,
         });
     }
@@ -330,7 +350,8 @@
         if (this.signal.aborted) {
             return { kind: "refused", refusal: this.#refusalOfSignal() };
         }
-        if (grants.every(grant => this.options.reservations.covers(grant))) {
+        const { policy, reservations } = this.options;
+        if (!policy.reserves || grants.every(grant => reservations.covers(grant))) {
             return undefined;
         }
         return { kind: "failed", reason: "reservation-expired", message: "A reservation expired before its use" };
@@ -374,7 +395,7 @@
 
     #release(grant: Grant, outcome: "done" | "unused" | "failed" | "orphaned"): void {
         if (this.options.policy.reserves) {
-            this.options.reservations.release(grant, outcome);
+            void this.options.reservations.release(grant, outcome);
         }
     }
 
--- a/packages/routing/model_job.ts
+++ b/packages/routing/model_job.ts
@@ -8,6 +8,8 @@
     model: string;
     /** The prompt. */
     prompt: string;
+    /** Tells the request again when its caller repeats it. */
+    fingerprint: string;
     /** Tokens of the prompt. */
     promptTokens: number;
     /** Longest answer in tokens. */
--- a/packages/routing/model_router_options.ts
+++ b/packages/routing/model_router_options.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { PlacementPolicy } from "../placement/mod.ts";
 import type { ReservationClient } from "../reservations/mod.ts";
+import type { SuspectRegistry } from "../suspects/mod.ts";
 
 /** What {@linkcode ModelRouter} works with. */
 export interface ModelRouterOptions {
@@ -16,6 +17,8 @@
     reservations: ReservationClient;
     /** Clients of the engines. */
     engines: EnginePool;
+    /** Knows requests that may crash servers. */
+    suspects: SuspectRegistry;
     /** Orders the servers. */
     policy: PlacementPolicy;
     /** Failure domain of this instance. */
--- a/packages/runtime/instance.ts
+++ b/packages/runtime/instance.ts
@@ -19,6 +19,7 @@
 import { ModelRouter } from "../routing/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { HttpStore } from "../store/mod.ts";
+import { SuspectRegistry } from "../suspects/mod.ts";
 import { Refusal } from "../verdicts/mod.ts";
 import { LoadReports } from "./_load_reports.ts";
 import { registerOperatorCalls } from "./_operator_calls.ts";
@@ -117,7 +118,14 @@
         const policy = createPlacementPolicy(settings.policy);
         const limiter = new OrganisationLimiter(this.#membership, this.#pool, this.#configuration);
         const failureDomain = settings.failureDomain;
-        const router = new ModelRouter({ ...shared, limiter, reservations, policy, failureDomain });
+        const router = new ModelRouter({
+            ...shared,
+            limiter,
+            reservations,
+            suspects: new SuspectRegistry(shared),
+            policy,
+            failureDomain,
+        });
         this.#loadReports = policy.needsLoadReports
             ? new LoadReports(this.#configuration, this.#engines, reservations)
             : undefined;
--- /dev/null
+++ b/packages/soak/_faults.ts
@@ -0,0 +1,176 @@
+import { sleep } from "../clocks/mod.ts";
+import { hashKey, type Operation } from "../configuration/mod.ts";
+import type { SoakContext } from "./_soak_context.ts";
+
+/** Time that a change of the configuration may take to be in force everywhere. */
+const IN_FORCE_MILLISECONDS = 5_000;
+
+type Fault = (context: SoakContext) => Promise<boolean>;
+
+/** Each fault takes place and ends within some seconds; it returns whether it took place. */
+export const faults: Record<string, Fault> = {
+    "instance-killed": async context => {
+        return await withInstance(context, async index => {
+            const { fleet, random } = context;
+            await fleet.instances[index]?.process.kill();
+            unlist(context, index);
+            await sleep(random.integer(200, 2_500));
+            await fleet.restart(index);
+        });
+    },
+    "instance-frozen": async context => {
+        return await withInstance(context, async index => {
+            const { fleet, random } = context;
+            fleet.instances[index]?.process.freeze();
+            await sleep(random.integer(500, 6_000));
+            fleet.instances[index]?.process.wake();
+            await fleet.whenReady(index);
+        });
+    },
+    "instance-replaced": async context => {
+        return await withInstance(context, async index => {
+            const { fleet, shutdowns } = context;
+            const from = Date.now();
+            // The balancer sends no more before the instance stops to accept.
+            const ended = fleet.instances[index]?.process.terminate();
+            await ended;
+            shutdowns.push({ index, from, to: Date.now() });
+            unlist(context, index);
+            await fleet.restart(index);
+        });
+    },
+    "store-outage": context => withStore(context, { outage: true }, { outage: false }),
+    "store-slow": context => withStore(context, { delayMilliseconds: 400 }, { delayMilliseconds: 0 }),
+    "store-answers-lost": context => withStore(context, { loseAnswers: 0.4 }, { loseAnswers: 0 }),
+    "store-reads-lag": context => withStore(context, { readLagMilliseconds: 1_500 }, { readLagMilliseconds: 0 }),
+    "service-answers-cut": context => withServices(context, { cutAnswers: 0.4 }, { cutAnswers: 0 }),
+    "service-slow": context => withServices(context, { delayMilliseconds: 800 }, { delayMilliseconds: 0 }),
+    "engine-crashed": async context => {
+        const engine = context.random.pick(context.fleet.engines);
+        await context.fleet.control(engine.address, { crash: true });
+        return true;
+    },
+    "transfers-stalled": context => withEngine(context, { stallTransfers: true }, { stallTransfers: false }),
+    "events-crossed": context => withEngine(context, { crossEvents: 0.05 }, { crossEvents: 0 }),
+    "events-repeated": context => withEngine(context, { repeatEvents: 0.2 }, { repeatEvents: 0 }),
+    "cancel-answers-lost": context => withEngine(context, { loseCancelAnswers: 0.7 }, { loseCancelAnswers: 0 }),
+    "domain-drained": async context => {
+        const { fleet, random, drains } = context;
+        const domain = random.pick([...new Set(fleet.engines.map(({ failureDomain }) => failureDomain))]);
+        const value = { since: new Date().toISOString() };
+        if (!await change(context, [{ collection: "drainedDomains", name: domain, value }])) {
+            return false;
+        }
+        const from = Date.now();
+        await sleep(IN_FORCE_MILLISECONDS + random.integer(1_000, 4_000));
+        const to = Date.now();
+        while (!await change(context, [{ collection: "drainedDomains", name: domain }])) {
+            await sleep(200);
+        }
+        const servers = fleet.engines.filter(({ failureDomain }) => failureDomain === domain);
+        drains.push({ servers: servers.map(({ address }) => address), from, to });
+        return true;
+    },
+    "key-withdrawn": async context => {
+        const { random, keys, withdrawals } = context;
+        const organisation = random.pick([...keys.keys()]);
+        const key = keys.get(organisation) ?? "";
+        const next = `key-${random.integer(1, 1e9)}-of-${organisation}`;
+        const value = { organisation, label: "" };
+        if (!await change(context, [{ collection: "keys", name: hashKey(next), value }])) {
+            return false;
+        }
+        if (!await change(context, [{ collection: "keys", name: hashKey(key) }])) {
+            return false;
+        }
+        const from = Date.now();
+        // Callers go on with the old key for a while.
+        await sleep(IN_FORCE_MILLISECONDS + random.integer(500, 3_000));
+        keys.set(organisation, next);
+        withdrawals.push({ organisation, key, from, to: Number.POSITIVE_INFINITY });
+        return true;
+    },
+    "operators-raced": async context => {
+        const { fleet, random, races } = context;
+        const clients = [fleet.operator(livingIndex(context)), fleet.operator(livingIndex(context))];
+        const base = await clients[0]?.configuration();
+        if (!base?.isOk()) {
+            clients.forEach(client => client.close());
+            return false;
+        }
+        const { version } = base.value;
+        const outcomes = await Promise.all(clients.map((client, index) => {
+            const value = { organisation: Object.keys(fleet.organisations)[0] ?? "", label: `race ${index}` };
+            const name = hashKey(`race-${random.next()}`);
+            return client.change([{ collection: "keys", name, value }], version);
+        }));
+        clients.forEach(client => client.close());
+        const stored = outcomes.filter(outcome => outcome.isOk() && outcome.value.kind === "stored").length;
+        const answered = outcomes.filter(outcome => outcome.isOk() && outcome.value.kind !== "failed").length;
+        if (answered < outcomes.length) {
+            return false;
+        }
+        races.push(stored);
+        return true;
+    },
+};
+
+async function withInstance(context: SoakContext, disturb: (index: number) => Promise<void>): Promise<boolean> {
+    const { fleet, disturbed, random, traffic } = context;
+    const free = [...fleet.instances.keys()].filter(index => !disturbed.has(index));
+    // The balancer always has instances to send to.
+    if (free.length <= fleet.instances.length / 2) {
+        return false;
+    }
+    const index = random.pick(free);
+    disturbed.add(index);
+    await disturb(index);
+    disturbed.delete(index);
+    traffic.balanced.add(index);
+    return true;
+}
+
+/** The balancer notices that an instance is gone. */
+function unlist({ fleet, traffic }: SoakContext, index: number): void {
+    traffic.balanced.delete(index);
+    const instance = fleet.instances[index];
+    if (instance) {
+        instance.listed = false;
+        void fleet.updateList();
+    }
+}
+
+async function withStore(context: SoakContext, on: object, off: object): Promise<boolean> {
+    return await withStandIns(context, [context.fleet.storeAddress], on, off);
+}
+
+async function withServices(context: SoakContext, on: object, off: object): Promise<boolean> {
+    return await withStandIns(context, context.fleet.services.map(({ address }) => address), on, off);
+}
+
+async function withEngine(context: SoakContext, on: object, off: object): Promise<boolean> {
+    return await withStandIns(context, [context.random.pick(context.fleet.engines).address], on, off);
+}
+
+async function withStandIns(context: SoakContext, addresses: string[], on: object, off: object): Promise<boolean> {
+    const { fleet, random } = context;
+    await Promise.all(addresses.map(address => fleet.control(address, on)));
+    await sleep(random.integer(1_000, 6_000));
+    await Promise.all(addresses.map(address => fleet.control(address, off)));
+    return true;
+}
+
+async function change(context: SoakContext, operations: Operation[]): Promise<boolean> {
+    try {
+        const version = await context.fleet.change(operations, livingIndex(context));
+        context.accepted.push({ version, at: Date.now() });
+        return true;
+    }
+    catch {
+        return false;
+    }
+}
+
+function livingIndex({ fleet, disturbed, random }: SoakContext): number {
+    return random.pick([...fleet.instances.keys()].filter(index => !disturbed.has(index)));
+}
--- /dev/null
+++ b/packages/soak/run_soak.ts
@@ -0,0 +1,230 @@
+import { mkdir, writeFile } from "node:fs/promises";
+import { join } from "node:path";
+import { RepeatingTask, sleep } from "../clocks/mod.ts";
+import { Fleet } from "../harness/mod.ts";
+import type { EngineTrace, Finding, ServiceTrace } from "../oracles/mod.ts";
+import { RandomSource } from "../randomness/mod.ts";
+import { makeChecks } from "./_checks.ts";
+import { faults } from "./_faults.ts";
+import type { SoakContext } from "./_soak_context.ts";
+import { TrafficGenerator } from "./_traffic_generator.ts";
+import type { SoakOptions } from "./soak_options.ts";
+import type { SoakReport } from "./soak_report.ts";
+
+const WARM_UP_MILLISECONDS = 3_000;
+const CONCURRENT_FAULTS = 2;
+const VERSION_READ_MILLISECONDS = 500;
+const QUIET_MILLISECONDS = 10_000;
+const MAXIMUM_DETAILS = 20;
+
+/**
+ * Runs a fleet under random traffic and random faults, two at a time, and checks every promise at the end.
+ *
+ * @param options Workload, seed and length.
+ * @returns The report.
+ * @example
+ * ```ts
+ * const report = await runSoak({ workload, seed: 1, seconds: 60 });
+ * ```
+ */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+    const { workload, seed } = options;
+    const progress = options.onProgress ?? (line => process.stderr.write(`${line}\n`));
+    const random = new RandomSource(seed);
+    const fleet = await Fleet.start({
+        instances: options.instances ?? 6,
+        failureDomains: workload.failureDomains,
+        engines: workload.engines,
+        services: workload.services,
+        organisations: workload.organisations,
+        enginesPerProcess: 3,
+        graceMilliseconds: 300,
+    });
+    const versions = new VersionReader(fleet);
+    try {
+        await sleep(WARM_UP_MILLISECONDS);
+        const context = createContext(options, fleet, random);
+        await watchForKeys(context);
+        const counts = await disturb(options, context, progress);
+        await quiet(context);
+        const findings = await check(context, versions);
+        const report = summarise(options, context, counts, findings);
+        await keepLogs(options, fleet, report);
+        return report;
+    }
+    finally {
+        await versions.close();
+        await fleet.close();
+    }
+}
+
+/** Reads the version in force at each instance again and again. */
+class VersionReader {
+    readonly histories = new Map<string, number[]>();
+    readonly #task: RepeatingTask;
+
+    constructor(fleet: Fleet) {
+        this.#task = new RepeatingTask(VERSION_READ_MILLISECONDS, async () => {
+            await Promise.all(fleet.instances.map(async ({ name, process }, index) => {
+                const { status, text } = await fleet.call(index, "/metrics", { timeoutMilliseconds: 1_000 });
+                const version = /configuration_version (\d+)/.exec(text)?.[1];
+                if (status === 200 && version !== undefined) {
+                    const id = `${name}/${process.pid}`;
+                    this.histories.set(id, [...this.histories.get(id) ?? [], Number(version)]);
+                }
+            }));
+        });
+    }
+
+    async close(): Promise<void> {
+        await this.#task.close();
+    }
+}
+
+function createContext(options: SoakOptions, fleet: Fleet, random: RandomSource): SoakContext {
+    const keys = new Map(Object.keys(fleet.organisations).map(name => [name, fleet.key(name)]));
+    const poisonAllowed = !options.without?.includes("poison");
+    const traffic = new TrafficGenerator(
+        fleet,
+        options.workload,
+        random,
+        organisation => keys.get(organisation) ?? "",
+        poisonAllowed,
+    );
+    return {
+        fleet,
+        traffic,
+        random,
+        keys,
+        disturbed: new Set(),
+        shutdowns: [],
+        drains: [],
+        withdrawals: [],
+        accepted: [],
+        races: [],
+    };
+}
+
+async function watchForKeys({ fleet, keys }: SoakContext): Promise<void> {
+    const addresses = [...fleet.engines, ...fleet.services].map(({ address }) => address);
+    // Every key that the run makes up begins like one of these.
+    const watchFor = [...keys.values(), ...[...keys.keys()].map(organisation => `-of-${organisation}`)];
+    await Promise.all(addresses.map(address => fleet.control(address, { watchFor })));
+}
+
+async function disturb(
+    options: SoakOptions,
+    context: SoakContext,
+    progress: (line: string) => void,
+): Promise<Record<string, number>> {
+    const { without = [], seconds, seed } = options;
+    const kinds = Object.keys(faults).filter(kind => !without.includes(kind));
+    const counts = Object.fromEntries(kinds.map(kind => [kind, 0]));
+    await setPoison(context.fleet, TrafficGenerator.poison);
+    const endsAt = performance.now() + seconds * 1_000;
+    const queue: string[] = [];
+    const disturbing = Array.from({ length: CONCURRENT_FAULTS }, async () => {
+        while (performance.now() < endsAt) {
+            // Each kind comes once before any comes again.
+            if (queue.length === 0) {
+                queue.push(...kinds.sort(() => context.random.next() - 0.5));
+            }
+            const kind = queue.shift() ?? "";
+            const startedAt = performance.now();
+            const tookPlace = await faults[kind]?.(context).catch(() => false) ?? false;
+            if (tookPlace) {
+                counts[kind] = (counts[kind] ?? 0) + 1;
+            }
+            else {
+                queue.push(kind);
+            }
+            progress(
+                `seed ${seed}: ${kind} ${tookPlace ? "took place" : "put off"} (${
+                    Math.round(performance.now() - startedAt)
+                } ms)`,
+            );
+            await sleep(context.random.integer(50, 500));
+        }
+    });
+    await Promise.all([context.traffic.run(seconds * 1_000), ...disturbing]);
+    return counts;
+}
+
+async function setPoison(fleet: Fleet, poison: string): Promise<void> {
+    await Promise.all(fleet.engines.map(({ address }) => fleet.control(address, { poison })));
+}
+
+async function quiet({ fleet }: SoakContext): Promise<void> {
+    await setPoison(fleet, "");
+    await sleep(QUIET_MILLISECONDS);
+}
+
+async function check(context: SoakContext, versions: VersionReader): Promise<Record<string, Finding>> {
+    const { fleet, traffic } = context;
+    const engines = await Promise.all(fleet.engines.map(({ address }) => fleet.control<EngineTrace>(address)));
+    const services = await Promise.all(fleet.services.map(({ address }) => fleet.control<ServiceTrace>(address)));
+    const sum = async (series: string) => {
+        const values = await Promise.all(fleet.instances.map((_, index) => fleet.metric(index, series)));
+        return values.reduce((total, value) => total + value, 0);
+    };
+    return makeChecks({
+        context,
+        calls: traffic.calls,
+        engines,
+        services,
+        programChecks: await sum("invariant_checks_total"),
+        programViolations: await sum("invariant_violations_total"),
+        versions: await Promise.all(fleet.instances.map((_, index) => fleet.metric(index, "configuration_version "))),
+        versionHistories: [...versions.histories.values()],
+        unexpectedExits: fleet.instances
+            .filter(({ process }) => process.ended)
+            .map(({ name, process }) => `${name} ended with code ${process.exitCode}`),
+    });
+}
+
+function summarise(
+    { seed }: SoakOptions,
+    context: SoakContext,
+    faultCounts: Record<string, number>,
+    findings: Record<string, Finding>,
+): SoakReport {
+    const invariants: SoakReport["invariants"] = {};
+    const details: string[] = [];
+    for (const [name, { checks, violations }] of Object.entries(findings)) {
+        invariants[name] = { checks, violations: violations.length };
+        details.push(...violations.slice(0, 3).map(violation => `${name}: ${violation}`));
+        if (checks === 0) {
+            details.push(`${name}: nothing was checked`);
+        }
+    }
+    for (const [kind, count] of Object.entries(faultCounts)) {
+        if (count === 0) {
+            details.push(`${kind}: did not take place`);
+        }
+    }
+    const calls: Record<string, number> = {};
+    for (const { kind, cancelled, result } of context.traffic.calls) {
+        const outcome = cancelled ? "cancelled" : result.reason ?? (result.broken ? "broken" : String(result.status));
+        calls[`${kind} ${outcome}`] = (calls[`${kind} ${outcome}`] ?? 0) + 1;
+    }
+    return {
+        seed,
+        passed: details.length === 0,
+        faults: faultCounts,
+        invariants,
+        details: details.slice(0, MAXIMUM_DETAILS),
+        calls,
+    };
+}
+
+async function keepLogs({ keepLogsIn, seed }: SoakOptions, fleet: Fleet, report: SoakReport): Promise<void> {
+    if (report.passed || keepLogsIn === undefined) {
+        return;
+    }
+    await mkdir(keepLogsIn, { recursive: true });
+    for (const [index, { name }] of fleet.instances.entries()) {
+        await writeFile(join(keepLogsIn, `seed-${seed}-${name}.log`), await fleet.log(index));
+    }
+    const engines = await Promise.all(fleet.engines.map(({ address }) => fleet.control(address)));
+    await writeFile(join(keepLogsIn, `seed-${seed}-engines.json`), JSON.stringify(engines));
+}
--- a/packages/stand_ins/engine_stand_in.ts
+++ b/packages/stand_ins/engine_stand_in.ts
@@ -18,6 +18,7 @@
     linkTokensPerSecond: 200_000,
     prefixCacheTokens: 200_000,
     coldMilliseconds: 5_000,
+    restartMilliseconds: 500,
     startsCold: false,
     networkMilliseconds: 0,
 };
@@ -25,6 +26,8 @@
 /** Time for which a stream whose reader is gone may still be resumed. */
 const RESUME_MILLISECONDS = 60_000;
 
+const CONTROL_ANSWER_MILLISECONDS = 20;
+
 /** A computed prompt that waits to be fetched. */
 interface Handle {
     prompt: string;
@@ -51,17 +54,21 @@
 /** What an oracle reads of one request. */
 interface TraceEntry {
     request: string;
+    /** Text between double square brackets in the prompt, by which a test knows its request again. */
+    label: string;
     kind: "prefill" | "decode";
     at: number;
     promptTokens: number;
     maximumTokens: number;
     generated: number;
+    /** Whether the engine crashed while it held the request. */
+    crashed: boolean;
 }
 
 /**
  * A model engine with the interface of docs/ENGINE.md: prefill, decode, resume, cancel, reports and orders.
  *
- * Faults: `crash` (drops everything and starts cold), `cold` (turns cold without a sign), `down` (drops each call),
+ * Faults: `crash` (drops everything and starts cold after a moment), `down` (drops each call),
  * `stallTransfers`, `crossEvents` (share of the events that carry another request's id), `repeatEvents` (share of the
  * events sent twice), `loseCancelAnswers` (share of the cancels whose answer is cut), `poison` (text in a prompt that
  * crashes the engine).
@@ -76,7 +83,7 @@
     readonly #options: Required<EngineStandInOptions>;
     readonly #handles = new Map<string, Handle>();
     readonly #streams = new Map<string, Stream>();
-    readonly #prefills = new Map<string, { cancelled: boolean; }>();
+    readonly #prefills = new Map<string, { cancelled: boolean; entry: TraceEntry; }>();
     readonly #prefixes = new Map<string, number>();
     readonly #trace: TraceEntry[] = [];
     readonly #counts = {
@@ -102,6 +109,7 @@
     #prefillTail: Promise<void> = Promise.resolve();
     #linkTail: Promise<void> = Promise.resolve();
     #ticking = false;
+    #downUntil = 0;
     #highestFence = 0;
 
     /**
@@ -118,7 +126,7 @@
     protected async answer(request: Request): Promise<void> {
         const { method, path, response } = request;
         await sleep(this.#options.networkMilliseconds);
-        if (this.faults["down"] === true) {
+        if (this.faults["down"] === true || performance.now() < this.#downUntil) {
             response.destroy();
             return;
         }
@@ -158,11 +166,8 @@
     protected override onFaults(): void {
         if (this.faults["crash"] === true) {
             this.faults["crash"] = false;
-            this.#crash();
-        }
-        if (this.faults["cold"] === true) {
-            this.faults["cold"] = false;
-            this.#coldSince = performance.now();
+            // The answer to the control call goes out first.
+            setTimeout(() => this.#crash(), CONTROL_ANSWER_MILLISECONDS);
         }
     }
 
@@ -173,14 +178,24 @@
             generated: string;
         };
         const promptTokens = this.#countTokens(prompt);
-        this.#note({ request, kind: "prefill", at: Date.now(), promptTokens, maximumTokens: 0, generated: 0 });
+        const entry = this.#note({
+            request,
+            label: labelOf(prompt),
+            kind: "prefill",
+            at: Date.now(),
+            promptTokens,
+            maximumTokens: 0,
+            generated: 0,
+            crashed: false,
+        });
         const poison = this.faults["poison"];
         if (typeof poison === "string" && poison !== "" && prompt.includes(poison)) {
             this.#counts.poisoned++;
+            entry.crashed = true;
             this.#crash();
             return;
         }
-        const work = { cancelled: false };
+        const work = { cancelled: false, entry };
         this.#prefills.set(request, work);
         if (this.#overloaded()) {
             return;
@@ -228,11 +243,13 @@
         const bootId = this.#bootId;
         const entry = this.#note({
             request: order.request,
+            label: "",
             kind: "decode",
             at: Date.now(),
             promptTokens: 0,
             maximumTokens: order.maximumTokens,
             generated: 0,
+            crashed: false,
         });
         const kv = await this.#import(order.source, order.handle, response);
         if (!kv || bootId !== this.#bootId) {
@@ -240,6 +257,7 @@
             return;
         }
         entry.promptTokens = kv.promptTokens;
+        entry.label = labelOf(kv.prompt);
         const pieces = Math.ceil((kv.promptTokens + order.maximumTokens) / this.#options.tokensPerPiece);
         if (this.#usedPieces() + pieces > this.#options.pieces) {
             this.#counts.memoryRefusals++;
@@ -426,10 +444,15 @@
     #crash(): void {
         this.#counts.boots++;
         this.#bootId = randomBytes(4).toString("hex");
-        this.#coldSince = performance.now();
+        this.#downUntil = performance.now() + this.#options.restartMilliseconds;
+        this.#coldSince = this.#downUntil;
+        this.#streams.forEach(({ entry }) => {
+            entry.crashed = true;
+        });
         this.#streams.clear();
         this.#prefills.forEach(work => {
             work.cancelled = true;
+            work.entry.crashed = true;
         });
         this.#prefills.clear();
         this.#handles.clear();
@@ -475,3 +498,7 @@
         return entry;
     }
 }
+
+function labelOf(prompt: string): string {
+    return /\[\[(.*?)\]\]/.exec(prompt)?.[1] ?? "";
+}
--- a/packages/stand_ins/engine_stand_in_options.ts
+++ b/packages/stand_ins/engine_stand_in_options.ts
@@ -20,6 +20,8 @@
     prefixCacheTokens?: number;
     /** Time from a start until the engine bears its full load. Default: 5,000. */
     coldMilliseconds?: number;
+    /** Time that a crashed engine needs before it answers again. Default: 500. */
+    restartMilliseconds?: number;
     /** Whether the engine starts cold. Default: false. */
     startsCold?: boolean;
     /** Delay of each answer and event, one way. Default: 0. */
--- a/packages/stand_ins/service_stand_in.ts
+++ b/packages/stand_ins/service_stand_in.ts
@@ -7,6 +7,7 @@
     method: string;
     path: string;
     key: string;
+    request: string;
     body: string;
 }
 
@@ -29,7 +30,8 @@
     protected async answer(request: Parameters<StandInServer["answer"]>[0]): Promise<void> {
         const { method, path, headers, body, response } = request;
         const key = String(headers["idempotency-key"] ?? "");
-        this.#calls.push({ at: Date.now(), method, path, key, body: digest(body) });
+        const id = String(headers["x-request-id"] ?? "");
+        this.#calls.push({ at: Date.now(), method, path, key, request: id, body: digest(body) });
         await sleep(Number(this.faults["delayMilliseconds"] ?? 0));
         if (Math.random() < Number(this.faults["cutAnswers"] ?? 0)) {
             this.#cut++;
