--- /dev/null
+++ b/packages/configuration/configuration_state_test.ts
@@ -0,0 +1,74 @@
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import { Invariants } from "../invariants/mod.ts";
+import { Metrics } from "../metrics/mod.ts";
+import { applyOperations, type Change, ConfigurationState, diffDocuments, emptyDocument } from "./mod.ts";
+
+const silent = { info: () => {}, warn: () => {}, error: () => {} };
+
+function createState(): ConfigurationState {
+    return new ConfigurationState(new Invariants(new Metrics(), silent, false));
+}
+
+/** The same history that every instance and the store see parts of. */
+function createHistory(length: number): Change[] {
+    return Array.from({ length }, (_, index) => ({
+        version: index + 1,
+        attempt: `attempt-${index}`,
+        operations: [{
+            collection: "drainedServers",
+            name: `server-${index % 5}`,
+            ...(index % 3 === 0 ? {} : { value: { since: String(index) } }),
+        }],
+    }));
+}
+
+function documentAt(history: Change[], version: number) {
+    return history
+        .filter(change => change.version <= version)
+        .reduce((document, change) => applyOperations(document, change.operations), emptyDocument());
+}
+
+test("whatever parts of the history arrive in which order, the version grows and its document is right", () => {
+    const history = createHistory(100);
+    const offer = fc.record({ whole: fc.boolean(), from: fc.nat(100), length: fc.nat(20) });
+    let rises = 0;
+    fc.assert(
+        fc.property(fc.array(offer, { maxLength: 40 }), offers => {
+            const state = createState();
+            for (const { whole, from, length } of offers) {
+                const before = state.version;
+                if (whole) {
+                    const recent = history.slice(Math.max(0, from - 10), from);
+                    state.offer({ version: from, document: documentAt(history, from), recent });
+                }
+                else {
+                    state.offerChanges(history.slice(from, from + length));
+                }
+                expect(state.version).toBeGreaterThanOrEqual(before);
+                expect(state.document).toEqual(documentAt(history, state.version));
+                rises += state.version > before ? 1 : 0;
+                const since = state.changesSince(before);
+                expect(since === undefined || since.length === state.version - before).toBe(true);
+            }
+        }),
+        { seed: 5, numRuns: 300 },
+    );
+    expect(rises).toBeGreaterThan(200);
+});
+
+test("a confirmation of another version says nothing about the one in force", () => {
+    const state = createState();
+    state.offer({ version: 3, document: emptyDocument(), recent: [] });
+    state.confirm(2, 0);
+    expect(state.ageMilliseconds).toBe(Number.POSITIVE_INFINITY);
+    state.confirm(3, 10);
+    expect(state.ageMilliseconds).toBeLessThan(Number.POSITIVE_INFINITY);
+});
+
+test("the difference of two documents turns the one into the other", () => {
+    const history = createHistory(30);
+    const [before, after] = [documentAt(history, 10), documentAt(history, 30)];
+    expect(applyOperations(before, diffDocuments(before, after))).toEqual(after);
+    expect(diffDocuments(after, after)).toEqual([]);
+});
--- a/packages/instances/instance_server.ts
+++ b/packages/instances/instance_server.ts
@@ -31,7 +31,10 @@
  * ```
  */
 export class InstanceServer {
-    readonly #rpc = new JSONRPCServer<CallContext>();
+    readonly #rpc = new JSONRPCServer<CallContext>({
+        // The caller gets the error; refused calls are counted and not logged one by one.
+        errorListener: () => {},
+    });
     readonly #sockets = new Set<Socket>();
     readonly #server: Server;
     readonly #traffic: Traffic;
--- /dev/null
+++ b/packages/instances/instances_test.ts
@@ -0,0 +1,129 @@
+import fc from "fast-check";
+import { once } from "node:events";
+import { connect } from "node:net";
+import { afterEach, expect, test } from "vitest";
+import { z } from "zod";
+import { freePorts } from "../harness/mod.ts";
+import { Metrics } from "../metrics/mod.ts";
+import { encodeFrame, FrameDecoder, InstanceClient, InstanceServer } from "./mod.ts";
+
+const silent = { info: () => {}, warn: () => {}, error: () => {} };
+const closers: (() => unknown)[] = [];
+
+afterEach(async () => {
+    await Promise.all(closers.splice(0).map(close => close()));
+});
+
+async function startServer(metrics = new Metrics()): Promise<string> {
+    const [port] = await freePorts(1);
+    const server = new InstanceServer({ name: "a", incarnation: "1" }, "secret", {
+        metrics,
+        logger: silent,
+        maximumFrameBytes: 10_000,
+    });
+    server.handle("echo", z.object({ text: z.string() }), async ({ text }) => ({ text }));
+    server.handle("operators.secret", z.object({}), async () => ({}), "operator");
+    await server.listen(`127.0.0.1:${port}`);
+    closers.push(() => server.close());
+    return `127.0.0.1:${port}`;
+}
+
+function createClient(address: string, secret = "secret", incarnation?: string): InstanceClient {
+    const options = { metrics: new Metrics(), ...(incarnation === undefined ? {} : { incarnation }) };
+    const client = new InstanceClient(address, { name: "b", incarnation: "2" }, secret, options);
+    closers.push(() => client.close());
+    return client;
+}
+
+test("frames come out as they went in, however the stream is cut", () => {
+    fc.assert(
+        fc.property(
+            fc.array(fc.jsonValue(), { maxLength: 10 }),
+            fc.array(fc.integer({ min: 1, max: 50 })),
+            (messages, cuts) => {
+                const stream = Buffer.concat(messages.map(message => encodeFrame(message)));
+                const decoder = new FrameDecoder(1_000_000);
+                const decoded: unknown[] = [];
+                let offset = 0;
+                for (const cut of [...cuts, stream.length]) {
+                    decoded.push(...decoder.push(stream.subarray(offset, offset + cut)).map(({ message }) => message));
+                    offset += cut;
+                }
+                expect(decoded).toEqual(messages.map(message => JSON.parse(JSON.stringify(message))));
+            },
+        ),
+        { seed: 6, numRuns: 500 },
+    );
+});
+
+test("any bytes give frames or an error, and no more than the limit is kept", () => {
+    fc.assert(
+        fc.property(fc.array(fc.uint8Array({ maxLength: 200 }), { maxLength: 10 }), chunks => {
+            const decoder = new FrameDecoder(100);
+            try {
+                chunks.forEach(chunk => decoder.push(Buffer.from(chunk)));
+            }
+            catch (error) {
+                expect(String(error)).toMatch(/Cannot (read|parse) a frame/);
+            }
+        }),
+        { seed: 7, numRuns: 2_000 },
+    );
+});
+
+test("a call is answered and counted by kind", async () => {
+    const metrics = new Metrics();
+    const client = createClient(await startServer(metrics));
+    const answer = await client.call("echo", { text: "hello" });
+    expect(answer._unsafeUnwrap()).toEqual({ text: "hello" });
+    expect(metrics.count("control_messages_total", { kind: "echo", direction: "received" })).toBe(1);
+    expect(metrics.count("control_bytes_total", { kind: "echo", direction: "sent" })).toBeGreaterThan(0);
+});
+
+test("a stranger without the secret is refused, and so is a server without it", async () => {
+    const address = await startServer();
+    const answer = await createClient(address, "wrong").call("echo", { text: "x" });
+    expect(answer._unsafeUnwrapErr()).toMatchObject({ kind: "unreachable", verdict: "not-run" });
+});
+
+test("wrong parameters, unknown methods and calls of operators are refused", async () => {
+    const client = createClient(await startServer());
+    for (const [method, params] of [["echo", { text: 1 }], ["nothing", {}], ["operators.secret", {}]] as const) {
+        expect((await client.call(method, params))._unsafeUnwrapErr().kind).toBe("error");
+    }
+});
+
+test("a malformed frame closes its own connection only", async () => {
+    const address = await startServer();
+    const client = createClient(address);
+    expect((await client.call("echo", { text: "1" })).isOk()).toBe(true);
+    for (
+        const bytes of [
+            Buffer.from("GET / HTTP/1.1\r\n\r\n"),
+            Buffer.from([0, 0, 0, 2, 0x7b, 0x7b]),
+            Buffer.alloc(5_000, 255),
+        ]
+    ) {
+        const socket = connect(Number(address.split(":")[1]), "127.0.0.1");
+        socket.on("error", () => {});
+        socket.resume();
+        socket.write(bytes);
+        await once(socket, "close");
+    }
+    expect((await client.call("echo", { text: "2" })).isOk()).toBe(true);
+});
+
+test("a closed port and another incarnation prove a death, a silent one does not", async () => {
+    const address = await startServer();
+    const replaced = await createClient(address, "secret", "0").call("echo", { text: "x" });
+    expect(replaced._unsafeUnwrapErr()).toMatchObject({ kind: "replaced", provesDeath: true });
+    const [port] = await freePorts(1);
+    const refused = await createClient(`127.0.0.1:${port}`).call("echo", { text: "x" });
+    expect(refused._unsafeUnwrapErr()).toMatchObject({ kind: "refused", provesDeath: true, verdict: "not-run" });
+    const silentServer = await import("node:net").then(net => net.createServer(() => {}).listen(0, "127.0.0.1"));
+    await once(silentServer, "listening");
+    closers.push(() => silentServer.close());
+    const { port: silentPort } = silentServer.address() as { port: number; };
+    const silence = await createClient(`127.0.0.1:${silentPort}`).call("echo", { text: "x" });
+    expect(silence._unsafeUnwrapErr()).toMatchObject({ kind: "unreachable", provesDeath: false });
+});
--- a/packages/once/mod.ts
+++ b/packages/once/mod.ts
@@ -6,5 +6,6 @@
 export type { OnceRecord } from "./once_record.ts";
 export { onceRecordKey } from "./once_record_key.ts";
 export { OnceShard } from "./once_shard.ts";
+export type { OnceShardOptions } from "./once_shard_options.ts";
 export { OnceState } from "./once_state.ts";
 export { shardOf } from "./shard_of.ts";
--- a/packages/once/once_shard.ts
+++ b/packages/once/once_shard.ts
@@ -4,11 +4,12 @@
 import type { BeginAnswer } from "./begin_answer.ts";
 import { onceParameters } from "./once_parameters.ts";
 import type { OnceRecord } from "./once_record.ts";
+import type { OnceShardOptions } from "./once_shard_options.ts";
 
 const RETENTION_MILLISECONDS = 24 * 3_600_000;
 const MAXIMUM_SHARD_BYTES = 900_000;
 const MAXIMUM_ANSWER_CHARACTERS = 16_384;
-const COMMIT_DEADLINE_MILLISECONDS = 2_000;
+const DEFAULT_COMMIT_DEADLINE_MILLISECONDS = 2_000;
 const CACHE_MILLISECONDS = 1_000;
 
 type BeginParameters = z.infer<typeof onceParameters.begin>;
@@ -47,12 +48,12 @@
     /**
      * @param store The store.
      * @param storeKey Key of the shard's value.
-     * @param now Wall-clock time in milliseconds.
+     * @param options Optional parts.
      */
     constructor(
         private readonly store: Store,
         private readonly storeKey: string,
-        private readonly now: () => number = Date.now,
+        private readonly options: OnceShardOptions = {},
     ) {}
 
     /**
@@ -97,7 +98,7 @@
             this.store,
             this.storeKey,
             this.#startFor(batch),
-            COMMIT_DEADLINE_MILLISECONDS,
+            this.options.commitDeadlineMilliseconds ?? DEFAULT_COMMIT_DEADLINE_MILLISECONDS,
             current => {
                 applied = this.#apply(parseRecords(current), batch);
                 return applied.changed ? { kind: "write", value: { records: applied.records } } : { kind: "done" };
@@ -157,12 +158,16 @@
         if (bytes > MAXIMUM_SHARD_BYTES) {
             return { kind: "full" };
         }
-        records[key] = { attempt, fingerprint, owner, at: this.now(), state: "started" };
+        records[key] = { attempt, fingerprint, owner, at: this.#now(), state: "started" };
         return { kind: "begun" };
     }
 
+    #now(): number {
+        return (this.options.now ?? Date.now)();
+    }
+
     #withoutExpired(records: Records): Records {
-        const oldest = this.now() - RETENTION_MILLISECONDS;
+        const oldest = this.#now() - RETENTION_MILLISECONDS;
         return Object.fromEntries(Object.entries(records).filter(([, { at }]) => at >= oldest));
     }
 }
--- /dev/null
+++ b/packages/reservations/server_ledger_test.ts
@@ -0,0 +1,136 @@
+import fc from "fast-check";
+import { expect, test, vi } from "vitest";
+import { FairQueue, ServerLedger } from "./mod.ts";
+
+const CAPACITY = 10;
+
+function request(id: string, pieces: number, alone = false, waitMilliseconds = 1_000) {
+    return { server: "s", id, organisation: `o${pieces % 3}`, pieces, priority: 5, alone, waitMilliseconds };
+}
+
+const action = fc.oneof(
+    fc.record({ kind: fc.constant("reserve" as const), pieces: fc.integer({ min: 1, max: 4 }), alone: fc.boolean() }),
+    fc.record({
+        kind: fc.constant("release" as const),
+        which: fc.nat(20),
+        outcome: fc.constantFrom(
+            "done" as const,
+            "done" as const,
+            "unused" as const,
+            "failed" as const,
+            "orphaned" as const,
+        ),
+    }),
+    fc.record({ kind: fc.constant("report" as const), restarted: fc.boolean() }),
+    fc.record({ kind: fc.constant("drain" as const), drained: fc.boolean() }),
+    fc.record({ kind: fc.constant("pass" as const), milliseconds: fc.integer({ min: 1, max: 1_500 }) }),
+);
+
+test("grants never exceed the capacity or the ramp, and nothing stays reserved at the end", async () => {
+    vi.useFakeTimers({ now: 1_000, toFake: ["setTimeout", "clearTimeout", "performance"] });
+    let grants = 0;
+    let alone = 0;
+    await fc.assert(
+        fc.asyncProperty(fc.array(action, { minLength: 10, maxLength: 80 }), async actions => {
+            const ledger = new ServerLedger(CAPACITY, { allowed: CAPACITY, bootId: "0" });
+            ledger.open();
+            /** What the test knows of granted and not yet freed requests. */
+            const held = new Map<string, { pieces: number; alone: boolean; orphaned: boolean; }>();
+            let boot = 0;
+            const settle = () => vi.advanceTimersByTimeAsync(0);
+            for (const [index, step] of actions.entries()) {
+                if (step.kind === "reserve") {
+                    const id = `x/1/${index}`;
+                    void ledger.reserve(request(id, step.pieces, step.alone), 1).then(answer => {
+                        if (answer.granted) {
+                            grants++;
+                            alone += step.alone ? 1 : 0;
+                            held.set(id, { pieces: step.pieces, alone: step.alone, orphaned: false });
+                        }
+                    });
+                }
+                else if (step.kind === "release") {
+                    const [id, entry] = [...held][step.which % Math.max(1, held.size)] ?? [];
+                    if (id !== undefined && entry) {
+                        ledger.release(id, step.outcome);
+                        entry.orphaned = step.outcome === "orphaned";
+                        if (!entry.orphaned) {
+                            held.delete(id);
+                        }
+                    }
+                }
+                else if (step.kind === "report") {
+                    boot += step.restarted ? 1 : 0;
+                    const running = [...held].filter(([, { orphaned }]) => !orphaned);
+                    vi.advanceTimersByTime(1);
+                    const report = running.map(([id, { pieces }]) => ({ id, pieces }));
+                    ledger.reconcile({ bootId: String(boot), running: report }, performance.now());
+                    held.forEach(({ orphaned }, id) => orphaned && held.delete(id));
+                }
+                else if (step.kind === "drain") {
+                    ledger.setDrained(step.drained);
+                }
+                else {
+                    await vi.advanceTimersByTimeAsync(step.milliseconds);
+                }
+                await settle();
+                const pieces = [...held.values()].reduce((sum, entry) => sum + entry.pieces, 0);
+                expect(pieces).toBeLessThanOrEqual(CAPACITY);
+                expect(ledger.reserved).toBe(pieces);
+                if ([...held.values()].some(entry => entry.alone)) {
+                    expect(held.size).toBe(1);
+                }
+            }
+            await vi.advanceTimersByTimeAsync(2_000);
+            expect(ledger.waiting).toBe(0);
+            held.forEach((_, id) => ledger.release(id, "done"));
+            expect(ledger.reserved).toBe(0);
+        }),
+        { seed: 4, numRuns: 1_000 },
+    );
+    vi.useRealTimers();
+    expect(grants).toBeGreaterThan(1_000);
+    expect(alone).toBeGreaterThan(50);
+});
+
+test("a server that starts anew begins with one request and tells which reservations are void", async () => {
+    const ledger = new ServerLedger(CAPACITY, { allowed: CAPACITY, bootId: "0" });
+    ledger.open();
+    const voided: string[] = [];
+    ledger.onVoid(ids => voided.push(...ids));
+    await ledger.reserve(request("x/1/1", 1), 1);
+    ledger.reconcile({ bootId: "1", running: [] }, performance.now());
+    expect(voided).toEqual(["x/1/1"]);
+    expect(await ledger.reserve(request("x/1/2", 1, false, 0), 1)).toMatchObject({ granted: false, why: "full" });
+    ledger.release("x/1/1", "unused");
+    expect(await ledger.reserve(request("x/1/2", 1, false, 0), 1)).toMatchObject({ granted: true });
+    expect(await ledger.reserve(request("x/1/3", 1, false, 0), 1)).toMatchObject({ granted: false, why: "full" });
+});
+
+test("nothing is granted at a failed server until its engine has answered", async () => {
+    const ledger = new ServerLedger(CAPACITY, { allowed: CAPACITY, bootId: "0" });
+    ledger.open();
+    await ledger.reserve(request("x/1/1", 1), 1);
+    ledger.release("x/1/1", "failed");
+    expect(await ledger.reserve(request("x/1/2", 1, false, 0), 1)).toMatchObject({ granted: false, why: "down" });
+    ledger.reconcile({ bootId: "1", running: [] }, performance.now());
+    expect(await ledger.reserve(request("x/1/2", 1, false, 0), 1)).toMatchObject({ granted: true });
+});
+
+test("organisations that wait are served by their weights within a priority", () => {
+    const queue = new FairQueue();
+    const item = (organisation: string, weight: number, priority = 5) => ({ organisation, weight, priority, cost: 1 });
+    for (let index = 0; index < 30; index++) {
+        queue.push(item("flood", 1));
+    }
+    for (let index = 0; index < 6; index++) {
+        queue.push(item("heavy", 2));
+        queue.push(item("light", 1));
+    }
+    queue.push(item("urgent", 1, 9));
+    expect(queue.shift()?.organisation).toBe("urgent");
+    const first = Array.from({ length: 12 }, () => queue.shift()?.organisation);
+    expect(first.filter(name => name === "heavy")).toHaveLength(6);
+    expect(first.filter(name => name === "light")).toHaveLength(3);
+    expect(first.filter(name => name === "flood")).toHaveLength(3);
+});
--- a/packages/soak/_checks.ts
+++ b/packages/soak/_checks.ts
@@ -158,8 +158,7 @@
     for (const { index, from, to } of context.shutdowns) {
         for (const call of calls) {
             const there = context.traffic.targets.get(call) === index;
-            // The balancer still sends for a moment after the shutdown has begun.
-            if (!there || call.cancelled || call.startedAt > from + 100 || call.endedAt < from || call.startedAt > to) {
+            if (!there || call.cancelled || call.endedAt < from || call.startedAt > to) {
                 continue;
             }
             finding.checks++;
--- a/packages/soak/_faults.ts
+++ b/packages/soak/_faults.ts
@@ -5,6 +5,9 @@
 /** Time that a change of the configuration may take to be in force everywhere. */
 const IN_FORCE_MILLISECONDS = 5_000;
 
+const CALLS_AT_A_SHUTDOWN = 3;
+const BALANCER_MILLISECONDS = 100;
+
 type Fault = (context: SoakContext) => Promise<boolean>;
 
 /** Each fault takes place and ends within some seconds; it returns whether it took place. */
@@ -29,13 +32,17 @@
     },
     "instance-replaced": async context => {
         return await withInstance(context, async index => {
-            const { fleet, shutdowns } = context;
+            const { fleet, shutdowns, traffic } = context;
             const from = Date.now();
-            // The balancer sends no more before the instance stops to accept.
+            const underWay = Array.from({ length: CALLS_AT_A_SHUTDOWN }, () => traffic.callModelAt(index));
+            await sleep(BALANCER_MILLISECONDS);
             const ended = fleet.instances[index]?.process.terminate();
+            // The balancer goes on sending for a part of the grace that the instance gives it.
+            await sleep(BALANCER_MILLISECONDS);
+            unlist(context, index);
             await ended;
+            await Promise.all(underWay);
             shutdowns.push({ index, from, to: Date.now() });
-            unlist(context, index);
             await fleet.restart(index);
         });
     },
--- a/packages/soak/_traffic_generator.ts
+++ b/packages/soak/_traffic_generator.ts
@@ -75,7 +75,12 @@
         }
     }
 
-    async #callModel(organisation: string): Promise<void> {
+    /** Sends one model request to a certain instance. */
+    async callModelAt(index: number): Promise<void> {
+        await this.#callModel(this.#organisation(), index);
+    }
+
+    async #callModel(organisation: string, index?: number): Promise<void> {
         const label = `${organisation}:${this.#sequence++}`;
         const poisoned = this.poisonAllowed && this.random.chance(POISON_SHARE);
         const poison = poisoned ? TrafficGenerator.poison : "";
@@ -90,7 +95,7 @@
             const abort = new AbortController();
             const timer = cancel === undefined ? undefined : setTimeout(() => abort.abort(), cancel);
             const call = { kind: "model", label, organisation, prompt, maximumTokens } as const;
-            await this.#observe(call, cancel !== undefined, "/v1/completions", { body, signal: abort.signal });
+            await this.#observe(call, cancel !== undefined, "/v1/completions", { body, signal: abort.signal }, index);
             clearTimeout(timer);
         }
     }
@@ -126,8 +131,9 @@
         cancelled: boolean,
         path: string,
         options: object,
+        index?: number,
     ): Promise<CallResult> {
-        const target = this.random.pick([...this.balanced]);
+        const target = index ?? this.random.pick([...this.balanced]);
         const startedAt = Date.now();
         const key = this.keyOf(call.organisation);
         const result = await this.fleet.call(target, path, {
--- a/packages/stand_ins/mod.ts
+++ b/packages/stand_ins/mod.ts
@@ -3,6 +3,7 @@
 export type { EngineStandInOptions } from "./engine_stand_in_options.ts";
 export { expectedAnswer } from "./expected_answer.ts";
 export { InstanceListStandIn } from "./instance_list_stand_in.ts";
+export { MemoryStore } from "./memory_store.ts";
 export { runStandIns } from "./run_stand_ins.ts";
 export { ServiceStandIn } from "./service_stand_in.ts";
 export type { StandInConfiguration } from "./stand_in_configuration.ts";
