--- a/packages/harness/mod.ts
+++ b/packages/harness/mod.ts
@@ -7,5 +7,5 @@
 export { exampleDeclaration } from "./example_declaration.ts";
 export { Fleet } from "./fleet.ts";
 export type { FleetOptions } from "./fleet_options.ts";
-export { freePorts } from "./free_ports.ts";
 export { ManagedProcess } from "./managed_process.ts";
+export { PortBlock } from "./port_block.ts";
--- /dev/null
+++ b/packages/harness/port_block.ts
@@ -0,0 +1,76 @@
+import { once } from "node:events";
+import { createServer, type Server } from "node:net";
+
+/** Below the range from which the system takes ports for outgoing connections. */
+const FIRST_PORT = 10_000;
+const BLOCK_SIZE = 100;
+const BLOCKS = 200;
+
+/**
+ * A block of ports that no other process of this project uses. Its first port stays open as the sign of that.
+ *
+ * @example
+ * ```ts
+ * const ports = await PortBlock.reserve();
+ * const address = `127.0.0.1:${ports.next()}`;
+ * await ports.close();
+ * ```
+ */
+export class PortBlock {
+    #used = 0;
+
+    private constructor(
+        private readonly lock: Server,
+        private readonly first: number,
+    ) {}
+
+    /**
+     * Reserves a block.
+     *
+     * @returns The block.
+     * @throws {Error} If every block is taken.
+     */
+    static async reserve(): Promise<PortBlock> {
+        const start = Math.floor(Math.random() * BLOCKS);
+        for (let step = 0; step < BLOCKS; step++) {
+            const first = FIRST_PORT + (start + step) % BLOCKS * BLOCK_SIZE;
+            const lock = createServer(socket => socket.destroy());
+            lock.unref();
+            lock.listen(first, "127.0.0.1");
+            const taken = await Promise.race([
+                once(lock, "listening").then(() => false),
+                once(lock, "error").then(() => true),
+            ]).catch(() => true);
+            if (!taken) {
+                return new PortBlock(lock, first);
+            }
+        }
+        throw new Error("Cannot reserve ports: every block is taken");
+    }
+
+    /**
+     * Takes the next port of the block.
+     *
+     * @returns The port.
+     * @throws {RangeError} If the block is used up.
+     */
+    next(): number {
+        this.#used++;
+        if (this.#used >= BLOCK_SIZE) {
+            throw new RangeError("Cannot take a port: the block is used up");
+        }
+        return this.first + this.#used;
+    }
+
+    /**
+     * Gives the block back.
+     *
+     * @returns A promise that resolves once others can take it.
+     */
+    async close(): Promise<void> {
+        if (this.lock.listening) {
+            this.lock.close();
+            await once(this.lock, "close");
+        }
+    }
+}
--- a/packages/logs/create_logger.ts
+++ b/packages/logs/create_logger.ts
@@ -1,4 +1,4 @@
-import { createConsola, type LogObject } from "consola";
+import { createConsola, LogLevels, type LogObject } from "consola";
 import type { Logger } from "./logger.ts";
 
 /**
@@ -13,6 +13,7 @@
  */
 export function createLogger(instance: string): Logger {
     const consola = createConsola({
+        level: LogLevels.info,
         reporters: [{ log: entry => process.stderr.write(formatEntry(instance, entry)) }],
     });
     return {
--- a/packages/once/once_shard.ts
+++ b/packages/once/once_shard.ts
@@ -93,11 +93,12 @@
     }
 
     async #commit(batch: Pending[]): Promise<void> {
+        const start = this.#startFor(batch);
         let applied: BatchResult | undefined;
         const result = await updateValue(
             this.store,
             this.storeKey,
-            this.#startFor(batch),
+            start,
             this.options.commitDeadlineMilliseconds ?? DEFAULT_COMMIT_DEADLINE_MILLISECONDS,
             current => {
                 applied = this.#apply(parseRecords(current), batch);
@@ -105,7 +106,10 @@
             },
         );
         this.#cached = result.isOk() ? result.value : undefined;
-        this.#cachedAt = monotonicMilliseconds();
+        if (!start || applied?.changed) {
+            // An answer from the cache does not make the cache any fresher.
+            this.#cachedAt = monotonicMilliseconds();
+        }
         for (const pending of batch) {
             if (pending.kind === "begin") {
                 const answer = result.isOk() ? applied?.begun.get(pending) : undefined;
--- /dev/null
+++ b/packages/promises/bad_input_test.ts
@@ -0,0 +1,63 @@
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { Fleet } from "../harness/mod.ts";
+
+let fleet: Fleet;
+
+beforeAll(async () => {
+    fleet = await Fleet.start({
+        instances: 1,
+        organisations: {
+            north: { tokensPerSecond: 10_000, burstTokens: 60_000, weight: 1, labels: {} },
+            tiny: { tokensPerSecond: 100, burstTokens: 300, weight: 1, labels: {} },
+        },
+    });
+});
+
+afterAll(async () => {
+    await fleet.close();
+});
+
+const good = { model: "drafting", prompt: "Hello", max_tokens: 5 };
+
+test.each([
+    ["{ not json", 400, "malformed-request"],
+    [{ ...good, prompt: 7 }, 400, "malformed-request"],
+    [{ ...good, max_tokens: -1 }, 400, "malformed-request"],
+    [{ ...good, model: "unheard-of" }, 404, "model-unknown"],
+    [{ ...good, model: "__proto__" }, 404, "model-unknown"],
+    [{ ...good, max_tokens: 70_000 }, 400, "prompt-too-large"],
+    [{ ...good, prompt: "word".repeat(64_000) }, 400, "prompt-too-large"],
+    [{ ...good, prompt: "x".repeat(5_000_000) }, 413, "body-too-large"],
+])("the body is refused with its reason (case %#)", async (body, status, reason) => {
+    const result = await fleet.call(0, "/v1/completions", { key: fleet.key("north"), body });
+    expect(result).toMatchObject({ status, reason, verdict: "not-run" });
+    expect(result.json).toMatchObject({ error: { message: expect.stringMatching(/\w/) } });
+});
+
+test("a refusal that can never succeed has no Retry-After", async () => {
+    const body = { ...good, max_tokens: 1_000 };
+    const result = await fleet.call(0, "/v1/completions", { key: fleet.key("tiny"), body });
+    expect(result).toMatchObject({ status: 400, reason: "burst-exceeded", retryAfter: undefined, verdict: "not-run" });
+});
+
+test("unknown keys, paths and methods are refused", async () => {
+    const key = fleet.key("north");
+    expect(await fleet.call(0, "/v1/models")).toMatchObject({ status: 401, reason: "key-missing" });
+    expect(await fleet.call(0, "/v1/models", { key: "constructor" })).toMatchObject({
+        status: 401,
+        reason: "key-unknown",
+    });
+    expect(await fleet.call(0, "/v1/nowhere", { key })).toMatchObject({ status: 404, reason: "route-unknown" });
+    expect(await fleet.call(0, "/v1/completions", { key })).toMatchObject({ status: 405 });
+});
+
+test("after every refusal the instance still serves, and its counters have each reason", async () => {
+    const result = await fleet.call(0, "/v1/completions", { key: fleet.key("north"), body: good });
+    expect(result.status).toBe(200);
+    expect(await fleet.metric(0, 'refusals_total{reason="malformed-request"')).toBeGreaterThan(0);
+    const log = await fleet.log(0);
+    expect(log).not.toContain(fleet.key("north"));
+    expect(log).not.toContain("Hello");
+    const lines = log.trim().split("\n").map(line => JSON.parse(line) as { message: string; });
+    expect(lines.some(({ message }) => message === "request")).toBe(true);
+});
--- /dev/null
+++ b/packages/promises/once_only_test.ts
@@ -0,0 +1,215 @@
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { sleep } from "../clocks/mod.ts";
+import { type CallResult, Fleet } from "../harness/mod.ts";
+import { checkNotRun, checkOnceOnly, type ObservedCall, type ServiceTrace } from "../oracles/mod.ts";
+
+let fleet: Fleet;
+const calls: ObservedCall[] = [];
+let sequence = 0;
+
+beforeAll(async () => {
+    fleet = await Fleet.start({ instances: 3, services: 2, engines: [] });
+});
+
+afterAll(async () => {
+    await fleet.close();
+});
+
+async function order(index: number, label: string): Promise<CallResult> {
+    const startedAt = Date.now();
+    const result = await fleet.call(index, "/v1/orders", {
+        key: fleet.key("north"),
+        body: { item: label },
+        headers: { "idempotency-key": label },
+    });
+    const call = { kind: "once-only", label, organisation: "north", prompt: "", maximumTokens: 0 } as const;
+    calls.push({ ...call, startedAt, endedAt: Date.now(), cancelled: false, result });
+    return result;
+}
+
+function newLabel(): string {
+    return `order-${sequence++}`;
+}
+
+async function traces(): Promise<ServiceTrace[]> {
+    return await Promise.all(fleet.services.map(({ address }) => fleet.control<ServiceTrace>(address)));
+}
+
+async function runsOf(label: string): Promise<number> {
+    return (await traces()).flatMap(trace => trace.calls).filter(({ key }) => key === label).length;
+}
+
+async function setServices(faults: object): Promise<void> {
+    await Promise.all(fleet.services.map(({ address }) => fleet.control(address, faults)));
+}
+
+async function expectTruth(): Promise<void> {
+    const services = await traces();
+    expect(checkOnceOnly(calls, services).violations).toEqual([]);
+    expect(checkNotRun(calls, [], services).violations).toEqual([]);
+}
+
+test("a call sent to every instance at once runs once and each caller gets the same answer", async () => {
+    await setServices({ delayMilliseconds: 200 });
+    for (let round = 0; round < 5; round++) {
+        const label = newLabel();
+        const results = await Promise.all([0, 1, 2, 0, 1, 2].map(index => order(index, label)));
+        expect(results.map(({ status }) => status)).toEqual(Array(6).fill(200));
+        expect(new Set(results.map(({ text }) => text)).size).toBe(1);
+        expect(await runsOf(label)).toBe(1);
+    }
+    await setServices({ delayMilliseconds: 0 });
+    await expectTruth();
+});
+
+test("an answer cut by the service is refused as one that may have run, and no resend runs it again", async () => {
+    await setServices({ cutAnswers: 1 });
+    const label = newLabel();
+    const first = await order(0, label);
+    expect(first).toMatchObject({ reason: "once-only-outcome-unknown", verdict: "may-have-run" });
+    await setServices({ cutAnswers: 0 });
+    for (const index of [0, 1, 2]) {
+        expect(await order(index, label)).toMatchObject({ verdict: "may-have-run", status: 409 });
+    }
+    expect(await runsOf(label)).toBe(1);
+    await expectTruth();
+});
+
+test("while the store is down a call is refused as not run and nothing is sent; afterwards it runs", async () => {
+    await fleet.control(fleet.storeAddress, { outage: true });
+    const label = newLabel();
+    const refused = await Promise.all([0, 1, 2].map(index => order(index, label)));
+    for (const result of refused) {
+        expect(result).toMatchObject({ reason: "once-only-records-unavailable", verdict: "not-run", status: 503 });
+    }
+    expect(await runsOf(label)).toBe(0);
+    await fleet.control(fleet.storeAddress, { outage: false });
+    await expectRuns(label);
+    await expectTruth();
+});
+
+/** A call refused as not run may be sent again until it runs. */
+async function expectRuns(label: string): Promise<void> {
+    for (let attempt = 0; attempt < 20; attempt++) {
+        const result = await order(attempt % 3, label);
+        if (result.status === 200) {
+            expect(await runsOf(label)).toBe(1);
+            return;
+        }
+        expect(result.verdict).toBe("not-run");
+        await sleep(300);
+    }
+    expect.fail("the call never runs");
+}
+
+test("an outage that begins while the service works does not lose the kept answer", async () => {
+    await setServices({ delayMilliseconds: 600 });
+    const label = newLabel();
+    const first = order(0, label);
+    await sleep(250);
+    await fleet.control(fleet.storeAddress, { outage: true });
+    expect(await first).toMatchObject({ status: 200 });
+    await setServices({ delayMilliseconds: 0 });
+    const during = await order(1, label);
+    expect(during.status).not.toBe(200);
+    await fleet.control(fleet.storeAddress, { outage: false });
+    await expectKept(label, (await first).text);
+    await expectTruth();
+});
+
+async function expectKept(label: string, text: string): Promise<void> {
+    for (let attempt = 0; attempt < 20; attempt++) {
+        const result = await order(1, label);
+        if (result.status === 200) {
+            expect(result.text).toBe(text);
+            expect(await runsOf(label)).toBe(1);
+            return;
+        }
+        await sleep(300);
+    }
+    expect.fail("the answer was not kept");
+}
+
+test("lost answers of the store, writes taking effect, never run a call twice", async () => {
+    await fleet.control(fleet.storeAddress, { loseAnswers: 0.5 });
+    const labels = Array.from({ length: 20 }, newLabel);
+    await Promise.all(labels.flatMap(label => [order(0, label), order(1, label)]));
+    const { counts } = await fleet.control<{ counts: { lostAnswers: number; }; }>(fleet.storeAddress, {
+        loseAnswers: 0,
+    });
+    expect(counts.lostAnswers).toBeGreaterThan(0);
+    await expectTruth();
+});
+
+test("an instance frozen while it sends a call, woken after another one has answered, sends it once", async () => {
+    await setServices({ delayMilliseconds: 300 });
+    for (const pause of [20, 100, 200]) {
+        const label = newLabel();
+        const first = order(0, label);
+        await sleep(pause);
+        fleet.instances[0]?.process.freeze();
+        const second = order(1, label);
+        await sleep(1_500);
+        fleet.instances[0]?.process.wake();
+        const results = await Promise.all([first, second]);
+        expect(results.some(({ status, verdict }) => status === 200 || verdict === "may-have-run")).toBe(true);
+        await expectTruth();
+    }
+    await setServices({ delayMilliseconds: 0 });
+});
+
+test("an instance killed while it sends calls leaves none that runs twice, and says so truthfully", async () => {
+    await setServices({ delayMilliseconds: 300 });
+    const labels = Array.from({ length: 12 }, newLabel);
+    const first = Promise.all(labels.map(label => order(2, label)));
+    await sleep(200);
+    await fleet.instances[2]?.process.kill();
+    const broken = await first;
+    expect(broken.some(result => result.broken)).toBe(true);
+    await setServices({ delayMilliseconds: 0 });
+    const resent = await Promise.all(labels.map((label, index) => order(index % 2, label)));
+    expect(resent.every(({ status, verdict }) => status === 200 || verdict !== undefined)).toBe(true);
+    await fleet.restart(2);
+    await Promise.all(labels.map(label => order(2, label)));
+    await expectTruth();
+});
+
+test("a call without a key for it, and another call under the same one, are refused", async () => {
+    const without = await fleet.call(0, "/v1/orders", { key: fleet.key("north"), body: {} });
+    expect(without).toMatchObject({ status: 400, reason: "idempotency-key-missing", verdict: "not-run" });
+    const label = newLabel();
+    await order(0, label);
+    const other = await fleet.call(1, "/v1/orders", {
+        key: fleet.key("north"),
+        body: { item: "another" },
+        headers: { "idempotency-key": label },
+    });
+    expect(other).toMatchObject({ status: 422, reason: "idempotency-key-reused", verdict: "not-run" });
+    const stranger = await fleet.call(1, "/v1/orders", {
+        key: fleet.key("south"),
+        body: { item: "another" },
+        headers: { "idempotency-key": label },
+    });
+    expect(stranger.status).toBe(200);
+});
+
+test("a service that cannot be reached has not run the call", async () => {
+    const address = fleet.services[0]?.address;
+    const names = fleet.services.map(({ name }) => name);
+    const dead = "127.0.0.1:1";
+    const entry = (name: string) => ({
+        address: name === names[0] ? dead : `${dead}${names.indexOf(name)}`,
+        role: "service",
+        failureDomain: "domain-1",
+        models: [],
+        labels: { kind: "orders" },
+        capacity: 100,
+        fencing: "ignored",
+    });
+    expect(address).toBeDefined();
+    await fleet.change(names.map(name => ({ collection: "backendServers", name, value: entry(name) })));
+    const label = newLabel();
+    const result = await order(0, label);
+    expect(result).toMatchObject({ status: 503, reason: "backend-failed", verdict: "not-run" });
+    await expectTruth();
+});
--- a/packages/reservations/_ramp.ts
+++ b/packages/reservations/_ramp.ts
@@ -18,6 +18,11 @@
         return this.#allowed;
     }
 
+    /** Allows what the server is seen to bear. */
+    raise(allowed: number): void {
+        this.#allowed = Math.min(this.full, Math.max(this.#allowed, allowed));
+    }
+
     /** Starts again with one request. */
     reset(): void {
         this.#allowed = 1;
--- a/packages/reservations/server_ledger.ts
+++ b/packages/reservations/server_ledger.ts
@@ -202,7 +202,11 @@
      * @param askedAt Monotonic time in milliseconds before the report was asked for.
      */
     reconcile(report: EngineReport, askedAt: number): void {
-        if (this.#bootId !== undefined && report.bootId !== this.#bootId) {
+        if (this.#bootId === undefined) {
+            // A new home does not know how warm the server is, but it bears what it runs.
+            this.#ramp.raise(report.running.length + 1);
+        }
+        else if (report.bootId !== this.#bootId) {
             this.#noteRestart();
         }
         this.#bootId = report.bootId;
--- a/packages/stand_ins/service_stand_in.ts
+++ b/packages/stand_ins/service_stand_in.ts
@@ -7,6 +7,7 @@
     method: string;
     path: string;
     key: string;
+    organisation: string;
     request: string;
     body: string;
 }
@@ -31,7 +32,8 @@
         const { method, path, headers, body, response } = request;
         const key = String(headers["idempotency-key"] ?? "");
         const id = String(headers["x-request-id"] ?? "");
-        this.#calls.push({ at: Date.now(), method, path, key, request: id, body: digest(body) });
+        const organisation = String(headers["x-organisation"] ?? "");
+        this.#calls.push({ at: Date.now(), method, path, key, organisation, request: id, body: digest(body) });
         await sleep(Number(this.faults["delayMilliseconds"] ?? 0));
         if (Math.random() < Number(this.faults["cutAnswers"] ?? 0)) {
             this.#cut++;
@@ -42,7 +44,7 @@
             ran: true,
             key,
             echo: digest(body),
-            organisation: headers["x-organisation"] ?? "",
+            organisation,
         });
     }
 
