Cold servers: the first step of a ramp comes no sooner than any other

The trace has a server up again for 250 ms which got two requests at once: the first success after the restart raised the allowance at once, as no step had been taken before.

Ruled out: grants from before the crash (they were void), a home change (the home had not changed).

Change: a restart counts as a step. Test seen red first (server_ledger: "a success right after a restart"). Bench with open-loop load and baselines. Stronger proofs where a broken mechanism had stayed green: a paused home must not be taken over (homes), homes that die again and again (limits), watches of the store stand-in lag like reads (keys).

--- /dev/null
+++ b/packages/bench/_load_schedule.ts
@@ -0,0 +1,45 @@
+import { RandomSource } from "../randomness/mod.ts";
+import { promptOf, type Workload } from "../workloads/mod.ts";
+import { floodingOrganisation } from "./_flooding_organisation.ts";
+import type { ScheduledRequest } from "./_scheduled_request.ts";
+import type { Scenario } from "./scenario.ts";
+
+const PEAK_FACTOR = 1.5;
+const FLOOD_FACTOR = 5;
+const BYTES_PER_TOKEN = 4;
+
+/** Draws all requests of an experiment before it starts, so that a slow system does not slow the load. */
+export function drawSchedule(
+    workload: Workload,
+    scenario: Scenario,
+    seed: number,
+    milliseconds: number,
+): ScheduledRequest[] {
+    const random = new RandomSource(seed);
+    const organisations = Object.keys(workload.organisations);
+    const factor = scenario === "peak" ? PEAK_FACTOR : 1;
+    const requests: ScheduledRequest[] = [];
+    for (const [index, organisation] of organisations.entries()) {
+        const share = workload.trafficShares[index] ?? 0;
+        let rate = workload.steadyRequestsPerSecond * share * factor;
+        if (scenario === "flood" && organisation === floodingOrganisation(workload)) {
+            rate = FLOOD_FACTOR * ratePerSecond(workload, organisation);
+        }
+        for (let at = random.exponential(1_000 / rate); at < milliseconds; at += random.exponential(1_000 / rate)) {
+            const prompt = promptOf(workload, random, `${organisation}:${requests.length}`);
+            const { lowest, highest } = workload.maximumTokens;
+            const maximumTokens = random.integer(lowest, highest);
+            const promptTokens = Math.ceil(Buffer.byteLength(prompt) / BYTES_PER_TOKEN);
+            requests.push({ at, organisation, prompt, promptTokens, maximumTokens });
+        }
+    }
+    return requests.sort((left, right) => left.at - right.at);
+}
+
+/** Requests a second that use up an organisation's rate. */
+function ratePerSecond(workload: Workload, organisation: string): number {
+    const { lowest, highest } = workload.historyTokens;
+    const prompt = workload.preambleTokens + (lowest + highest) / 2;
+    const answer = (workload.maximumTokens.lowest + workload.maximumTokens.highest) / 2;
+    return (workload.organisations[organisation]?.tokensPerSecond ?? 0) / (prompt + answer);
+}
--- /dev/null
+++ b/packages/bench/_scheduled_request.ts
@@ -0,0 +1,9 @@
+/** A request to be sent at a certain time. */
+export interface ScheduledRequest {
+    /** Milliseconds after the start. */
+    at: number;
+    organisation: string;
+    prompt: string;
+    promptTokens: number;
+    maximumTokens: number;
+}
--- /dev/null
+++ b/packages/bench/scenario.ts
@@ -0,0 +1,2 @@
+/** What happens during an experiment. */
+export type Scenario = "steady" | "peak" | "flood" | "zone" | "cold" | "outage";
--- a/packages/development/main.ts
+++ b/packages/development/main.ts
@@ -1,4 +1,6 @@
+import { appendFile } from "node:fs/promises";
 import sade from "sade";
+import { type BenchResult, compareResults, runBench, type Scenario } from "../bench/mod.ts";
 import { runDemo } from "../demo/mod.ts";
 import { runSoak } from "../soak/mod.ts";
 import { runStandIns } from "../stand_ins/mod.ts";
@@ -44,4 +46,58 @@
         process.exitCode = report.passed ? 0 : 1;
     });
 
+program
+    .command("bench", "Measure a policy under an open-loop load")
+    .option("--workload", "liepkalns or blue-mahoe", "liepkalns")
+    .option("--policy", "Policies, separated by commas: today, round-robin, least-loaded", "today")
+    .option("--scenario", "Scenarios, separated by commas: steady, peak, flood, zone, cold, outage", "steady")
+    .option("--seed", "Seeds, separated by commas", 1)
+    .option("--seconds", "Length of the measured part", 30)
+    .option("--instances", "Number of instances", 6)
+    .option("--json", "File that gets every result, one JSON object a line", "")
+    .action(async (options: Record<string, string | number>) => {
+        process.exitCode = await bench(options);
+    });
+
 program.parse(process.argv);
+
+/** Runs every combination of the policies, scenarios and seeds in turn; the last line is the last result. */
+async function bench(options: Record<string, string | number>): Promise<number> {
+    const list = (name: string) => String(options[name]).split(",");
+    const workload = findWorkload(String(options["workload"]));
+    if (!workload) {
+        process.stderr.write(`Cannot find workload ${options["workload"]}\n`);
+        return 1;
+    }
+    const results: BenchResult[] = [];
+    for (const scenario of list("scenario")) {
+        for (const seed of list("seed")) {
+            for (const policy of list("policy")) {
+                const result = await runBench({
+                    workload,
+                    policy: policy as "today",
+                    scenario: scenario as Scenario,
+                    seed: Number(seed),
+                    seconds: Number(options["seconds"]),
+                    instances: Number(options["instances"]),
+                    onProgress: share => showProgress(`${scenario} ${policy} seed ${seed}`, share),
+                });
+                results.push(result);
+                if (options["json"] !== "") {
+                    await appendFile(String(options["json"]), `${JSON.stringify(result)}\n`);
+                }
+            }
+        }
+    }
+    process.stdout.write(compareResults(results));
+    process.stdout.write(`${JSON.stringify(results.at(-1))}\n`);
+    return 0;
+}
+
+function showProgress(title: string, share: number): void {
+    if (process.stderr.isTTY) {
+        const width = 40;
+        const done = Math.round(share * width);
+        process.stderr.write(`\r${title} [${"#".repeat(done)}${" ".repeat(width - done)}]`);
+    }
+}
--- a/packages/homes/homes_test.ts
+++ b/packages/homes/homes_test.ts
@@ -96,6 +96,15 @@
         await this.#stopTasks();
     }
 
+    // Behaves like a paused process: it learns of nothing new and goes on holding what it held.
+    pause(): () => void {
+        const adopt = this.membership.adopt.bind(this.membership);
+        this.membership.adopt = () => {};
+        return () => {
+            this.membership.adopt = adopt;
+        };
+    }
+
     async leave(): Promise<void> {
         await this.#homes.release();
         await this.membership.leave();
@@ -164,6 +173,34 @@
     expect(losses).toBeGreaterThan(0);
 });
 
+test("a key whose home is paused is not taken over until that home has let go", async () => {
+    const store = new MemoryStore(() => "answered");
+    const holders = new Holders();
+    const ports = await PortBlock.reserve();
+    const create = () => {
+        const port = ports.next();
+        return new Node(`node-${port}`, `127.0.0.1:${port}`, store, holders);
+    };
+    const nodes = [create(), create()];
+    await Promise.all(nodes.map(node => node.start()));
+    expect(await settle(nodes, holders)).toBe(true);
+    const resume = nodes[0]!.pause();
+    const heldBefore = [...holders.byKey.values()].filter(held => held.has(nodes[0]!.id)).length;
+    nodes.push(create(), create());
+    await Promise.all(nodes.slice(2).map(node => node.start()));
+    await sleep(1_500);
+    const heldMeanwhile = [...holders.byKey.values()].filter(held => held.has(nodes[0]!.id)).length;
+    expect(heldMeanwhile).toBe(heldBefore);
+    resume();
+    const settled = await settle(nodes, holders);
+    const heldAfter = [...holders.byKey.values()].filter(held => held.has(nodes[0]!.id)).length;
+    await Promise.all(nodes.map(node => node.kill()));
+    await ports.close();
+    expect(holders.violations).toEqual([]);
+    expect(settled).toBe(true);
+    expect(heldAfter).toBeLessThan(heldBefore);
+});
+
 test("homes spread over the members and move little when one leaves", () => {
     const members = Array.from({ length: 9 }, (_, index) => `instance-${index}/x`);
     const groups = Array.from({ length: 900 }, (_, index) => `server/decode-${index}`);
--- a/packages/placement/round_robin_policy.ts
+++ b/packages/placement/round_robin_policy.ts
@@ -12,11 +12,14 @@
 export class RoundRobinPolicy implements PlacementPolicy {
     readonly reserves = false;
     readonly needsLoadReports = false;
-    #next = Math.floor(Math.random() * 1_000);
+    readonly #next = new Map<string, number>();
 
     /** @inheritdoc */
     order(candidates: Candidate[]): Candidate[] {
-        const start = this.#next++ % Math.max(1, candidates.length);
+        const role = candidates[0]?.server.role ?? "decode";
+        const next = this.#next.get(role) ?? Math.floor(Math.random() * candidates.length);
+        this.#next.set(role, next + 1);
+        const start = next % Math.max(1, candidates.length);
         return [...candidates.slice(start), ...candidates.slice(0, start)];
     }
 
--- a/packages/promises/limits_test.ts
+++ b/packages/promises/limits_test.ts
@@ -68,6 +68,26 @@
     }
 });
 
+test("homes that die again and again never refill what was spent", async () => {
+    const organisations = { small: { tokensPerSecond: 60, burstTokens: 3_000, weight: 1, labels: {} } };
+    const fleet = await Fleet.start({ instances: 4, organisations });
+    try {
+        const flooding = flood(fleet, 12, new RandomSource(10));
+        for (let death = 0; death < 6; death++) {
+            await sleep(900);
+            await fleet.instances[death % 4]?.process.kill();
+            await fleet.restart(death % 4);
+        }
+        await flooding;
+        const finding = checkLimits(await traces(fleet), organisations);
+        expect(finding.violations).toEqual([]);
+        expect(finding.checks).toBeGreaterThan(3);
+    }
+    finally {
+        await fleet.close();
+    }
+});
+
 test("a request larger than one share is paid from several, and one larger than the burst is told so", async () => {
     const fleet = await Fleet.start({ instances: 3, organisations: ORGANISATIONS });
     try {
--- a/packages/reservations/_ramp.ts
+++ b/packages/reservations/_ramp.ts
@@ -23,9 +23,10 @@
         this.#allowed = Math.min(this.full, Math.max(this.#allowed, allowed));
     }
 
-    /** Starts again with one request. */
+    /** Starts again with one request; the first step comes no sooner than any other. */
     reset(): void {
         this.#allowed = 1;
+        this.#steppedAt = monotonicMilliseconds();
     }
 
     /** Allows one more request after a success. */
--- a/packages/reservations/server_ledger_test.ts
+++ b/packages/reservations/server_ledger_test.ts
@@ -107,6 +107,16 @@
     expect(await ledger.reserve(request("x/1/3", 1, false, 0), 1)).toMatchObject({ granted: false, why: "full" });
 });
 
+test("a success right after a restart does not yet raise what a cold server is allowed", async () => {
+    const ledger = new ServerLedger(CAPACITY, { allowed: CAPACITY, bootId: "0" });
+    ledger.open();
+    ledger.reconcile({ bootId: "1", running: [] }, performance.now());
+    expect(await ledger.reserve(request("x/1/1", 1, false, 0), 1)).toMatchObject({ granted: true });
+    ledger.release("x/1/1", "done");
+    expect(await ledger.reserve(request("x/1/2", 1, false, 0), 1)).toMatchObject({ granted: true });
+    expect(await ledger.reserve(request("x/1/3", 1, false, 0), 1)).toMatchObject({ granted: false, why: "full" });
+});
+
 test("nothing is granted at a failed server until its engine has answered", async () => {
     const ledger = new ServerLedger(CAPACITY, { allowed: CAPACITY, bootId: "0" });
     ledger.open();
--- a/packages/routing/_model_run.ts
+++ b/packages/routing/_model_run.ts
@@ -242,7 +242,10 @@
     /** Only a request that held a reservation when the server failed may be what crashed it. */
     async #reportCrash(role: "prefill" | "decode", grant: Grant): Promise<void> {
         const { policy, reservations, suspects } = this.options;
-        if (policy.reserves && await reservations.release(grant, "failed")) {
+        if (!policy.reserves) {
+            this.#release(grant, "failed");
+        }
+        else if (await reservations.release(grant, "failed")) {
             await suspects.report(this.job.fingerprint, grant.server, role);
         }
     }
@@ -256,7 +259,7 @@
                 return this.#refuse(503, "no-backend-server", `No ${role} server may take the request`, 1);
             }
             if (!policy.reserves) {
-                return { server: best.name, id: this.#attemptId(), pieces, askedAt: monotonicMilliseconds() };
+                return this.#holdUnreserved(best.name, pieces);
             }
             const grant = await this.#reserveAny(role, candidates, pieces);
             if (grant) {
@@ -269,6 +272,13 @@
         return this.#refuse(503, "queue-deadline", `No ${role} server had room in time`, 2);
     }
 
+    /** The server's home does not know the request, but must not take it for one that is gone. */
+    #holdUnreserved(server: string, pieces: number): Grant {
+        const id = this.#attemptId();
+        this.options.reservations.held.add({ server, id, pieces, organisation: this.job.organisation });
+        return { server, id, pieces, askedAt: monotonicMilliseconds() };
+    }
+
     /** Asks a few servers at once for room, then waits at the one with the shortest queue. */
     async #reserveAny(
         role: "prefill" | "decode",
@@ -394,8 +404,12 @@
     }
 
     #release(grant: Grant, outcome: "done" | "unused" | "failed" | "orphaned"): void {
-        if (this.options.policy.reserves) {
-            void this.options.reservations.release(grant, outcome);
+        const { policy, reservations } = this.options;
+        if (policy.reserves) {
+            void reservations.release(grant, outcome);
+        }
+        else {
+            reservations.held.remove(grant.id, grant.server);
         }
     }
 
--- a/packages/stand_ins/store_stand_in.ts
+++ b/packages/stand_ins/store_stand_in.ts
@@ -130,7 +130,7 @@
     async #watch(key: string, { query, response }: Request): Promise<void> {
         this.#counts.watches++;
         const after = Number(query.get("after"));
-        if ((this.#entries.get(key)?.revision ?? 0) <= after) {
+        if (this.#read(key).revision <= after) {
             const stop = new AbortController();
             const wake = () => stop.abort();
             const wakers = this.#watchers.get(key) ?? new Set();
@@ -140,8 +140,7 @@
             wakers.delete(wake);
         }
         if (!response.destroyed) {
-            const entry = this.#entries.get(key);
-            this.reply(response, 200, { revision: entry?.revision ?? 0, value: entry?.value });
+            this.reply(response, 200, this.#read(key));
         }
     }
 }
