Homes: one multiplication chain a member in place of hashing both texts

Cause: the capacity probe put the home of one key among 410 members at 134 us.

Ruled out: caching across epochs (every epoch changes the members).

Change: names are hashed once for a list of members and mixed with the key's hash; the keys assigned to an instance are computed once for an epoch and configuration, no longer ten times a second.

--- /dev/null
+++ b/packages/capacity/measure_capacity.ts
@@ -0,0 +1,204 @@
+import { type ConfigurationDocument, ConfigurationState, emptyDocument } from "../configuration/mod.ts";
+import { Invariants } from "../invariants/mod.ts";
+import { ReplayBucket } from "../limits/mod.ts";
+import { rankMembers } from "../membership/mod.ts";
+import { Metrics } from "../metrics/mod.ts";
+import { onceRecordKey, OnceShard } from "../once/mod.ts";
+import { ServerLedger } from "../reservations/mod.ts";
+import { MemoryStore } from "../stand_ins/mod.ts";
+import { runProbe } from "./_probe.ts";
+import type { ProbeResult } from "./_probe_result.ts";
+
+const SCALES = [1, 10, 100];
+const SHARES_OF_A_HOME = 5;
+const SERVERS_OF_A_HOME = 11;
+const OUTSTANDING_PER_SHARE = 40;
+const RUNNING_PER_SERVER = 10;
+const OPERATIONS = 20_000;
+const silent = { info: () => {}, warn: () => {}, error: () => {} };
+
+/**
+ * Drives each role alone at 1, 10 and 100 times the part of it that one instance has at the size of docs/CAPACITY.md.
+ *
+ * @returns One line a role and size, as a table in Markdown.
+ * @example
+ * ```ts
+ * process.stdout.write(await measureCapacity());
+ * ```
+ */
+export async function measureCapacity(): Promise<string> {
+    const results: ProbeResult[] = [];
+    for (const scale of SCALES) {
+        results.push(await probeShares(SHARES_OF_A_HOME * scale));
+        results.push(await probeLedgers(SERVERS_OF_A_HOME * scale));
+        results.push(await probeOnceShard(10 * scale));
+        results.push(await probeMembership(4 * scale + 10));
+        results.push(await probeConfiguration(44 * scale));
+    }
+    const lines = results.map(result =>
+        `| ${result.role} | ${result.size} ${result.unit} | ${result.bytesPerUnit} | ${result.operation} |`
+        + ` ${result.microsecondsPerOperation} |`
+    );
+    const records = [9, 27, 81, 410].map(members => `| ${members} | ${epochRecordBytes(members)} |`);
+    return [
+        "| role | size | heap bytes for each | operation | processor microseconds |",
+        "|---|---|---|---|---|",
+        ...lines.sort(),
+        "",
+        "| members | bytes of the epoch record with one epoch of history |",
+        "|---|---|",
+        ...records,
+        "",
+    ].join("\n");
+}
+
+async function probeShares(size: number): Promise<ProbeResult> {
+    let now = 0;
+    return await runProbe({
+        role: "shares of organisations",
+        unit: `shares with ${OUTSTANDING_PER_SHARE} outstanding charges`,
+        operation: "one charge and one return",
+        size,
+        operations: OPERATIONS,
+        build: () =>
+            Array.from({ length: size }, () => {
+                const bucket = new ReplayBucket(1_000_000, 10_000_000, 10_000_000, 0);
+                for (let index = 0; index < OUTSTANDING_PER_SHARE; index++) {
+                    bucket.charge(`instance-1/0819ed4d/${index}.${index}`, 10, index);
+                }
+                return bucket;
+            }),
+        operate: (buckets, index) => {
+            const bucket = buckets[index % buckets.length];
+            now++;
+            bucket?.charge(`instance-1/0819ed4d/new-${index}`, 10, now);
+            const oldest = index < OUTSTANDING_PER_SHARE * size
+                ? `instance-1/0819ed4d/${Math.floor(index / size)}.${Math.floor(index / size)}`
+                : `instance-1/0819ed4d/new-${index - OUTSTANDING_PER_SHARE * size}`;
+            bucket?.settle(oldest, 5, now);
+        },
+    });
+}
+
+async function probeLedgers(size: number): Promise<ProbeResult> {
+    const request = (server: number, id: string) => ({
+        server: `decode-${server}`,
+        id,
+        organisation: "organisation-1",
+        pieces: 1,
+        priority: 5,
+        alone: false,
+        waitMilliseconds: 0,
+    });
+    return await runProbe({
+        role: "ledgers of servers",
+        unit: `servers with ${RUNNING_PER_SERVER} reservations`,
+        operation: "one reservation and one release",
+        size,
+        operations: OPERATIONS,
+        build: () =>
+            Array.from({ length: size }, (_, server) => {
+                const ledger = new ServerLedger(20, { allowed: 20, bootId: "0" });
+                ledger.open();
+                for (let index = 0; index < RUNNING_PER_SERVER; index++) {
+                    void ledger.reserve(request(server, `instance-1/0819ed4d/${server}.${index}`), 1);
+                }
+                return ledger;
+            }),
+        operate: async (ledgers, index) => {
+            const server = index % ledgers.length;
+            const id = `instance-1/0819ed4d/new-${index}`;
+            await ledgers[server]?.reserve(request(server, id), 1);
+            ledgers[server]?.release(id, "done");
+        },
+    });
+}
+
+async function probeOnceShard(size: number): Promise<ProbeResult> {
+    const store = new MemoryStore(() => "answered");
+    const answer = { status: 200, headers: { "content-type": "application/json" }, body: "x".repeat(200) };
+    const begin = (shard: OnceShard, index: number) => {
+        const key = onceRecordKey("organisation-1", "orders", `order-${index}`);
+        return shard.begin({ key, attempt: `instance-1/0819ed4d/${index}`, fingerprint: "f".repeat(64), owner: "a/1" });
+    };
+    const finish = (shard: OnceShard, index: number) => {
+        const key = onceRecordKey("organisation-1", "orders", `order-${index}`);
+        return shard.finish({ key, attempt: `instance-1/0819ed4d/${index}`, state: "finished", answer });
+    };
+    const shard = new OnceShard(store, "once/0");
+    await Promise.all(Array.from({ length: size }, (_, index) => begin(shard, index)));
+    await Promise.all(Array.from({ length: size }, (_, index) => finish(shard, index)));
+    return await runProbe({
+        role: "once-only shard",
+        unit: "finished records",
+        operation: "one intent and one outcome, alone in their commits",
+        size,
+        operations: 100,
+        build: () => shard,
+        operate: async (_, index) => {
+            const number = size + index;
+            await begin(shard, number);
+            await finish(shard, number);
+        },
+    });
+}
+
+async function probeMembership(size: number): Promise<ProbeResult> {
+    return await runProbe({
+        role: "membership",
+        unit: "members",
+        operation: "the home of one key after an epoch change",
+        size,
+        operations: 2_000,
+        build: () => Array.from({ length: size }, (_, index) => `instance-${index}/0819ed4d`),
+        operate: (members, index) => rankMembers(members, `server/decode-${index}`, 1),
+    });
+}
+
+async function probeConfiguration(size: number): Promise<ProbeResult> {
+    const state = new ConfigurationState(new Invariants(new Metrics(), silent, false));
+    return await runProbe({
+        role: "configuration",
+        unit: "servers",
+        operation: "one change of one entry",
+        size,
+        operations: 500,
+        build: () => {
+            state.offer({ version: 1, document: createDocument(size), recent: [] });
+            return state;
+        },
+        operate: (configuration, index) =>
+            configuration.offerChanges([{
+                version: configuration.version + 1,
+                attempt: "a",
+                operations: [{ collection: "drainedServers", name: `decode-${index % size}`, value: { since: "" } }],
+            }]),
+    });
+}
+
+function createDocument(servers: number): ConfigurationDocument {
+    const document = emptyDocument();
+    for (let index = 0; index < servers; index++) {
+        document.backendServers[`decode-${index}`] = {
+            address: `10.0.${index % 250}.${index % 200}:9000`,
+            role: "decode",
+            failureDomain: `domain-${index % 4}`,
+            models: ["drafting"],
+            labels: { pool: "models" },
+            capacity: 20,
+            fencing: "ignored",
+        };
+    }
+    return document;
+}
+
+function epochRecordBytes(count: number): number {
+    const members = Array.from({ length: count }, (_, index) => ({
+        name: `instance-${index}`,
+        incarnation: "0819ed4d",
+        address: `10.0.${index % 250}.${index % 200}:8081`,
+        failureDomain: `domain-${index % 4}`,
+    }));
+    const history = [{ epoch: 1, members: members.map(({ name, incarnation }) => `${name}/${incarnation}`) }];
+    return JSON.stringify({ epoch: 2, members, history }).length;
+}
--- /dev/null
+++ b/packages/capacity/mod.ts
@@ -0,0 +1,4 @@
+/** Measures how each role's cost grows with its size, and the router's own overhead. */
+export { measureCapacity } from "./measure_capacity.ts";
+export { measureOverhead } from "./measure_overhead.ts";
+export { runPassThrough } from "./run_pass_through.ts";
--- a/packages/development/main.ts
+++ b/packages/development/main.ts
@@ -1,6 +1,7 @@
 import { appendFile } from "node:fs/promises";
 import sade from "sade";
 import { type BenchResult, compareResults, runBench, type Scenario } from "../bench/mod.ts";
+import { measureCapacity, measureOverhead, runPassThrough } from "../capacity/mod.ts";
 import { runDemo } from "../demo/mod.ts";
 import { runSoak } from "../soak/mod.ts";
 import { runStandIns } from "../stand_ins/mod.ts";
@@ -59,6 +60,22 @@
         process.exitCode = await bench(options);
     });
 
+program
+    .command("capacity", "Measure how each role's cost grows with its size; run with --expose-gc")
+    .action(async () => {
+        process.stdout.write(await measureCapacity());
+    });
+
+program
+    .command("overhead", "Compare an instance with a bare pass-through")
+    .action(async () => {
+        process.stdout.write(await measureOverhead());
+    });
+
+program
+    .command("pass-through <address> <target>", "Run a bare pass-through")
+    .action((address: string, target: string) => runPassThrough(address, target));
+
 program.parse(process.argv);
 
 /** Runs every combination of the policies, scenarios and seeds in turn; the last line is the last result. */
--- a/packages/homes/homes.ts
+++ b/packages/homes/homes.ts
@@ -1,7 +1,8 @@
 import { z } from "zod";
 import { monotonicMilliseconds, RepeatingTask } from "../clocks/mod.ts";
+import type { ConfigurationDocument } from "../configuration/mod.ts";
 import { instanceId } from "../instances/mod.ts";
-import { epochRecordSchema, type HomeKey, type Member } from "../membership/mod.ts";
+import { type EpochRecord, epochRecordSchema, type HomeKey, type Member } from "../membership/mod.ts";
 import type { HomedState } from "./homed_state.ts";
 import type { HomesOptions } from "./homes_options.ts";
 
@@ -23,6 +24,12 @@
     handovers: { key: HomeKey; handover: unknown; }[];
 }
 
+/** A key that is assigned to this instance. */
+interface DesiredKey {
+    key: HomeKey;
+    state: HomedState;
+}
+
 /** A key in the course of becoming active here. */
 interface PendingKey {
     key: HomeKey;
@@ -50,6 +57,7 @@
     #task: RepeatingTask | undefined;
     #releasedForGood = false;
     #pendingEpoch = 0;
+    #assigned: { record: EpochRecord; document: ConfigurationDocument; keys: Map<string, DesiredKey>; } | undefined;
 
     /**
      * @param states The kinds of state.
@@ -127,11 +135,19 @@
         await this.#task?.close();
     }
 
-    #desired(): { key: HomeKey; state: HomedState; }[] {
+    /** Lists the keys assigned to this instance; the list changes only with the epoch or the configuration. */
+    #desired(): Map<string, DesiredKey> {
         const { configuration, membership } = this.options;
-        return this.states
-            .flatMap(state => state.keys(configuration.document).map(key => ({ key, state })))
-            .filter(({ key }) => this.#isHome(key) && membership.joined);
+        const { record } = membership;
+        const { document } = configuration;
+        if (this.#assigned?.record !== record || this.#assigned.document !== document) {
+            const keys = membership.joined
+                ? this.states.flatMap(state => state.keys(document).map(key => ({ key, state })))
+                : [];
+            const own = keys.filter(({ key }) => this.#isHome(key));
+            this.#assigned = { record, document, keys: new Map(own.map(desired => [keyId(desired.key), desired])) };
+        }
+        return this.#assigned.keys;
     }
 
     #isHome(key: HomeKey): boolean {
@@ -141,7 +157,7 @@
 
     /** Runs synchronously when a record or configuration is adopted, before anything else acts on it. */
     #dropForeign(): void {
-        const desired = new Set(this.#desired().map(({ key }) => keyId(key)));
+        const desired = this.#desired();
         for (const { key } of [...this.#active.values()]) {
             if (!desired.has(keyId(key))) {
                 this.#deactivate(key);
@@ -197,7 +213,7 @@
             this.#pending.clear();
             this.#pendingEpoch = epoch;
         }
-        const states = new Map(this.#desired().map(desired => [keyId(desired.key), desired]));
+        const states = this.#desired();
         for (const [id, { key }] of states) {
             if (!this.#active.has(id) && !this.#pending.has(id)) {
                 const waitingFor = new Set(membership.formerHomes(key).map(instanceId));
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -34,6 +34,7 @@
  */
 export class Membership {
     #record: EpochRecord = EMPTY_RECORD;
+    #memberIds: string[] = [];
     readonly #adoptedEpochs = new Map<string, number>();
     readonly #homes = new Map<string, string[]>();
     readonly #listeners: Listener[] = [];
@@ -102,7 +103,8 @@
         this.options.invariants.check("epoch-never-decreases", record.epoch > this.#record.epoch);
         this.#record = record;
         this.#homes.clear();
-        const ids = new Set(record.members.map(instanceId));
+        this.#memberIds = record.members.map(instanceId);
+        const ids = new Set(this.#memberIds);
         for (const known of [this.#adoptedEpochs, this.#lastListedAt]) {
             for (const id of known.keys()) {
                 if (!ids.has(id)) {
@@ -197,7 +199,7 @@
     #homeIds(group: string, count: number): string[] {
         let homes = this.#homes.get(group);
         if (!homes || homes.length < count) {
-            homes = rankMembers(this.#record.members.map(instanceId), group, count);
+            homes = rankMembers(this.#memberIds, group, count);
             this.#homes.set(group, homes);
         }
         return homes;
--- a/packages/membership/rank_members.ts
+++ b/packages/membership/rank_members.ts
@@ -14,10 +14,10 @@
  * ```
  */
 export function rankMembers(memberIds: string[], group: string, count: number): string[] {
+    const hashes = hashesOf(memberIds);
     const homes: string[] = [];
     for (let index = 0; index < count; index++) {
-        const free = memberIds.filter(id => !homes.includes(id));
-        const home = highest(free.length > 0 ? free : memberIds, `${group}#${index}`);
+        const home = highest(memberIds, hashes, hashText(`${group}#${index}`), homes);
         if (home === undefined) {
             return homes;
         }
@@ -26,12 +26,26 @@
     return homes;
 }
 
-function highest(memberIds: string[], key: string): string | undefined {
+/** Hashes of the names, kept as long as the list itself is in use. */
+const hashesByList = new WeakMap<string[], number[]>();
+
+function hashesOf(memberIds: string[]): number[] {
+    let hashes = hashesByList.get(memberIds);
+    if (hashes?.length !== memberIds.length) {
+        hashes = memberIds.map(id => hashText(id.slice(0, id.lastIndexOf("/"))));
+        hashesByList.set(memberIds, hashes);
+    }
+    return hashes;
+}
+
+function highest(memberIds: string[], hashes: number[], keyHash: number, taken: string[]): string | undefined {
     let best: string | undefined;
     let bestScore = -1;
-    for (const id of memberIds) {
-        const score = hash(key, id.slice(0, id.lastIndexOf("/")));
-        if (score > bestScore || score === bestScore && best !== undefined && id > best) {
+    const allTaken = taken.length >= memberIds.length;
+    for (const [index, id] of memberIds.entries()) {
+        const score = mix(keyHash ^ (hashes[index] ?? 0));
+        const wins = score > bestScore || score === bestScore && best !== undefined && id > best;
+        if (wins && (allTaken || !taken.includes(id))) {
             best = id;
             bestScore = score;
         }
@@ -39,14 +53,18 @@
     return best;
 }
 
-/** FNV-1a over both texts, then the finalizer of MurmurHash3 to spread similar inputs. */
-function hash(key: string, name: string): number {
+/** FNV-1a, mixed so that similar texts have unlike hashes. */
+function hashText(text: string): number {
     let value = FNV_OFFSET;
-    for (const text of [key, "\n", name]) {
-        for (let index = 0; index < text.length; index++) {
-            value = Math.imul(value ^ text.charCodeAt(index), FNV_PRIME);
-        }
+    for (let index = 0; index < text.length; index++) {
+        value = Math.imul(value ^ text.charCodeAt(index), FNV_PRIME);
     }
+    return mix(value);
+}
+
+/** The finalizer of MurmurHash3. */
+function mix(input: number): number {
+    let value = input;
     value ^= value >>> 16;
     value = Math.imul(value, 0x85ebca6b);
     value ^= value >>> 13;
