Partitions between instances as a fault

Cause: partitions were named among the faults of limits and could not be made.

Change: the harness can put a relay before each instance, which holds the bytes of cut connections as a network that drops packets does; an instance may listen at another address than the one it is known by. The soak has the fault too.

--- a/packages/harness/fleet.ts
+++ b/packages/harness/fleet.ts
@@ -12,6 +12,7 @@
 import { exampleDeclaration } from "./example_declaration.ts";
 import type { FleetOptions } from "./fleet_options.ts";
 import { ManagedProcess } from "./managed_process.ts";
+import { PartitionRelay } from "./partition_relay.ts";
 import { PortBlock } from "./port_block.ts";
 
 const SECRET = "fleet-secret";
@@ -40,6 +41,7 @@
     settingsFile: string;
     process: ManagedProcess;
     listed: boolean;
+    relay: PartitionRelay | undefined;
 }
 
 /**
@@ -196,6 +198,19 @@
         await this.whenReady(index);
     }
 
+    /**
+     * Cuts groups of instances off from each other.
+     *
+     * @param groups Numbers of the instances that still hear each other; an empty list ends the partition.
+     */
+    partition(groups: number[][]): void {
+        for (const [index, { relay }] of this.instances.entries()) {
+            const own = groups.find(group => group.includes(index));
+            const cutOff = this.instances.filter((_, other) => own !== undefined && !own.includes(other));
+            relay?.cut(new Set(cutOff.map(({ name }) => name)));
+        }
+    }
+
     /**
      * Waits until an instance is ready.
      *
@@ -262,6 +277,7 @@
             process.wake();
             await process.kill();
         }));
+        await Promise.all(this.instances.map(({ relay }) => relay?.close()));
         await this.ports.close();
         if (this.#directory !== "") {
             await rm(this.#directory, { recursive: true, force: true });
@@ -354,6 +370,9 @@
             const settingsFile = join(this.#directory, `${name}.jsonc`);
             const callersAddress = `127.0.0.1:${this.ports.next()}`;
             const instancesAddress = `127.0.0.1:${this.ports.next()}`;
+            const listenAddress = this.options.relays ? `127.0.0.1:${this.ports.next()}` : undefined;
+            const relay = listenAddress ? new PartitionRelay(instancesAddress, listenAddress) : undefined;
+            await relay?.listen();
             const failureDomain = this.#failureDomains[index % this.#failureDomains.length];
             await writeFile(
                 settingsFile,
@@ -362,6 +381,7 @@
                     failureDomain,
                     callersAddress,
                     instancesAddress,
+                    ...(listenAddress ? { instancesListenAddress: listenAddress } : {}),
                     storeAddress: this.#storeAddress,
                     instanceListAddress: this.#listAddress,
                     secretFile: join(this.#directory, "secret"),
@@ -371,7 +391,7 @@
                 }),
             );
             const process = this.#spawn(name, settingsFile);
-            this.instances.push({ name, callersAddress, instancesAddress, settingsFile, process, listed: true });
+            this.instances.push({ name, callersAddress, instancesAddress, settingsFile, process, listed: true, relay });
         }
         await this.updateList();
         await Promise.all(this.instances.map((_, index) => this.whenReady(index)));
--- a/packages/harness/fleet_options.ts
+++ b/packages/harness/fleet_options.ts
@@ -19,6 +19,8 @@
     policy?: "today" | "round-robin" | "least-loaded";
     /** Milliseconds for which a leaving instance still accepts. Default: 200. */
     graceMilliseconds?: number;
+    /** Whether instances reach each other through relays, so that they can be partitioned. Default: false. */
+    relays?: boolean;
     /** Engines to a stand-in process. Default: 1. */
     enginesPerProcess?: number;
 }
--- a/packages/harness/mod.ts
+++ b/packages/harness/mod.ts
@@ -8,4 +8,5 @@
 export { Fleet } from "./fleet.ts";
 export type { FleetOptions } from "./fleet_options.ts";
 export { ManagedProcess } from "./managed_process.ts";
+export { PartitionRelay } from "./partition_relay.ts";
 export { PortBlock } from "./port_block.ts";
--- a/packages/runtime/instance.ts
+++ b/packages/runtime/instance.ts
@@ -178,7 +178,7 @@
      */
     async start(): Promise<void> {
         // The port for instances opens before anything is claimed: a refused connection proves that nothing is held.
-        await this.#server.listen(this.settings.instancesAddress);
+        await this.#server.listen(this.settings.instancesListenAddress ?? this.settings.instancesAddress);
         await this.#callers.listen();
         this.#membership.start();
         this.#follower.start();
--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -40,6 +40,8 @@
     callersAddress: address,
     /** Address for other instances and operators. */
     instancesAddress: address,
+    /** Address to listen at, if other instances reach this one by another. */
+    instancesListenAddress: address.optional(),
     /** Address of the platform's key-value service. */
     storeAddress: address,
     /** Address of the platform's instance list. */
--- a/packages/soak/_faults.ts
+++ b/packages/soak/_faults.ts
@@ -46,6 +46,15 @@
             await fleet.restart(index);
         });
     },
+    "instances-partitioned": async context => {
+        const { fleet, random } = context;
+        const indexes = [...fleet.instances.keys()];
+        const border = random.integer(1, indexes.length - 1);
+        fleet.partition([indexes.slice(0, border), indexes.slice(border)]);
+        await sleep(random.integer(1_000, 5_000));
+        fleet.partition([]);
+        return true;
+    },
     "store-outage": context => withStore(context, { outage: true }, { outage: false }),
     "store-slow": context => withStore(context, { delayMilliseconds: 400 }, { delayMilliseconds: 0 }),
     "store-answers-lost": context => withStore(context, { loseAnswers: 0.4 }, { loseAnswers: 0 }),
--- a/packages/soak/run_soak.ts
+++ b/packages/soak/run_soak.ts
@@ -38,6 +38,7 @@
         services: workload.services,
         organisations: workload.organisations,
         enginesPerProcess: 3,
+        relays: true,
         graceMilliseconds: 300,
     });
     const versions = new VersionReader(fleet);
