Suspects run beside others, one on a server; drained servers get no late starts

Cause: after a crash every request of the server was tried again alone on its next server, which drained that server for each of up to twenty innocents. A reservation granted before a drain could also start up to 10 s later; a changed capacity or address of a server did not reach its ledger; a server taken out of the configuration cut its streams; connections to members that had left were kept for ever.

Ruled out: no isolation at all (the second crash would convict the innocents that ran beside the guilty one both times).

Change: at most one suspect runs on a server at a time, beside other requests, and one that waits holds nobody up; reservations at a drained server are not used; ledgers follow the configuration; engine clients close after their last request; connections follow the members. The parameter of limits.charge that nothing used is gone.

--- a/packages/capacity/measure_capacity.ts
+++ b/packages/capacity/measure_capacity.ts
@@ -87,7 +87,7 @@
         organisation: "organisation-1",
         pieces: 1,
         priority: 5,
-        alone: false,
+        suspect: false,
         waitMilliseconds: 0,
     });
     return await runProbe({
--- /dev/null
+++ b/packages/configuration/is_drained.ts
@@ -0,0 +1,19 @@
+import type { ConfigurationDocument } from "./configuration_document.ts";
+
+/**
+ * Tells whether a backend server was taken out, by itself or with its failure domain.
+ *
+ * @param document Configuration in force.
+ * @param server Name of the server.
+ * @returns Whether it must get no new work; true also for a server that is no longer configured.
+ * @example
+ * ```ts
+ * isDrained(emptyDocument(), "decode-1"); // true
+ * ```
+ */
+export function isDrained(document: ConfigurationDocument, server: string): boolean {
+    const failureDomain = document.backendServers[server]?.failureDomain;
+    return failureDomain === undefined
+        || Object.hasOwn(document.drainedServers, server)
+        || Object.hasOwn(document.drainedDomains, failureDomain);
+}
--- a/packages/configuration/mod.ts
+++ b/packages/configuration/mod.ts
@@ -11,6 +11,7 @@
 export { diffDocuments } from "./diff_documents.ts";
 export { emptyDocument } from "./empty_document.ts";
 export { hashKey } from "./hash_key.ts";
+export { isDrained } from "./is_drained.ts";
 export type { Operation } from "./operation.ts";
 export type { Organisation } from "./organisation.ts";
 export type { Route } from "./route.ts";
--- a/packages/engines/http_engine.ts
+++ b/packages/engines/http_engine.ts
@@ -112,7 +112,8 @@
 
     /** @inheritdoc */
     async close(): Promise<void> {
-        await this.#pool.destroy();
+        // Waits for the requests under way, which go on at a server that is taken out of the configuration.
+        await this.#pool.close();
     }
 
     async #request(
--- a/packages/instances/_compression.ts
+++ b/packages/instances/_compression.ts
@@ -28,7 +28,7 @@
     '{"jsonrpc":"2.0","id":1,"method":"limits.charge","params":{"organisation":"organisation-1","index":0,',
     '"id":"instance-","amount":1234,"partial":false}}',
     '{"jsonrpc":"2.0","id":2,"method":"servers.reserve","params":{"server":"decode-","id":"instance-',
-    '","organisation":"organisation-","pieces":1,"priority":5,"alone":false,"waitMilliseconds":0}}',
+    '","organisation":"organisation-","pieces":1,"priority":5,"suspect":false,"waitMilliseconds":0}}',
 ].join(""));
 
 /** Compression of short messages with a dictionary that both sides know. */
--- a/packages/instances/instance_pool.ts
+++ b/packages/instances/instance_pool.ts
@@ -109,6 +109,20 @@
         this.#deathListeners.push(listener);
     }
 
+    /**
+     * Closes the connections to instances that are no longer members.
+     *
+     * @param ids Ids of the members.
+     */
+    retain(ids: Set<string>): void {
+        for (const [id, client] of this.#clients) {
+            if (!ids.has(id)) {
+                client.close();
+                this.#clients.delete(id);
+            }
+        }
+    }
+
     /** Closes every connection. */
     close(): void {
         for (const client of this.#clients.values()) {
--- a/packages/limits/charge_parameters.ts
+++ b/packages/limits/charge_parameters.ts
@@ -10,8 +10,6 @@
         id: z.string().max(200),
         amount: z.number().min(0),
         partial: z.boolean(),
-        /** Charge that is given back whole first. */
-        replaces: z.string().max(200).optional(),
     }),
     /** `limits.settle`: says how many tokens were used. */
     settle: z.object({ ...place, id: z.string().max(200), used: z.number().min(0) }),
--- a/packages/limits/share_state.ts
+++ b/packages/limits/share_state.ts
@@ -88,7 +88,7 @@
     #charge(
         organisation: string,
         index: number,
-        params: { id: string; amount: number; partial: boolean; replaces?: string | undefined; },
+        params: { id: string; amount: number; partial: boolean; },
     ): ChargeAnswer {
         const bucket = this.#buckets.get(bucketId(organisation, index));
         if (!bucket) {
@@ -96,9 +96,6 @@
         }
         const now = monotonicMilliseconds();
         bucket.expire(now - limitTimes.settlementMilliseconds);
-        if (params.replaces !== undefined) {
-            bucket.settle(params.replaces, 0, now);
-        }
         const available = Math.floor(bucket.level(now));
         const amount = params.partial ? Math.min(params.amount, Math.max(0, available)) : params.amount;
         const granted = amount > 0 && bucket.charge(params.id, amount, now) ? amount : 0;
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -105,13 +105,14 @@
         this.#homes.clear();
         this.#memberIds = record.members.map(instanceId);
         const ids = new Set(this.#memberIds);
-        for (const known of [this.#adoptedEpochs, this.#lastListedAt]) {
+        for (const known of [this.#adoptedEpochs, this.#lastListedAt, this.#dead]) {
             for (const id of known.keys()) {
                 if (!ids.has(id)) {
                     known.delete(id);
                 }
             }
         }
+        this.options.pool.retain(ids);
         for (const listener of this.#listeners) {
             listener(record);
         }
--- a/packages/once/once_client.ts
+++ b/packages/once/once_client.ts
@@ -10,7 +10,7 @@
 const BEGIN_TIMEOUT_MILLISECONDS = 3_000;
 const HOMES_TRIED = 2;
 const FINISH_PAUSE_MILLISECONDS = 500;
-const FINISH_ATTEMPTS = 1_200;
+const FINISH_ATTEMPTS = 10_000;
 const MAXIMUM_UNFINISHED = 10_000;
 
 /**
--- a/packages/reservations/_ramp.ts
+++ b/packages/reservations/_ramp.ts
@@ -7,7 +7,7 @@
     #steppedAt = Number.NEGATIVE_INFINITY;
 
     constructor(
-        private readonly full: number,
+        private full: number,
         allowed: number,
     ) {
         this.#allowed = Math.min(full, Math.max(1, allowed));
@@ -18,6 +18,13 @@
         return this.#allowed;
     }
 
+    /** Changes what a warm server is allowed. */
+    setFull(full: number): void {
+        const wasFull = this.#allowed >= this.full;
+        this.full = full;
+        this.#allowed = wasFull ? full : Math.min(full, this.#allowed);
+    }
+
     /** Allows what the server is seen to bear. */
     raise(allowed: number): void {
         this.#allowed = Math.min(this.full, Math.max(this.#allowed, allowed));
--- a/packages/reservations/fair_queue.ts
+++ b/packages/reservations/fair_queue.ts
@@ -60,19 +60,22 @@
     /**
      * Returns the item that goes next.
      *
-     * @returns The item, or undefined if the queue is empty.
+     * @param mayGo Whether an item may go at all; others are passed over.
+     * @returns The item, or undefined if none may go.
      */
-    peek(): Item | undefined {
-        return this.#entries[0]?.item;
+    peek(mayGo: (item: Item) => boolean = () => true): Item | undefined {
+        return this.#entries.find(({ item }) => mayGo(item))?.item;
     }
 
     /**
      * Removes the item that goes next.
      *
-     * @returns The item, or undefined if the queue is empty.
+     * @param mayGo Whether an item may go at all; others are passed over.
+     * @returns The item, or undefined if none may go.
      */
-    shift(): Item | undefined {
-        const entry = this.#entries.shift();
+    shift(mayGo: (item: Item) => boolean = () => true): Item | undefined {
+        const index = this.#entries.findIndex(({ item }) => mayGo(item));
+        const [entry] = index === -1 ? [] : this.#entries.splice(index, 1);
         if (entry) {
             this.#virtualTime = Math.max(this.#virtualTime, entry.finish - entry.item.cost / entry.item.weight);
         }
--- a/packages/reservations/reservation_parameters.ts
+++ b/packages/reservations/reservation_parameters.ts
@@ -11,7 +11,7 @@
         organisation: z.string().max(64),
         pieces: z.int().min(1),
         priority: z.int().min(0).max(9),
-        alone: z.boolean(),
+        suspect: z.boolean(),
         waitMilliseconds: z.number().min(0).max(60_000),
     }),
     /** `servers.release` at the server's home. */
--- a/packages/reservations/reserve_request.ts
+++ b/packages/reservations/reserve_request.ts
@@ -10,8 +10,8 @@
     pieces: number;
     /** Priority; the highest number goes first. */
     priority: number;
-    /** Whether nothing else may run on the server meanwhile. */
-    alone: boolean;
+    /** Whether the request may have crashed a server; at most one such request runs on a server at a time. */
+    suspect: boolean;
     /** Milliseconds that the request may wait. */
     waitMilliseconds: number;
 }
--- a/packages/reservations/server_ledger.ts
+++ b/packages/reservations/server_ledger.ts
@@ -13,7 +13,7 @@
 /** Capacity reserved for one request. */
 interface Reservation {
     pieces: number;
-    alone: boolean;
+    suspect: boolean;
     confirmedAt: number;
     orphaned: boolean;
 }
@@ -24,7 +24,7 @@
     weight: number;
     priority: number;
     cost: number;
-    alone: boolean;
+    suspect: boolean;
     answer: (answer: ReserveAnswer) => void;
     timer: NodeJS.Timeout;
 }
@@ -50,6 +50,7 @@
     readonly #reservations = new Map<string, Reservation>();
     readonly #queue = new FairQueue<Waiter>();
     readonly #ramp: Ramp;
+    #capacity: number;
     #state: "opening" | "open" | "closed" = "opening";
     #bootId: string | undefined;
     #onVoid: (ids: string[]) => void = () => {};
@@ -61,13 +62,19 @@
      * @param handover What the former home knew, if it could say.
      */
     constructor(
-        readonly capacity: number,
+        capacity: number,
         handover: Partial<LedgerHandover>,
     ) {
+        this.#capacity = capacity;
         this.#ramp = new Ramp(capacity, handover.allowed ?? 1);
         this.#bootId = handover.bootId;
     }
 
+    /** Pieces of the server. */
+    get capacity(): number {
+        return this.#capacity;
+    }
+
     /** Pieces reserved. */
     get reserved(): number {
         let sum = 0;
@@ -133,7 +140,7 @@
                 weight,
                 priority: request.priority,
                 cost: request.pieces,
-                alone: request.alone,
+                suspect: request.suspect,
                 answer: resolve,
                 timer: setTimeout(() => {
                     this.#queue.remove(waiter);
@@ -188,6 +195,17 @@
         }
     }
 
+    /**
+     * Changes the capacity. Reservations above a lower one run to their end.
+     *
+     * @param capacity Pieces of the server.
+     */
+    setCapacity(capacity: number): void {
+        this.#capacity = capacity;
+        this.#ramp.setFull(capacity);
+        this.#pump();
+    }
+
     /** Notes that the server does not answer. */
     noteDown(): void {
         this.#down = true;
@@ -287,7 +305,7 @@
         if (!this.#reservations.has(id)) {
             this.#reservations.set(id, {
                 pieces,
-                alone: false,
+                suspect: false,
                 confirmedAt: Number.NEGATIVE_INFINITY,
                 orphaned: false,
             });
@@ -309,36 +327,37 @@
         }
         const full = this.#queue.size >= MAXIMUM_WAITING
             || this.#queue.countOf(request.organisation) >= MAXIMUM_WAITING_PER_ORGANISATION;
-        const mustWait = this.#queue.size > 0 || !this.#fits(request.pieces, request.alone);
+        const mustWait = this.#next() !== undefined || !this.#mayGo(request) || !this.#fits(request.pieces);
         return full || request.waitMilliseconds <= 0 && mustWait ? "full" : undefined;
     }
 
-    #fits(pieces: number, alone: boolean): boolean {
-        if (alone && this.#reservations.size > 0 || this.#isTakenAlone()) {
-            return false;
-        }
+    #fits(pieces: number): boolean {
         return this.#state === "open" && !this.#down && this.#reservations.size < this.#ramp.allowed
             && this.reserved + pieces <= this.capacity;
     }
 
-    #isTakenAlone(): boolean {
-        const [only, ...others] = this.#reservations.values();
-        return only !== undefined && others.length === 0 && only.alone;
+    /** Of the requests that may have crashed a server, one at a time runs here, so that a crash tells which it was. */
+    #mayGo(request: { suspect: boolean; }): boolean {
+        return !request.suspect || ![...this.#reservations.values()].some(({ suspect }) => suspect);
+    }
+
+    #next(): Waiter | undefined {
+        return this.#queue.peek(waiter => this.#mayGo(waiter));
     }
 
     #pump(): void {
-        let next = this.#queue.peek();
-        while (next && this.#fits(next.cost, next.alone)) {
-            this.#queue.shift();
+        let next = this.#next();
+        while (next && this.#fits(next.cost)) {
+            this.#queue.shift(waiter => this.#mayGo(waiter));
             clearTimeout(next.timer);
             this.#reservations.set(next.id, {
                 pieces: next.cost,
-                alone: next.alone,
+                suspect: next.suspect,
                 confirmedAt: monotonicMilliseconds(),
                 orphaned: false,
             });
             next.answer(this.#describe(true));
-            next = this.#queue.peek();
+            next = this.#next();
         }
     }
 
--- a/packages/reservations/server_state.ts
+++ b/packages/reservations/server_state.ts
@@ -1,5 +1,5 @@
 import { monotonicMilliseconds, RepeatingTask } from "../clocks/mod.ts";
-import type { ConfigurationDocument, ConfigurationState } from "../configuration/mod.ts";
+import { type ConfigurationDocument, type ConfigurationState, isDrained } from "../configuration/mod.ts";
 import type { EnginePool } from "../engines/mod.ts";
 import type { HomedState } from "../homes/mod.ts";
 import { instanceId, type InstancePool, type InstanceServer } from "../instances/mod.ts";
@@ -59,7 +59,8 @@
             }
             const weight = configuration.document.organisations[request.organisation]?.weight ?? 1;
             const answer = await ledger.reserve(request, weight);
-            options.invariants.check("reservations-within-capacity", ledger.reserved <= ledger.capacity, {
+            const within = !answer.granted || ledger.reserved <= ledger.capacity;
+            options.invariants.check("reservations-within-capacity", within, {
                 server: request.server,
                 reserved: ledger.reserved,
             });
@@ -69,7 +70,7 @@
             const known = this.#tended.get(name)?.ledger.release(id, outcome) ?? true;
             return { known };
         });
-        configuration.onChange(document => this.#applyDrains(document));
+        configuration.onChange(document => this.#reconfigure(document));
     }
 
     /** @inheritdoc */
@@ -89,25 +90,10 @@
         const ledger = new ServerLedger(server.capacity, readHandover(handover));
         ledger.setDrained(isDrained(this.options.configuration.document, name));
         ledger.onVoid(ids => this.#voidAll(name, ids));
-        const engine = this.options.engines.at(server.address);
         const sweep = new RepeatingTask(
             reservationTimes.sweepMilliseconds,
-            async () => {
-                const askedAt = monotonicMilliseconds();
-                const report = await engine.report();
-                if (report.isErr()) {
-                    ledger.noteDown();
-                    return;
-                }
-                ledger.reconcile(report.value, askedAt);
-                await this.#confirmOwners(ledger);
-                for (const id of ledger.orphans()) {
-                    this.options.metrics.increment("orphans_cancelled_total");
-                    await engine.cancel(id);
-                }
-            },
-            error =>
-                this.options.logger.error("cannot compare with the engine", { server: name, error: String(error) }),
+            () => this.#sweep(name, ledger),
+            error => this.options.logger.error("cannot sweep a server", { server: name, error: String(error) }),
         );
         this.#tended.set(name, { ledger, sweep });
         void this.#open(name, ledger);
@@ -179,6 +165,27 @@
         return true;
     }
 
+    /** Compares the ledger with the engine, asks owners about old reservations and cancels what nobody holds. */
+    async #sweep(name: string, ledger: ServerLedger): Promise<void> {
+        const server = this.options.configuration.document.backendServers[name];
+        if (!server) {
+            return;
+        }
+        const engine = this.options.engines.at(server.address);
+        const askedAt = monotonicMilliseconds();
+        const report = await engine.report();
+        if (report.isErr()) {
+            ledger.noteDown();
+            return;
+        }
+        ledger.reconcile(report.value, askedAt);
+        await this.#confirmOwners(ledger);
+        for (const id of ledger.orphans()) {
+            this.options.metrics.increment("orphans_cancelled_total");
+            await engine.cancel(id);
+        }
+    }
+
     #voidAll(server: string, ids: string[]): void {
         const { membership, pool } = this.options;
         for (const [owner, owned] of groupByOwner(ids)) {
@@ -209,8 +216,9 @@
         }
     }
 
-    #applyDrains(document: ConfigurationDocument): void {
+    #reconfigure(document: ConfigurationDocument): void {
         for (const [name, { ledger }] of this.#tended) {
+            ledger.setCapacity(document.backendServers[name]?.capacity ?? ledger.capacity);
             ledger.setDrained(isDrained(document, name));
         }
     }
@@ -230,11 +238,6 @@
     return idsByOwner;
 }
 
-function isDrained(document: ConfigurationDocument, name: string): boolean {
-    const domain = document.backendServers[name]?.failureDomain ?? "";
-    return name in document.drainedServers || domain in document.drainedDomains;
-}
-
 function readHandover(handover: unknown): { allowed?: number; bootId?: string; } {
     const { allowed, bootId } = (handover ?? {}) as { allowed?: unknown; bootId?: unknown; };
     return {
--- a/packages/routing/_attempt_outcome.ts
+++ b/packages/routing/_attempt_outcome.ts
@@ -13,6 +13,7 @@
     | "prefill-refused"
     | "prefill-timeout"
     | "reservation-expired"
+    | "server-drained"
     | "handle-expired"
     | "decode-down"
     | "decode-refused"
--- a/packages/routing/_model_run.ts
+++ b/packages/routing/_model_run.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
+import { isDrained } from "../configuration/mod.ts";
 import { type DecodeEvent, EngineFailure, type PrefillResult } from "../engines/mod.ts";
 import type { Charge } from "../limits/mod.ts";
 import type { Candidate, PlacementRequest } from "../placement/mod.ts";
@@ -33,6 +34,7 @@
     #undelivered = 0;
     #deliveredBefore = 0;
     readonly #delivered: string[] = [];
+    readonly #addresses = new Map<string, string>();
     readonly #queueDeadline = monotonicMilliseconds() + QUEUE_MILLISECONDS;
 
     constructor(
@@ -103,7 +105,7 @@
 
     async #prefill(grant: Grant): Promise<Result<PrefillResult, AttemptOutcome>> {
         const { engines, policy } = this.options;
-        const engine = engines.at(this.#server(grant.server)?.address ?? "");
+        const engine = engines.at(this.#addressOf(grant.server));
         const signal = AbortSignal.any([this.signal, AbortSignal.timeout(PREFILL_TIMEOUT_MILLISECONDS)]);
         this.#dispatched = true;
         const result = await engine.prefill({
@@ -138,7 +140,7 @@
             this.#release(grant, "unused");
             return stop;
         }
-        const engine = engines.at(this.#server(grant.server)?.address ?? "");
+        const engine = engines.at(this.#addressOf(grant.server));
         const firstEvent = new AbortController();
         const timer = setTimeout(() => {
             firstEvent.abort(new DOMException("No event in time", "TimeoutError"));
@@ -148,7 +150,7 @@
             const stream = await engine.decode({
                 request: grant.id,
                 model: this.job.model,
-                source: this.#server(source)?.address ?? "",
+                source: this.#addressOf(source),
                 handle: prefill.handle,
                 offset: this.#delivered.length,
                 maximumTokens: this.job.maximumTokens,
@@ -228,7 +230,7 @@
             this.#release(grant, failure.kind === "down" ? "failed" : "unused");
             return;
         }
-        const engine = this.options.engines.at(this.#server(grant.server)?.address ?? "");
+        const engine = this.options.engines.at(this.#addressOf(grant.server));
         const cancelled = await engine.cancel(grant.id);
         this.#noteGenerated(cancelled.isOk() ? cancelled.value.generated : undefined);
         if (failure.kind === "down") {
@@ -320,7 +322,7 @@
             organisation: this.job.organisation,
             pieces,
             priority: this.#priority(),
-            alone: this.options.suspects.isAloneAt(this.job.fingerprint, role),
+            suspect: this.options.suspects.isSuspectAt(this.job.fingerprint, role),
             waitMilliseconds,
         });
     }
@@ -360,7 +362,10 @@
         if (this.signal.aborted) {
             return { kind: "refused", refusal: this.#refusalOfSignal() };
         }
-        const { policy, reservations } = this.options;
+        const { policy, reservations, configuration } = this.options;
+        if (grants.some(grant => isDrained(configuration.document, grant.server))) {
+            return { kind: "failed", reason: "server-drained", message: "A server was taken out meanwhile" };
+        }
         if (!policy.reserves || grants.every(grant => reservations.covers(grant))) {
             return undefined;
         }
@@ -376,7 +381,15 @@
         const wanted = { role, model: this.job.model, labels: selector.servers };
         return selectServers(configuration.document, wanted)
             .filter(([, server]) => server.capacity >= pieces)
-            .map(([name, server]) => ({ name, server, hint: reservations.hint(name) }));
+            .map(([name, server]) => {
+                this.#addresses.set(name, server.address);
+                return { name, server, hint: reservations.hint(name) };
+            });
+    }
+
+    /** A server that is taken out of the configuration is still reached for what runs there. */
+    #addressOf(server: string): string {
+        return this.#addresses.get(server) ?? "";
     }
 
     #placement(failureDomain: string): PlacementRequest {
--- a/packages/routing/select_servers.ts
+++ b/packages/routing/select_servers.ts
@@ -1,4 +1,4 @@
-import type { BackendServer, ConfigurationDocument } from "../configuration/mod.ts";
+import { type BackendServer, type ConfigurationDocument, isDrained } from "../configuration/mod.ts";
 
 /** What a server must offer. */
 interface Wanted {
@@ -23,7 +23,6 @@
         server.role === wanted.role
         && (wanted.model === undefined || server.models.includes(wanted.model))
         && Object.entries(wanted.labels).every(([key, value]) => server.labels[key] === value)
-        && !Object.hasOwn(document.drainedServers, name)
-        && !Object.hasOwn(document.drainedDomains, server.failureDomain)
+        && !isDrained(document, name)
     );
 }
--- a/packages/suspects/suspect_registry.ts
+++ b/packages/suspects/suspect_registry.ts
@@ -26,14 +26,14 @@
 /**
  * Counts, for each request, the servers that crashed while it ran on them, at every instance.
  *
- * All requests on a crashed server are suspects, of which one is guilty. A suspect is tried once more, alone on its
- * server, so that a second crash convicts no other request.
+ * All requests on a crashed server are suspects, of which one is guilty. A suspect is tried once more, as the only one
+ * on its server, so that a second crash convicts no other request.
  *
  * @example
  * ```ts
  * const suspects = new SuspectRegistry(options);
  * await suspects.report(fingerprint, "prefill-1", "prefill");
- * suspects.isAloneAt(fingerprint, "prefill"); // true
+ * suspects.isSuspectAt(fingerprint, "prefill"); // true
  * ```
  */
 export class SuspectRegistry {
@@ -65,13 +65,13 @@
     }
 
     /**
-     * Tells whether a request must run alone on its server.
+     * Tells whether a request may have crashed a server, and must not run beside another such request.
      *
      * @param fingerprint Fingerprint of the request.
      * @param role What the server does.
-     * @returns Whether it must.
+     * @returns Whether it may have.
      */
-    isAloneAt(fingerprint: string, role: Report["role"]): boolean {
+    isSuspectAt(fingerprint: string, role: Report["role"]): boolean {
         return this.#find(fingerprint)?.roles.has(role) ?? false;
     }
 
