Command line tested against running fleets

Cause: apply, keys, drain, order, check and the failures at the start had no test.

Change: packages/operators/command_line_test.ts: places of errors, warnings, dry run, idempotence, a race of two operators, an instance that lacks the version named, port in use, missing secret, store not there at the start.

--- /dev/null
+++ b/packages/operators/command_line_test.ts
@@ -0,0 +1,167 @@
+import { execFile } from "node:child_process";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterAll, beforeAll, expect, test } from "vitest";
+import { exampleDeclaration, Fleet, ManagedProcess, PortBlock } from "../harness/mod.ts";
+
+let directory: string;
+let fleet: Fleet;
+let connection: string[];
+
+beforeAll(async () => {
+    directory = await mkdtemp(join(tmpdir(), "laburnumslip-test-"));
+    await writeFile(join(directory, "secret"), "fleet-secret");
+    fleet = await Fleet.start({
+        instances: 2,
+        engines: [{ name: "decode-1", role: "decode", failureDomain: "domain-1", capacity: 4 }],
+    });
+    const instances = fleet.instances.map(({ instancesAddress }) => instancesAddress).join(",");
+    connection = ["--instance", instances, "--secret-file", join(directory, "secret")];
+});
+
+afterAll(async () => {
+    await fleet.close();
+    await rm(directory, { recursive: true });
+});
+
+function run(...words: string[]): Promise<{ code: number; output: string; }> {
+    return new Promise(resolve => {
+        execFile(process.execPath, ["dist/laburnumslip.cjs", ...words], (error, stdout, stderr) => {
+            resolve({ code: typeof error?.code === "number" ? error.code : 0, output: stdout + stderr });
+        });
+    });
+}
+
+async function write(name: string, content: unknown): Promise<string> {
+    const file = join(directory, name);
+    await writeFile(file, typeof content === "string" ? content : JSON.stringify(content, undefined, 4));
+    return file;
+}
+
+function declaration(): ReturnType<typeof exampleDeclaration> {
+    return exampleDeclaration(["domain-1", "domain-2", "domain-3"], fleet.engines, fleet.services, fleet.organisations);
+}
+
+test("check names file, line, column and field of each error", async () => {
+    const server = { address: "127.0.0.1:1", role: "decode", failureDomain: "north", capacity: 1 };
+    const file = await write("bad.jsonc", {
+        failureDomains: { north: {} },
+        organisations: { a: { tokensPerSecond: 10, burstTokens: 5 } },
+        backendServers: { one: server, two: { ...server, failureDomain: "south" } },
+        selectors: { lost: { organisations: { size: "large" } } },
+    });
+    const { code, output } = await run("check", file);
+    expect(code).toBe(1);
+    expect(output).toMatch(/bad\.jsonc:\d+:\d+: backendServers\.two\.address: address is already used by one/);
+    expect(output).toMatch(/backendServers\.two\.failureDomain: failure domain is not declared/);
+    expect(output).toMatch(/organisations\.a\.burstTokens: expected at least 20/);
+    const unknown = await run("check", await write("unknown.jsonc", '{\n  "name": "a",\n  "prot": 1\n}'));
+    expect(unknown.output).toMatch(/unknown\.jsonc:3:\d+: prot: unknown field/);
+});
+
+test("a selector that matches nothing is a warning", async () => {
+    const file = await write("warning.jsonc", {
+        ...declaration(),
+        selectors: { lost: { organisations: { size: "x" } } },
+    });
+    const { code, output } = await run("check", file);
+    expect(code).toBe(0);
+    expect(output).toMatch(/warning: .*selectors\.lost: selector matches no organisation/);
+});
+
+test("apply shows the difference, is idempotent, and ends when the version is in force", async () => {
+    const changed = declaration();
+    changed.organisations["east"] = { tokensPerSecond: 10, burstTokens: 100, weight: 1, labels: {} };
+    const file = await write("fleet.jsonc", changed);
+    const dry = await run("apply", file, "--dry-run", ...connection);
+    expect(dry).toMatchObject({ code: 0, output: expect.stringContaining("~ organisations.east") });
+    const first = await run("apply", file, ...connection);
+    expect(first).toMatchObject({ code: 0, output: expect.stringContaining("in force at 2 of 2 instances") });
+    const second = await run("apply", file, ...connection);
+    expect(second.output).toMatch(/already says this/);
+    // The key granted at the start is not part of the declaration and stays.
+    expect((await fleet.call(0, "/v1/models", { key: fleet.key("north") })).status).toBe(200);
+});
+
+test("of two operators one wins and the other is told what changed", async () => {
+    const client = fleet.operator(0);
+    const base = (await client.configuration())._unsafeUnwrap();
+    const operation = (name: string) => [{ collection: "drainedServers" as const, name, value: { since: "" } }];
+    const outcomes = await Promise.all([
+        client.change(operation("first"), base.version),
+        client.change(operation("second"), base.version),
+    ]);
+    client.close();
+    const kinds = outcomes.map(outcome => outcome._unsafeUnwrap().kind).sort();
+    expect(kinds).toEqual(["raced", "stored"]);
+    const raced = outcomes.map(outcome => outcome._unsafeUnwrap()).find(({ kind }) => kind === "raced");
+    expect(raced).toMatchObject({ changes: [{ operations: [{ collection: "drainedServers" }] }] });
+});
+
+test("an instance that does not have the version is named", async () => {
+    fleet.instances[1]?.process.freeze();
+    const { code, output } = await run("drain", "decode-1", ...connection);
+    fleet.instances[1]?.process.wake();
+    expect(code).toBe(2);
+    expect(output).toMatch(/in force at 1 of 2 instances\nnot in force at: instance-2/);
+    expect(await run("restore", "decode-1", ...connection)).toMatchObject({ code: 0 });
+});
+
+test("keys are granted and withdrawn, and orders reach the engine", async () => {
+    const granted = await run("keys", "grant", "north", ...connection);
+    const key = /^key (\S+)$/m.exec(granted.output)?.[1] ?? "";
+    expect((await fleet.call(1, "/v1/models", { key })).status).toBe(200);
+    expect(await run("keys", "withdraw", key, ...connection)).toMatchObject({ code: 0 });
+    expect((await fleet.call(1, "/v1/models", { key })).status).toBe(401);
+    expect(await run("keys", "grant", "nobody", ...connection)).toMatchObject({ code: 1 });
+    expect(await run("order", "decode-1", "load-model", "drafting-2", ...connection)).toMatchObject({ code: 0 });
+    expect(await run("order", "decode-9", "load-model", "drafting-2", ...connection)).toMatchObject({ code: 1 });
+    const status = JSON.parse((await run("status", ...connection)).output) as { fleet: unknown[]; };
+    expect(status.fleet).toHaveLength(2);
+});
+
+test("a port in use and a missing secret end the start with a clear error", async () => {
+    const settings = {
+        name: "late",
+        failureDomain: "domain-1",
+        callersAddress: fleet.instances[0]?.callersAddress,
+        instancesAddress: "127.0.0.1:9",
+        storeAddress: fleet.storeAddress,
+        instanceListAddress: fleet.listAddress,
+        secretFile: join(directory, "secret"),
+    };
+    const ports = await PortBlock.reserve();
+    const free = `127.0.0.1:${ports.next()}`;
+    const taken = await run("serve", await write("taken.jsonc", { ...settings, instancesAddress: free }));
+    expect(taken).toMatchObject({ code: 4, output: expect.stringMatching(/Cannot start: .*EADDRINUSE/) });
+    const secret = await run("serve", await write("no-secret.jsonc", { ...settings, secretFile: "/nowhere/secret" }));
+    expect(secret).toMatchObject({ code: 4, output: expect.stringMatching(/Cannot start: .*secret/) });
+    await ports.close();
+});
+
+test("without the store at the start an instance waits and says why it is not ready", async () => {
+    const ports = await PortBlock.reserve();
+    const [callersAddress, instancesAddress, nowhere] = [1, 2, 3].map(() => `127.0.0.1:${ports.next()}`);
+    const file = await write("alone.jsonc", {
+        name: "alone",
+        failureDomain: "domain-1",
+        callersAddress,
+        instancesAddress,
+        storeAddress: nowhere,
+        instanceListAddress: nowhere,
+        secretFile: join(directory, "secret"),
+    });
+    const child = new ManagedProcess(["dist/laburnumslip.cjs", "serve", file], join(directory, "alone.log"));
+    let answer = { status: 0, text: "" };
+    for (let attempt = 0; attempt < 100 && answer.status === 0; attempt++) {
+        await new Promise(resolve => setTimeout(resolve, 100));
+        answer = await fetch(`http://${callersAddress}/readyz`)
+            .then(async response => ({ status: response.status, text: await response.text() }), () => answer);
+    }
+    const refused = await fetch(`http://${callersAddress}/v1/models`);
+    await child.kill();
+    await ports.close();
+    expect(answer).toEqual({ status: 503, text: "no configuration yet\n" });
+    expect(await refused.json()).toMatchObject({ error: { code: "not-ready", verdict: "not-run" } });
+});
