An engine that sends malformed events is refused, not taken for down

Cause: an event or body that is not as described became a failure of kind "down", which resets the server's ramp and makes its requests suspects of a crash.

Change: malformed answers are failures of kind "refused", verdict may-have-run.

--- a/packages/engines/http_engine.ts
+++ b/packages/engines/http_engine.ts
@@ -150,12 +150,19 @@
     response: Dispatcher.ResponseData,
     schema: Schema,
 ): Promise<Result<z.infer<Schema>, EngineFailure>> {
+    let text: string;
     try {
-        return ok(schema.parse(await response.body.json()));
+        text = await response.body.text();
     }
     catch (error) {
         return err(failureOf(error));
     }
+    try {
+        return ok(schema.parse(JSON.parse(text)));
+    }
+    catch {
+        return err(new EngineFailure("refused", "may-have-run", "The engine's answer is malformed"));
+    }
 }
 
 function failureOfStatus(status: number, text: string): EngineFailure {
@@ -180,9 +187,19 @@
     return new EngineFailure(kind, "may-have-run", message);
 }
 
+/** An engine that sends malformed events is not down: it must not be taken for one that crashed. */
+function parseEvent(data: string): DecodeEvent {
+    try {
+        return eventSchema.parse(JSON.parse(data));
+    }
+    catch {
+        throw new EngineFailure("refused", "may-have-run", "An event of the stream is malformed");
+    }
+}
+
 async function* readEvents(body: AsyncIterable<Buffer>): AsyncIterable<DecodeEvent> {
     const events: DecodeEvent[] = [];
-    const parser = createParser({ onEvent: event => events.push(eventSchema.parse(JSON.parse(event.data))) });
+    const parser = createParser({ onEvent: event => events.push(parseEvent(event.data)) });
     const decoder = new TextDecoder();
     let unfinished = 0;
     try {
