Once-only calls: commits are spaced to stay within the store's rates

Cause: with 64 callers the once-only calls drove the store into its limit of 400 writes a second: 512 attempted, p99 1,829 ms through retries. Sixty-four shards spread the calls so thin that few shared a commit (1.73 writes a call).

Ruled out: fewer shards (each is one value of at most 1 MB); a fixed pause after each commit (it would delay every call, also without load).

Change: each instance has a budget of commits, its part of 300 a second, with a burst of a quarter second; calls that arrive meanwhile share the next commit. Tools that measure fleets of several sizes and once-only calls.

--- a/packages/development/main.ts
+++ b/packages/development/main.ts
@@ -1,7 +1,7 @@
 import { appendFile } from "node:fs/promises";
 import sade from "sade";
 import { type BenchResult, compareResults, runBench, type Scenario } from "../bench/mod.ts";
-import { measureCapacity, measureOverhead, runPassThrough } from "../capacity/mod.ts";
+import { measureCapacity, measureFleet, measureOnceOnly, measureOverhead, runPassThrough } from "../capacity/mod.ts";
 import { runDemo } from "../demo/mod.ts";
 import { runSoak } from "../soak/mod.ts";
 import { runStandIns } from "../stand_ins/mod.ts";
@@ -66,6 +66,18 @@
         process.stdout.write(await measureCapacity());
     });
 
+program
+    .command("fleet-cost", "Measure what instances spend on each other, in fleets of several sizes")
+    .action(async () => {
+        process.stdout.write(await measureFleet());
+    });
+
+program
+    .command("once-only-rate", "Measure once-only calls a second and the store's writes for each")
+    .action(async () => {
+        process.stdout.write(await measureOnceOnly());
+    });
+
 program
     .command("overhead", "Compare an instance with a bare pass-through")
     .action(async () => {
--- a/packages/once/mod.ts
+++ b/packages/once/mod.ts
@@ -1,5 +1,6 @@
 /** Records of calls that may run at most once. */
 export type { BeginAnswer } from "./begin_answer.ts";
+export { CommitBudget } from "./commit_budget.ts";
 export type { KeptAnswer } from "./kept_answer.ts";
 export { OnceClient } from "./once_client.ts";
 export { onceParameters } from "./once_parameters.ts";
--- a/packages/once/once_shard.ts
+++ b/packages/once/once_shard.ts
@@ -91,6 +91,7 @@
     async #commitAll(): Promise<void> {
         this.#committing = true;
         while (this.#pending.length > 0) {
+            await this.options.budget?.take();
             const batch = this.#pending.splice(0);
             await this.#commit(batch);
         }
--- a/packages/once/once_state.ts
+++ b/packages/once/once_state.ts
@@ -1,5 +1,7 @@
 import type { InstanceServer } from "../instances/mod.ts";
+import type { Membership } from "../membership/mod.ts";
 import type { Store } from "../store/mod.ts";
+import { CommitBudget } from "./commit_budget.ts";
 import { onceParameters } from "./once_parameters.ts";
 import { OnceShard } from "./once_shard.ts";
 import { shardOf } from "./shard_of.ts";
@@ -11,21 +13,25 @@
  *
  * @example
  * ```ts
- * const state = new OnceState(store, server);
+ * const state = new OnceState(store, server, membership);
  * state.count; // 0
  * ```
  */
 export class OnceState {
+    readonly #budget: CommitBudget;
     readonly #shards = new Map<number, OnceShard>();
 
     /**
      * @param store The store.
      * @param server Answers other instances.
+     * @param membership Says how many instances share the store.
      */
     constructor(
         private readonly store: Store,
         server: InstanceServer,
+        membership: Membership,
     ) {
+        this.#budget = new CommitBudget(() => membership.record.members.length);
         server.handle("once.begin", onceParameters.begin, async params => await this.#shard(params.key).begin(params));
         server.handle("once.finish", onceParameters.finish, async params => {
             return { stored: await this.#shard(params.key).finish(params) };
@@ -41,7 +47,7 @@
         const number = shardOf(key);
         let shard = this.#shards.get(number);
         if (!shard) {
-            shard = new OnceShard(this.store, `once/${number}`);
+            shard = new OnceShard(this.store, `once/${number}`, { budget: this.#budget });
             this.#shards.set(number, shard);
         }
         return shard;
--- a/packages/runtime/instance.ts
+++ b/packages/runtime/instance.ts
@@ -112,7 +112,7 @@
         const shareState = new ShareState(this.#configuration, this.#server, invariants);
         this.#serverState = new ServerState(shared);
         this.#homes = new Homes([shareState, this.#serverState], shared);
-        const onceState = new OnceState(this.#store, this.#server);
+        const onceState = new OnceState(this.#store, this.#server, this.#membership);
         this.#once = new OnceClient(this.#membership, this.#pool, logger);
         const reservations = new ReservationClient(this.#membership, this.#pool, this.#server);
         const policy = createPlacementPolicy(settings.policy);
