Routing: finding and reserving servers is a module of its own

Cause: _model_run.ts had grown to 465 lines with two jobs. Change: _server_seeker.ts finds and reserves servers; no change of behaviour.

--- a/packages/routing/_model_run.ts
+++ b/packages/routing/_model_run.ts
@@ -1,28 +1,20 @@
 import { err, ok, type Result } from "neverthrow";
-import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
 import { isDrained } from "../configuration/mod.ts";
 import { type DecodeEvent, EngineFailure, type PrefillResult } from "../engines/mod.ts";
 import type { Charge } from "../limits/mod.ts";
-import type { Candidate, PlacementRequest } from "../placement/mod.ts";
 import { Refusal } from "../verdicts/mod.ts";
 import type { AttemptOutcome } from "./_attempt_outcome.ts";
+import type { ReservedGrant } from "./_reserved_grant.ts";
+import { ServerSeeker } from "./_server_seeker.ts";
 import type { Completion } from "./completion.ts";
 import type { ModelJob } from "./model_job.ts";
 import type { ModelRouterOptions } from "./model_router_options.ts";
 import type { RetryBudget } from "./retry_budget.ts";
-import { selectServers } from "./select_servers.ts";
-import { selectTraffic } from "./select_traffic.ts";
 
 const MAXIMUM_ATTEMPTS = 4;
-const QUEUE_MILLISECONDS = 10_000;
-const WAIT_SLICE_MILLISECONDS = 4_000;
-const SERVERS_TRIED_WITHOUT_WAITING = 3;
-const PAUSE_WITHOUT_SERVERS_MILLISECONDS = 100;
 const PREFILL_TIMEOUT_MILLISECONDS = 15_000;
 const FIRST_EVENT_TIMEOUT_MILLISECONDS = 3_000;
 
-type Grant = { server: string; id: string; pieces: number; askedAt: number; };
-
 /** One model request on its way; an attempt is one pass through prefill and decode. */
 export class ModelRun {
     #charge: Charge;
@@ -34,8 +26,7 @@
     #undelivered = 0;
     #deliveredBefore = 0;
     readonly #delivered: string[] = [];
-    readonly #addresses = new Map<string, string>();
-    readonly #queueDeadline = monotonicMilliseconds() + QUEUE_MILLISECONDS;
+    readonly #seeker: ServerSeeker;
 
     constructor(
         private readonly job: ModelJob,
@@ -46,6 +37,7 @@
         private readonly signal: AbortSignal,
     ) {
         this.#charge = charge;
+        this.#seeker = new ServerSeeker(job, options, signal);
     }
 
     /** Tries until the answer is complete or may not be tried again. */
@@ -79,33 +71,33 @@
             const message = "The request crashed two servers and is not tried again";
             return { kind: "refused", refusal: this.#refuse(422, "request-crashes-servers", message) };
         }
-        const decode = await this.#reserve("decode", this.#pieces(), this.options.failureDomain);
+        const decode = await this.#reserve("decode", this.options.failureDomain);
         if (decode instanceof Refusal) {
             return { kind: "refused", refusal: decode };
         }
         const domain = this.#server(decode.server)?.failureDomain ?? this.options.failureDomain;
-        const prefill = await this.#reserve("prefill", 1, domain);
+        const prefill = await this.#reserve("prefill", domain);
         if (prefill instanceof Refusal) {
-            this.#release(decode, "unused");
+            this.#seeker.release(decode, "unused");
             return { kind: "refused", refusal: prefill };
         }
         const stop = await this.#coverCharge() ?? this.#mayNotStart(decode, prefill);
         if (stop) {
-            this.#release(decode, "unused");
-            this.#release(prefill, "unused");
+            this.#seeker.release(decode, "unused");
+            this.#seeker.release(prefill, "unused");
             return stop;
         }
         const computed = await this.#prefill(prefill);
         if (computed.isErr()) {
-            this.#release(decode, "unused");
+            this.#seeker.release(decode, "unused");
             return computed.error;
         }
         return await this.#decode(decode, prefill.server, computed.value);
     }
 
-    async #prefill(grant: Grant): Promise<Result<PrefillResult, AttemptOutcome>> {
+    async #prefill(grant: ReservedGrant): Promise<Result<PrefillResult, AttemptOutcome>> {
         const { engines, policy } = this.options;
-        const engine = engines.at(this.#addressOf(grant.server));
+        const engine = engines.at(this.#seeker.addressOf(grant.server));
         const signal = AbortSignal.any([this.signal, AbortSignal.timeout(PREFILL_TIMEOUT_MILLISECONDS)]);
         this.#dispatched = true;
         const result = await engine.prefill({
@@ -113,12 +105,12 @@
             model: this.job.model,
             prompt: this.job.prompt,
             generated: this.#delivered.join(""),
-            priority: this.#priority(),
+            priority: this.#seeker.priority(),
         }, signal);
         if (result.isOk()) {
             this.#mayHaveRun = true;
-            this.#release(grant, "done");
-            policy.notePrefill(grant.server, this.#placement(""));
+            this.#seeker.release(grant, "done");
+            policy.notePrefill(grant.server, this.#seeker.placement(""));
             return ok(result.value);
         }
         this.#mayHaveRun ||= result.error.verdict === "may-have-run";
@@ -131,16 +123,16 @@
         return err({ kind: "failed", reason, message: result.error.message });
     }
 
-    async #decode(grant: Grant, source: string, prefill: PrefillResult): Promise<AttemptOutcome> {
+    async #decode(grant: ReservedGrant, source: string, prefill: PrefillResult): Promise<AttemptOutcome> {
         const { engines, metrics } = this.options;
         const stop = this.#mayNotStart(grant);
         if (stop) {
             const reason = stop.kind === "failed" ? stop.reason : "caller-gone";
             metrics.increment("wasted_prefills_total", { reason });
-            this.#release(grant, "unused");
+            this.#seeker.release(grant, "unused");
             return stop;
         }
-        const engine = engines.at(this.#addressOf(grant.server));
+        const engine = engines.at(this.#seeker.addressOf(grant.server));
         const firstEvent = new AbortController();
         const timer = setTimeout(() => {
             firstEvent.abort(new DOMException("No event in time", "TimeoutError"));
@@ -150,18 +142,18 @@
             const stream = await engine.decode({
                 request: grant.id,
                 model: this.job.model,
-                source: this.#addressOf(source),
+                source: this.#seeker.addressOf(source),
                 handle: prefill.handle,
                 offset: this.#delivered.length,
                 maximumTokens: this.job.maximumTokens,
-                priority: this.#priority(),
+                priority: this.#seeker.priority(),
             }, AbortSignal.any([this.signal, firstEvent.signal]));
             if (stream.isErr()) {
                 throw stream.error;
             }
             const outcome = await this.#relay(stream.value, grant.id, () => clearTimeout(timer));
             if (outcome.kind === "completed") {
-                this.#release(grant, "done");
+                this.#seeker.release(grant, "done");
             }
             else {
                 await this.#abandon("decode", grant, new EngineFailure("refused", "may-have-run", "Stream given up"));
@@ -225,12 +217,12 @@
     }
 
     /** Frees what the engine may hold and gives the grant back. */
-    async #abandon(role: "prefill" | "decode", grant: Grant, failure: EngineFailure): Promise<void> {
+    async #abandon(role: "prefill" | "decode", grant: ReservedGrant, failure: EngineFailure): Promise<void> {
         if (failure.verdict === "not-run") {
-            this.#release(grant, failure.kind === "down" ? "failed" : "unused");
+            this.#seeker.release(grant, failure.kind === "down" ? "failed" : "unused");
             return;
         }
-        const engine = this.options.engines.at(this.#addressOf(grant.server));
+        const engine = this.options.engines.at(this.#seeker.addressOf(grant.server));
         const cancelled = await engine.cancel(grant.id);
         this.#noteGenerated(cancelled.isOk() ? cancelled.value.generated : undefined);
         if (failure.kind === "down") {
@@ -238,93 +230,32 @@
             return;
         }
         const lost = cancelled.isErr() && cancelled.error.verdict === "may-have-run";
-        this.#release(grant, lost ? "orphaned" : "unused");
+        this.#seeker.release(grant, lost ? "orphaned" : "unused");
     }
 
     /** Only a request that held a reservation when the server failed may be what crashed it. */
-    async #reportCrash(role: "prefill" | "decode", grant: Grant): Promise<void> {
+    async #reportCrash(role: "prefill" | "decode", grant: ReservedGrant): Promise<void> {
         const { policy, reservations, suspects } = this.options;
         if (!policy.reserves) {
-            this.#release(grant, "failed");
+            this.#seeker.release(grant, "failed");
         }
         else if (await reservations.release(grant, "failed")) {
             await suspects.report(this.job.fingerprint, grant.server, role);
         }
     }
 
-    async #reserve(role: "prefill" | "decode", pieces: number, domain: string): Promise<Grant | Refusal> {
-        const { policy } = this.options;
-        while (monotonicMilliseconds() < this.#queueDeadline && !this.signal.aborted) {
-            const candidates = policy.order(this.#candidates(role, pieces), this.#placement(domain));
-            const [best] = candidates;
-            if (!best) {
-                return this.#refuse(503, "no-backend-server", `No ${role} server may take the request`, 1);
-            }
-            if (!policy.reserves) {
-                return this.#holdUnreserved(best.name, pieces);
-            }
-            const grant = await this.#reserveAny(role, candidates, pieces);
-            if (grant) {
-                return grant;
-            }
+    async #reserve(role: "prefill" | "decode", domain: string): Promise<ReservedGrant | Refusal> {
+        // Unique for each attempt, so that what is left of one is told from the next.
+        const reserved = await this.#seeker.reserve(role, `${this.job.id}.${this.#attempt}`, domain);
+        if (typeof reserved === "object") {
+            return reserved;
         }
         if (this.signal.aborted) {
             return this.#refusalOfSignal();
         }
-        return this.#refuse(503, "queue-deadline", `No ${role} server had room in time`, 2);
-    }
-
-    /** The server's home does not know the request, but must not take it for one that is gone. */
-    #holdUnreserved(server: string, pieces: number): Grant {
-        const id = this.#attemptId();
-        this.options.reservations.held.add({ server, id, pieces, organisation: this.job.organisation });
-        return { server, id, pieces, askedAt: monotonicMilliseconds() };
-    }
-
-    /** Asks a few servers at once for room, then waits at the one with the shortest queue. */
-    async #reserveAny(
-        role: "prefill" | "decode",
-        candidates: Candidate[],
-        pieces: number,
-    ): Promise<Grant | undefined> {
-        const tried = candidates.slice(0, SERVERS_TRIED_WITHOUT_WAITING);
-        for (const { name } of tried) {
-            const answer = await this.#ask(role, name, pieces, 0);
-            if ("askedAt" in answer) {
-                return answer;
-            }
-        }
-        const { reservations } = this.options;
-        const queueable = tried
-            .filter(({ name }) => (reservations.hint(name)?.avoidUntil ?? 0) === 0)
-            .sort((left, right) => queueOf(reservations.hint(left.name)) - queueOf(reservations.hint(right.name)));
-        const [shortest] = queueable;
-        if (!shortest) {
-            await sleep(PAUSE_WITHOUT_SERVERS_MILLISECONDS, this.signal);
-            return undefined;
-        }
-        const left = this.#queueDeadline - monotonicMilliseconds();
-        const wait = Math.min(WAIT_SLICE_MILLISECONDS, Math.max(0, left));
-        const answer = await this.#ask(role, shortest.name, pieces, wait);
-        if ("askedAt" in answer) {
-            return answer;
-        }
-        if (answer.why === "full") {
-            await sleep(PAUSE_WITHOUT_SERVERS_MILLISECONDS, this.signal);
-        }
-        return undefined;
-    }
-
-    #ask(role: "prefill" | "decode", server: string, pieces: number, waitMilliseconds: number) {
-        return this.options.reservations.reserve({
-            server,
-            id: this.#attemptId(),
-            organisation: this.job.organisation,
-            pieces,
-            priority: this.#priority(),
-            suspect: this.options.suspects.isSuspectAt(this.job.fingerprint, role),
-            waitMilliseconds,
-        });
+        return reserved === "no-server"
+            ? this.#refuse(503, "no-backend-server", `No ${role} server may take the request`, 1)
+            : this.#refuse(503, "queue-deadline", `No ${role} server had room in time`, 2);
     }
 
     /** Makes sure that the charge is recent when the request is dispatched for the first time. */
@@ -358,7 +289,7 @@
         this.#undelivered += Math.max(0, generated - received);
     }
 
-    #mayNotStart(...grants: Grant[]): AttemptOutcome | undefined {
+    #mayNotStart(...grants: ReservedGrant[]): AttemptOutcome | undefined {
         if (this.signal.aborted) {
             return { kind: "refused", refusal: this.#refusalOfSignal() };
         }
@@ -372,60 +303,10 @@
         return { kind: "failed", reason: "reservation-expired", message: "A reservation expired before its use" };
     }
 
-    #candidates(role: "prefill" | "decode", pieces: number): Candidate[] {
-        const { configuration, reservations } = this.options;
-        const selector = selectTraffic(configuration.document, this.job.organisation, this.job.model);
-        if (!selector) {
-            return [];
-        }
-        const wanted = { role, model: this.job.model, labels: selector.servers };
-        return selectServers(configuration.document, wanted)
-            .filter(([, server]) => server.capacity >= pieces)
-            .map(([name, server]) => {
-                this.#addresses.set(name, server.address);
-                return { name, server, hint: reservations.hint(name) };
-            });
-    }
-
-    /** A server that is taken out of the configuration is still reached for what runs there. */
-    #addressOf(server: string): string {
-        return this.#addresses.get(server) ?? "";
-    }
-
-    #placement(failureDomain: string): PlacementRequest {
-        return { model: this.job.model, prompt: this.job.prompt, failureDomain };
-    }
-
-    #pieces(): number {
-        const model = this.options.configuration.document.models[this.job.model];
-        const tokens = this.job.promptTokens + this.job.maximumTokens;
-        return Math.ceil(tokens / (model?.tokensPerPiece ?? tokens));
-    }
-
-    #priority(): number {
-        const { document } = this.options.configuration;
-        return selectTraffic(document, this.job.organisation, this.job.model)?.priority ?? 0;
-    }
-
     #server(name: string) {
         return this.options.configuration.document.backendServers[name];
     }
 
-    /** Unique for each attempt, so that what is left of one is told from the next. */
-    #attemptId(): string {
-        return `${this.job.id}.${this.#attempt}`;
-    }
-
-    #release(grant: Grant, outcome: "done" | "unused" | "failed" | "orphaned"): void {
-        const { policy, reservations } = this.options;
-        if (policy.reserves) {
-            void reservations.release(grant, outcome);
-        }
-        else {
-            reservations.held.remove(grant.id, grant.server);
-        }
-    }
-
     #settle(): void {
         if (!this.#settled) {
             this.options.limiter.settle(this.#charge, this.#tokensUsed());
@@ -459,7 +340,3 @@
         return new Refusal(status, reason, verdict, message, retryAfterSeconds ? { retryAfterSeconds } : {});
     }
 }
-
-function queueOf(hint: { waiting: number; } | undefined): number {
-    return hint?.waiting ?? 0;
-}
--- /dev/null
+++ b/packages/routing/_reserved_grant.ts
@@ -0,0 +1,11 @@
+/** Capacity reserved for one attempt at a request. */
+export interface ReservedGrant {
+    /** Name of the backend server. */
+    server: string;
+    /** Id of the attempt. */
+    id: string;
+    /** Pieces reserved. */
+    pieces: number;
+    /** Monotonic time in milliseconds before the reservation was asked for. */
+    askedAt: number;
+}
