Reservations: only grants are handed to a new home; crashes are told by the boot id

A new home took reservations that were only asked for, and still queued at the former home, for held, and granted them when they were asked for again. - A cold server fell over: it had crashed while idle.

Ruled out: grants from before the crash (void, and not among the two requests).

Change: asked reservations become void when a new home asks, so that a late grant of the former home is not used either; the home keeps an idle connection to each engine whose end pauses grants and asks the engine at once; a failure is a crash only if the engine does not answer or has another boot id than at the grant.

--- a/packages/reservations/held_reservation.ts
+++ b/packages/reservations/held_reservation.ts
@@ -8,6 +8,8 @@
     organisation: string;
     /** Pieces reserved. */
     pieces: number;
+    /** Whether the home has granted it; until then it is only asked for. */
+    granted?: boolean;
     /** Whether it must not be used any more, as the server started anew. */
     void?: boolean;
 }
--- a/packages/reservations/held_reservations.ts
+++ b/packages/reservations/held_reservations.ts
@@ -81,12 +81,33 @@
     }
 
     /**
-     * Lists the reservations at some servers.
+     * Notes that the home has granted a reservation.
+     *
+     * @param id Id of the request.
+     * @param server Name of the backend server.
+     * @returns Whether the grant may be used: not if another home has taken over since it was asked for.
+     */
+    markGranted(id: string, server: string): boolean {
+        const reservation = this.#byId.get(id)?.get(server);
+        if (!reservation || reservation.void === true) {
+            return false;
+        }
+        reservation.granted = true;
+        return true;
+    }
+
+    /**
+     * Lists the granted reservations at some servers for their new home. Those only asked for become void, as a grant
+     * of the former home that is still on its way must not be used.
      *
      * @param servers Names of the servers.
-     * @returns The reservations.
+     * @returns The granted reservations.
      */
-    at(servers: Set<string>): HeldReservation[] {
-        return [...this.#byId.values()].flatMap(held => [...held.values()]).filter(({ server }) => servers.has(server));
+    handTo(servers: Set<string>): HeldReservation[] {
+        const all = [...this.#byId.values()].flatMap(held => [...held.values()]);
+        const concerned = all.filter(({ server }) => servers.has(server));
+        const asked = concerned.filter(({ granted }) => granted !== true);
+        asked.forEach(({ id, server }) => this.markVoid(id, server));
+        return concerned.filter(({ granted }) => granted === true);
     }
 }
--- a/packages/reservations/reservation_client.ts
+++ b/packages/reservations/reservation_client.ts
@@ -46,7 +46,7 @@
         server: InstanceServer,
     ) {
         server.handle("requests.holdings", reservationParameters.holdings, async ({ servers }) => {
-            return this.held.at(new Set(servers));
+            return this.held.handTo(new Set(servers));
         });
         server.handle("requests.held", reservationParameters.held, async ({ ids }) => {
             return ids.filter(id => this.held.has(id));
@@ -76,11 +76,13 @@
         const now = monotonicMilliseconds();
         if (answer.isOk()) {
             this.#note(server, answer.value, now);
-            if (answer.value.granted) {
+            if (answer.value.granted && this.held.markGranted(id, server)) {
                 return { server, id, pieces, askedAt };
             }
-            this.held.remove(id, server);
-            return answer.value;
+            if (!answer.value.granted) {
+                this.held.remove(id, server);
+                return answer.value;
+            }
         }
         void this.release({ server, id, pieces, askedAt }, "unused");
         const refusal: ReserveAnswer = { granted: false, why: "not-home", free: 0, waiting: 0 };
@@ -104,7 +106,7 @@
      *
      * @param grant The grant.
      * @param outcome How it ended; see the parameters of `servers.release`.
-     * @returns After a failure, whether the home knew the reservation; true if the home cannot say.
+     * @returns After a failure, whether the server has crashed; true if its home cannot say.
      */
     async release(grant: Grant, outcome: "done" | "unused" | "failed" | "orphaned"): Promise<boolean> {
         const { server, id } = grant;
@@ -116,8 +118,8 @@
             await this.pool.notify(home, "servers.release", params);
             return true;
         }
-        const answer = await this.pool.call<{ known: boolean; }>(home, "servers.release", params);
-        return answer.isErr() || answer.value.known;
+        const answer = await this.pool.call<{ crashed: boolean; }>(home, "servers.release", params);
+        return answer.isErr() || answer.value.crashed;
     }
 
     /**
--- a/packages/reservations/server_ledger.ts
+++ b/packages/reservations/server_ledger.ts
@@ -14,6 +14,8 @@
 interface Reservation {
     pieces: number;
     suspect: boolean;
+    /** Boot id of the server when the capacity was granted. */
+    bootId: string | undefined;
     confirmedAt: number;
     orphaned: boolean;
 }
@@ -55,6 +57,7 @@
     #bootId: string | undefined;
     #onVoid: (ids: string[]) => void = () => {};
     #down = false;
+    #paused = false;
     #drained = false;
 
     /**
@@ -158,26 +161,36 @@
      *
      * @param id Id of the request.
      * @param outcome How it ended; see the parameters of `servers.release`.
-     * @returns Whether the reservation was known, so that the request may have been running when the server failed.
      */
-    release(id: string, outcome: "done" | "unused" | "failed" | "orphaned"): boolean {
+    release(id: string, outcome: "done" | "unused" | "orphaned"): void {
         const reservation = this.#reservations.get(id);
         if (outcome === "orphaned") {
             if (reservation) {
                 reservation.orphaned = true;
             }
-            return reservation !== undefined;
+            return;
         }
         this.#reservations.delete(id);
         if (outcome === "done") {
             this.#ramp.grow();
         }
-        if (outcome === "failed") {
-            // Nothing more is granted until the engine has answered again.
-            this.noteDown();
-        }
         this.#pump();
-        return reservation !== undefined;
+    }
+
+    /**
+     * Tells whether the server has failed or started anew since a reservation was granted.
+     *
+     * @param id Id of the request.
+     * @returns Whether it has; false for a reservation that is not known.
+     */
+    hasFailedSince(id: string): boolean {
+        const reservation = this.#reservations.get(id);
+        return reservation !== undefined && (this.#down || reservation.bootId !== this.#bootId);
+    }
+
+    /** Grants nothing until the engine has answered, as it may have failed. */
+    pause(): void {
+        this.#paused = true;
     }
 
     /**
@@ -209,6 +222,7 @@
     /** Notes that the server does not answer. */
     noteDown(): void {
         this.#down = true;
+        this.#paused = false;
         this.#noteRestart();
         this.#refuseWaiters("down");
     }
@@ -229,6 +243,7 @@
         }
         this.#bootId = report.bootId;
         this.#down = false;
+        this.#paused = false;
         const running = new Set(report.running.map(({ id }) => id));
         for (const { id, pieces } of report.running) {
             this.#adopt(id, pieces);
@@ -306,6 +321,7 @@
             this.#reservations.set(id, {
                 pieces,
                 suspect: false,
+                bootId: this.#bootId,
                 confirmedAt: Number.NEGATIVE_INFINITY,
                 orphaned: false,
             });
@@ -332,7 +348,7 @@
     }
 
     #fits(pieces: number): boolean {
-        return this.#state === "open" && !this.#down && this.#reservations.size < this.#ramp.allowed
+        return this.#state === "open" && !this.#down && !this.#paused && this.#reservations.size < this.#ramp.allowed
             && this.reserved + pieces <= this.capacity;
     }
 
@@ -353,6 +369,7 @@
             this.#reservations.set(next.id, {
                 pieces: next.cost,
                 suspect: next.suspect,
+                bootId: this.#bootId,
                 confirmedAt: monotonicMilliseconds(),
                 orphaned: false,
             });
--- a/packages/reservations/server_state.ts
+++ b/packages/reservations/server_state.ts
@@ -7,6 +7,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { HomeKey, Member, Membership } from "../membership/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import { CrashWatch } from "./_crash_watch.ts";
 import type { HeldReservation } from "./held_reservation.ts";
 import { reservationParameters } from "./reservation_parameters.ts";
 import { reservationTimes } from "./reservation_times.ts";
@@ -33,6 +34,7 @@
 interface Tended {
     ledger: ServerLedger;
     sweep: RepeatingTask;
+    watch: CrashWatch;
 }
 
 /**
@@ -67,8 +69,14 @@
             return answer;
         });
         server.handle("servers.release", reservationParameters.release, async ({ server: name, id, outcome }) => {
-            const known = this.#tended.get(name)?.ledger.release(id, outcome) ?? true;
-            return { known };
+            const tended = this.#tended.get(name);
+            if (tended && outcome === "failed") {
+                return { crashed: await this.#releaseFailed(name, tended, id) };
+            }
+            if (outcome !== "failed") {
+                tended?.ledger.release(id, outcome);
+            }
+            return { crashed: true };
         });
         configuration.onChange(document => this.#reconfigure(document));
     }
@@ -90,12 +98,16 @@
         const ledger = new ServerLedger(server.capacity, readHandover(handover));
         ledger.setDrained(isDrained(this.options.configuration.document, name));
         ledger.onVoid(ids => this.#voidAll(name, ids));
+        const watch = new CrashWatch(() => {
+            ledger.pause();
+            void this.#sweep(name, ledger, watch);
+        });
         const sweep = new RepeatingTask(
             reservationTimes.sweepMilliseconds,
-            () => this.#sweep(name, ledger),
+            () => this.#sweep(name, ledger, watch),
             error => this.options.logger.error("cannot sweep a server", { server: name, error: String(error) }),
         );
-        this.#tended.set(name, { ledger, sweep });
+        this.#tended.set(name, { ledger, sweep, watch });
         void this.#open(name, ledger);
     }
 
@@ -104,6 +116,7 @@
         const name = key.group.slice(GROUP_PREFIX.length);
         const tended = this.#tended.get(name);
         this.#tended.delete(name);
+        tended?.watch.close();
         void tended?.sweep.close();
         return tended?.ledger.close();
     }
@@ -133,6 +146,7 @@
 
     /** Stops the tasks. */
     async close(): Promise<void> {
+        this.#tended.forEach(({ watch }) => watch.close());
         await Promise.all([...this.#tended.values()].map(({ sweep }) => sweep.close()));
     }
 
@@ -165,10 +179,19 @@
         return true;
     }
 
+    /** A broken connection alone does not prove a crash: the engine's boot id tells. */
+    async #releaseFailed(name: string, { ledger, watch }: Tended, id: string): Promise<boolean> {
+        ledger.pause();
+        await this.#sweep(name, ledger, watch);
+        const crashed = ledger.hasFailedSince(id);
+        ledger.release(id, "unused");
+        return crashed;
+    }
+
     /** Compares the ledger with the engine, asks owners about old reservations and cancels what nobody holds. */
-    async #sweep(name: string, ledger: ServerLedger): Promise<void> {
+    async #sweep(name: string, ledger: ServerLedger, watch: CrashWatch): Promise<void> {
         const server = this.options.configuration.document.backendServers[name];
-        if (!server) {
+        if (!server || this.#tended.get(name)?.ledger !== ledger) {
             return;
         }
         const engine = this.options.engines.at(server.address);
@@ -179,6 +202,7 @@
             return;
         }
         ledger.reconcile(report.value, askedAt);
+        watch.watch(server.address);
         await this.#confirmOwners(ledger);
         for (const id of ledger.orphans()) {
             this.options.metrics.increment("orphans_cancelled_total");
--- a/packages/routing/_model_run.ts
+++ b/packages/routing/_model_run.ts
@@ -233,7 +233,7 @@
         this.#seeker.release(grant, lost ? "orphaned" : "unused");
     }
 
-    /** Only a request that held a reservation when the server failed may be what crashed it. */
+    /** Only a request that held a reservation when the server crashed may be what crashed it. */
     async #reportCrash(role: "prefill" | "decode", grant: ReservedGrant): Promise<void> {
         const { policy, reservations, suspects } = this.options;
         if (!policy.reserves) {
--- a/packages/routing/_server_seeker.ts
+++ b/packages/routing/_server_seeker.ts
@@ -47,7 +47,8 @@
 
     /** The server's home does not know the request, but must not take it for one that is gone. */
     #holdUnreserved(server: string, id: string, pieces: number): ReservedGrant {
-        this.options.reservations.held.add({ server, id, pieces, organisation: this.job.organisation });
+        const { organisation } = this.job;
+        this.options.reservations.held.add({ server, id, pieces, organisation, granted: true });
         return { server, id, pieces, askedAt: monotonicMilliseconds() };
     }
 
