Soak: withdrawn keys are checked by the key that came, races know a third operator

Ruled out: a served withdrawn key (the check is now by the key itself and covers all calls after the withdrawal, not half a second of them); a lost winner (a change of one of the two that was told "raced" still counts against the run).

Change: as said; both checks are stricter than before for the cases they are meant for.

--- a/packages/oracles/observed_call.ts
+++ b/packages/oracles/observed_call.ts
@@ -8,6 +8,8 @@
     label: string;
     /** Organisation of the key. */
     organisation: string;
+    /** Key that came with the call, if a check needs it. */
+    key?: string;
     /** Prompt as the engine gets it; empty for plain routes. */
     prompt: string;
     /** Longest answer in tokens; 0 for plain routes. */
--- a/packages/soak/_checks.ts
+++ b/packages/soak/_checks.ts
@@ -1,4 +1,3 @@
-import { answerOf } from "../harness/mod.ts";
 import {
     checkAnswers,
     checkLimits,
@@ -63,23 +62,17 @@
 
 function checkWithdrawals({ context, calls }: SoakEvidence): Finding {
     const finding: Finding = { checks: 0, violations: [] };
-    for (const { organisation, from } of context.withdrawals) {
-        const next = context.withdrawals.find(other => other.organisation === organisation && other.from > from);
-        // Until the callers are told of the next key, each of their calls still comes with the withdrawn one.
-        const until = Math.min(next?.from ?? Number.POSITIVE_INFINITY, from + IN_FORCE_MILLISECONDS + 500);
-        const late = calls.filter(call =>
-            call.organisation === organisation
-            && call.startedAt > from + IN_FORCE_MILLISECONDS
-            && call.startedAt < until
-        );
+    for (const { key, from } of context.withdrawals) {
+        const own = calls.filter(call => call.key === key);
+        const late = own.filter(call => call.startedAt > from + IN_FORCE_MILLISECONDS);
         finding.checks += 1 + late.length;
         for (const { label, result } of late) {
-            if (result.status === 200 && answerOf(result).finish !== undefined) {
+            if (result.status === 200) {
                 finding.violations.push(`${label} was served under a withdrawn key`);
             }
         }
-        const streaming = calls.filter(call =>
-            call.organisation === organisation && call.startedAt < from
+        const streaming = own.filter(call =>
+            call.kind === "model" && call.startedAt < from
             && call.endedAt > from + IN_FORCE_MILLISECONDS && call.result.status === 200
         );
         finding.checks += streaming.length;
--- a/packages/soak/_faults.ts
+++ b/packages/soak/_faults.ts
@@ -115,18 +115,24 @@
             return false;
         }
         const { version } = base.value;
-        const outcomes = await Promise.all(clients.map((client, index) => {
-            const value = { organisation: Object.keys(fleet.organisations)[0] ?? "", label: `race ${index}` };
-            const name = hashKey(`race-${random.next()}`);
-            return client.change([{ collection: "keys", name, value }], version);
-        }));
+        const names = clients.map(() => hashKey(`race-${random.next()}`));
+        const value = { organisation: Object.keys(fleet.organisations)[0] ?? "", label: "race" };
+        const outcomes = await Promise.all(
+            clients.map((client, index) =>
+                client.change([{ collection: "keys", name: names[index] ?? "", value }], version)
+            ),
+        );
         clients.forEach(client => client.close());
-        const stored = outcomes.filter(outcome => outcome.isOk() && outcome.value.kind === "stored").length;
-        const answered = outcomes.filter(outcome => outcome.isOk() && outcome.value.kind !== "failed").length;
-        if (answered < outcomes.length) {
+        const answers = outcomes.flatMap(outcome => outcome.isOk() ? [outcome.value] : []);
+        if (answers.length < outcomes.length || answers.some(({ kind }) => kind === "failed")) {
             return false;
         }
-        races.push(stored);
+        const stored = answers.filter(({ kind }) => kind === "stored").length;
+        // Another fault may have changed the configuration first: then both operators have lost to it.
+        const others = answers.flatMap(answer => answer.kind === "raced" ? answer.changes : [])
+            .filter(change => change.version === version + 1)
+            .filter(change => change.operations.every(({ name }) => !names.includes(name)));
+        races.push(stored + (others.length > 0 ? 1 : 0));
         return true;
     },
 };
--- a/packages/soak/_traffic_generator.ts
+++ b/packages/soak/_traffic_generator.ts
@@ -141,7 +141,7 @@
             timeoutMilliseconds: CALL_TIMEOUT_MILLISECONDS,
             ...options,
         });
-        const observed: ObservedCall = { ...call, startedAt, endedAt: Date.now(), cancelled, result };
+        const observed: ObservedCall = { ...call, key, startedAt, endedAt: Date.now(), cancelled, result };
         this.calls.push(observed);
         this.targets.set(observed, target);
         return result;
