Peers: load and spending are shared, the store's copy is had from peers

Cause: each instance knew only its own load, so decode reservations met full engines and a limit of an organisation was one limit for each instance. Instances register in the store and report to each other over the existing connections between instances; an instance whose copy of the store is stale asks peers.

--- a/packages/backends/_backend_agent.ts
+++ b/packages/backends/_backend_agent.ts
@@ -1,6 +1,6 @@
-import { Agent } from "node:http";
-import type { Duplex } from "node:stream";
+import { Agent, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
+import type { Duplex } from "node:stream";
 
 /** Idle time in milliseconds after which a connection is closed when the server names none. */
 const DEFAULT_IDLE_MILLISECONDS = 4_000;
@@ -9,6 +9,9 @@
 /** Silence in milliseconds after which the kernel probes a connection. */
 const PROBE_MILLISECONDS = 1_000;
 
+/** Methods that the types of Node omit; the base removes the listeners of an idle connection. */
+const baseAgent = Agent.prototype as unknown as { reuseSocket(socket: Duplex, request: ClientRequest): void; };
+
 /** Connections to one backend server. */
 export class BackendAgent extends Agent {
     #idleMilliseconds = DEFAULT_IDLE_MILLISECONDS;
@@ -36,7 +39,8 @@
         return true;
     }
 
-    reuseSocket(socket: Duplex): void {
+    reuseSocket(socket: Duplex, request: ClientRequest): void {
         (socket as Socket).setTimeout(0);
+        baseAgent.reuseSocket.call(this, socket, request);
     }
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -8,6 +8,7 @@
 import { parseAddress } from "../instances/mod.ts";
 import { createLogger, type Logger } from "../logs/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
+import { type PeerReport, PeerMesh } from "../peers/mod.ts";
 import { type ItemChange, ItemReplica, ReplicaFollower } from "../replica/mod.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
 import { GatewayServer } from "./gateway_server.ts";
@@ -49,6 +50,10 @@
     readonly #readiness: Server;
     readonly #exposition: Server;
     readonly #incarnation = randomBytes(4).toString("hex");
+    readonly #book: ServerBook;
+    readonly #limiter: TokenLimiter;
+    readonly #mesh: PeerMesh;
+    #lastReport = "";
     #follower: ReplicaFollower | undefined;
     #leaving = false;
 
@@ -64,12 +69,31 @@
         this.#store = adapter.openStore(settings.storeAddress, this.#metrics);
         const instanceCount = () => this.#instanceCount();
         const { bounds } = settings;
+        this.#book = new ServerBook(this.#directory);
+        this.#limiter = new TokenLimiter({
+            windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
+            excess: bounds.quotaExcess,
+            slack: bounds.quotaSlack,
+            instanceCount,
+            clock: this.#clock,
+        });
+        this.#mesh = new PeerMesh({
+            self: { name: settings.name, incarnation: this.#incarnation, address: settings.instancesAddress },
+            seedAddresses: settings.seedAddresses,
+            store: this.#store,
+            replica: this.#replica,
+            clock: this.#clock,
+            metrics: this.#metrics,
+            logger: this.#logger,
+            describe: force => this.#describe(force),
+            receive: report => this.#receive(report),
+        });
         const services: GatewayServices = {
             settings,
             headers: adapter.headers,
             engines: adapter.engines,
             directory: this.#directory,
-            book: new ServerBook(this.#directory),
+            book: this.#book,
             connections: this.#connections,
             retries: new RetryAllowance({
                 ratio: bounds.retryRatio,
@@ -82,7 +106,7 @@
             metrics: this.#metrics,
             logger: this.#logger,
         };
-        this.#front = new GatewayServer(services, new TokenLimiter(instanceCount));
+        this.#front = new GatewayServer(services, this.#limiter);
         this.#readiness = createServer((request, response) => {
             response.writeHead(request.url === adapter.readinessPath && this.#isReady() ? 200 : 503);
             response.end();
@@ -111,6 +135,7 @@
         await this.#front.listen(this.settings.callersAddress);
         await listen(this.#readiness, this.settings.readinessAddress);
         await listen(this.#exposition, this.settings.metricsAddress);
+        await this.#mesh.start(this.settings.instancesAddress);
         this.#logger.info("listening", { callers: this.settings.callersAddress });
     }
 
@@ -131,8 +156,8 @@
             await sleep(20);
         }
         this.#logger.info("shut down", { requestsCut: this.#front.active });
-        await this.#follower?.close();
         this.#front.close();
+        await Promise.all([this.#mesh.close(), this.#follower?.close()]);
         this.#connections.close();
         this.#store.close();
     }
@@ -176,7 +201,28 @@
     }
 
     #instanceCount(): number {
-        return 1;
+        return this.#mesh.size;
+    }
+
+    /** Describes this instance's load to its peers; undefined if it is as last described. */
+    #describe(force: boolean): Pick<PeerReport, "loads" | "spending"> | undefined {
+        const loads: PeerReport["loads"] = {};
+        for (const [id, load] of this.#book.entries()) {
+            if (load.active > 0 || load.reservedTokens > 0) {
+                loads[id] = [load.active, load.reservedTokens, load.prefillTokens];
+            }
+        }
+        const text = JSON.stringify(loads);
+        if (!force && text === this.#lastReport) {
+            return undefined;
+        }
+        this.#lastReport = text;
+        return { loads, spending: this.#limiter.spending() };
+    }
+
+    #receive(report: PeerReport): void {
+        this.#book.notePeer(report.name, report.loads);
+        this.#limiter.notePeer(`${report.name}/${report.incarnation}`, report.spending);
     }
 }
 
--- a/packages/gateway/server_book.ts
+++ b/packages/gateway/server_book.ts
@@ -48,6 +48,23 @@
         return this.#loads.entries();
     }
 
+    /**
+     * Notes what a peer has under way, in place of what it had before.
+     *
+     * @param peer Name of the peer.
+     * @param loads Requests, reserved tokens and prefill tokens by server.
+     */
+    notePeer(peer: string, loads: Record<string, [number, number, number]>): void {
+        for (const [id, load] of this.#loads) {
+            if (!loads[id]) {
+                load.forgetPeer(peer);
+            }
+        }
+        for (const [id, [active, reservedTokens, prefillTokens]] of Object.entries(loads)) {
+            this.of(id).notePeer(peer, { active, reservedTokens, prefillTokens });
+        }
+    }
+
     /**
      * Tells whether a request may be sent to a server now, given what a cold server bears.
      *
--- a/packages/gateway/server_load.ts
+++ b/packages/gateway/server_load.ts
@@ -57,6 +57,11 @@
         this.#peers.set(peer, { load, at: monotonicMilliseconds() });
     }
 
+    /** Forgets a peer that has nothing under way at the server. */
+    forgetPeer(peer: string): void {
+        this.#peers.delete(peer);
+    }
+
     /** Notes that a request was sent. */
     noteSent(): void {
         this.#sentAt.push(monotonicMilliseconds());
--- /dev/null
+++ b/packages/gateway/token_limiter_options.ts
@@ -0,0 +1,14 @@
+import type { SuspensionAwareClock } from "../clocks/mod.ts";
+
+/** What a {@linkcode TokenLimiter} works with. */
+export interface TokenLimiterOptions {
+    /** Window in milliseconds over which an organisation's limit is counted. */
+    windowMilliseconds: number;
+    /** Part of the limit by which it may be exceeded. */
+    excess: number;
+    /** Units by which the limit may be exceeded besides. */
+    slack: number;
+    /** Number of instances that share the limits, this one included. */
+    instanceCount: () => number;
+    clock: SuspensionAwareClock;
+}
--- a/packages/instances/instance_pool.ts
+++ b/packages/instances/instance_pool.ts
@@ -123,6 +123,15 @@
         }
     }
 
+    /**
+     * Closes the connection to an instance that has fallen silent; the next call opens another one.
+     *
+     * @param target The instance.
+     */
+    disconnect(target: Target): void {
+        this.#forget(target);
+    }
+
     /** Closes every connection. */
     close(): void {
         for (const client of this.#clients.values()) {
--- /dev/null
+++ b/packages/peers/mod.ts
@@ -0,0 +1,5 @@
+/** The other instances behind the same balancer. */
+export type { Peer } from "./peer.ts";
+export { PeerMesh } from "./peer_mesh.ts";
+export type { PeerMeshOptions } from "./peer_mesh_options.ts";
+export type { PeerReport } from "./peer_report.ts";
--- /dev/null
+++ b/packages/peers/peer_mesh_options.ts
@@ -0,0 +1,23 @@
+import type { CoordinationStore } from "../coordination/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+import type { SuspensionAwareClock } from "../clocks/mod.ts";
+import type { ItemReplica } from "../replica/mod.ts";
+import type { Peer } from "./peer.ts";
+import type { PeerReport } from "./peer_report.ts";
+
+/** What a {@linkcode PeerMesh} works with. */
+export interface PeerMeshOptions {
+    self: Peer;
+    /** Addresses that may be asked before the store has answered. */
+    seedAddresses: string[];
+    store: CoordinationStore;
+    replica: ItemReplica;
+    clock: SuspensionAwareClock;
+    metrics: Metrics;
+    logger: Logger;
+    /** Describes this instance; undefined while nothing has changed since the last report. */
+    describe(force: boolean): Omit<PeerReport, keyof Peer> | undefined;
+    /** Receives a peer's report. */
+    receive(report: PeerReport): void;
+}
--- /dev/null
+++ b/packages/peers/peer_report.ts
@@ -0,0 +1,5 @@
+import type { z } from "zod";
+import type { peerReportSchema } from "./peer_report_schema.ts";
+
+/** What an instance tells its peers about itself. */
+export type PeerReport = z.infer<typeof peerReportSchema>;
--- /dev/null
+++ b/packages/peers/peer_report_schema.ts
@@ -0,0 +1,12 @@
+import { z } from "zod";
+
+/** Schema of what an instance tells its peers about itself. */
+export const peerReportSchema = z.object({
+    name: z.string().max(128),
+    incarnation: z.string().max(64),
+    address: z.string().max(64),
+    /** Requests, reserved tokens and prefill tokens under way by server. */
+    loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
+    /** Units spent in the limit's window by organisation. */
+    spending: z.record(z.string(), z.number()),
+});
