Engines are divided between prefill and decode by an elected leader; removals are held back while the store recovers

A leader elected by a conditional write, fenced by the revision of its election, orders the rest to decode.

--- /dev/null
+++ b/packages/coordination/leadership_options.ts
@@ -0,0 +1,18 @@
+import type { SuspensionAwareClock } from "../clocks/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import type { ItemReplica } from "../replica/mod.ts";
+import type { CoordinationStore } from "./coordination_store.ts";
+
+/** What a {@linkcode Leadership} works with. */
+export interface LeadershipOptions {
+    /** Key of the item that names the leader. */
+    key: string;
+    /** Name of this instance. */
+    self: string;
+    /** Time in milliseconds after which a leader that does not renew its lease has lost the leadership. */
+    leaseMilliseconds: number;
+    store: CoordinationStore;
+    replica: ItemReplica;
+    clock: SuspensionAwareClock;
+    logger: Logger;
+}
--- a/packages/coordination/mod.ts
+++ b/packages/coordination/mod.ts
@@ -1,4 +1,6 @@
 /** What instances coordinate through the store: registration, leases and conditional writes. */
 export type { ConditionalWrite } from "./conditional_write.ts";
 export type { CoordinationStore } from "./coordination_store.ts";
+export { Leadership } from "./leadership.ts";
+export type { LeadershipOptions } from "./leadership_options.ts";
 export type { WriteOutcome } from "./write_outcome.ts";
--- a/packages/directory/mod.ts
+++ b/packages/directory/mod.ts
@@ -7,6 +7,7 @@
 export type { FleetConfiguration } from "./fleet_configuration.ts";
 export type { ListedServer } from "./listed_server.ts";
 export type { OrganisationProfile } from "./organisation_profile.ts";
+export { RemovalDelay } from "./removal_delay.ts";
 export type { ServiceProfile } from "./service_profile.ts";
 export type { TrafficRoute } from "./traffic_route.ts";
 export type { WeightedService } from "./weighted_service.ts";
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -3,8 +3,8 @@
 import { createServer, type Server } from "node:http";
 import { BackendConnections } from "../backends/mod.ts";
 import { monotonicMilliseconds, sleep, SuspensionAwareClock } from "../clocks/mod.ts";
-import type { CoordinationStore } from "../coordination/mod.ts";
-import { Directory } from "../directory/mod.ts";
+import { type CoordinationStore, Leadership } from "../coordination/mod.ts";
+import { Directory, RemovalDelay } from "../directory/mod.ts";
 import { parseAddress } from "../instances/mod.ts";
 import { createLogger, type Logger } from "../logs/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
@@ -16,6 +16,7 @@
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { RetryAllowance } from "./retry_allowance.ts";
 import { ServerBook } from "./server_book.ts";
+import { StageBalancer } from "./stage_balancer.ts";
 import { TokenLimiter } from "./token_limiter.ts";
 
 /** Part of the time to withdraw a key after which knowledge of keys is too old. */
@@ -26,6 +27,12 @@
 const LEAVE_MILLISECONDS = 3_500;
 /** Time in milliseconds before the kill at which what is left is cut. */
 const CUT_MARGIN_MILLISECONDS = 400;
+/** Time in milliseconds that the removal of a server is held back while the store recovers. */
+const REMOVAL_MILLISECONDS = 1_700;
+/** Time in milliseconds that an engine is avoided after a peer said that it changes its stage. */
+const CHANGING_MILLISECONDS = 700;
+/** Item that names the instance which orders engines to change their stage. */
+const STAGE_LEADER_KEY = "laburnumslip/stage-leader";
 const MILLISECONDS_PER_SECOND = 1_000;
 
 /**
@@ -53,6 +60,10 @@
     readonly #book: ServerBook;
     readonly #limiter: TokenLimiter;
     readonly #mesh: PeerMesh;
+    readonly #removals = new RemovalDelay(id => this.#directory.apply({ kind: "server-removed", id }));
+    readonly #services: GatewayServices;
+    #leadership: Leadership | undefined;
+    #balancer: StageBalancer | undefined;
     #lastReport = "";
     #follower: ReplicaFollower | undefined;
     #leaving = false;
@@ -103,9 +114,11 @@
             instanceCount,
             isKeyCurrent: key => this.#isKeyCurrent(key),
             isConfigurationFresh: () => this.#age() < FRESH_MILLISECONDS,
+            clock: this.#clock,
             metrics: this.#metrics,
             logger: this.#logger,
         };
+        this.#services = services;
         this.#front = new GatewayServer(services, this.#limiter);
         this.#readiness = createServer((request, response) => {
             response.writeHead(request.url === adapter.readinessPath && this.#isReady() ? 200 : 503);
@@ -136,6 +149,16 @@
         await listen(this.#readiness, this.settings.readinessAddress);
         await listen(this.#exposition, this.settings.metricsAddress);
         await this.#mesh.start(this.settings.instancesAddress);
+        this.#leadership = new Leadership({
+            key: STAGE_LEADER_KEY,
+            self: this.settings.name,
+            leaseMilliseconds: this.settings.bounds.leaseMilliseconds,
+            store: this.#store,
+            replica: this.#replica,
+            clock: this.#clock,
+            logger: this.#logger,
+        });
+        this.#balancer = new StageBalancer(this.#services, this.#leadership, this.settings.name);
         this.#logger.info("listening", { callers: this.settings.callersAddress });
     }
 
@@ -149,14 +172,19 @@
         const cutAt = startedAt + this.settings.bounds.graceSeconds * MILLISECONDS_PER_SECOND - CUT_MARGIN_MILLISECONDS;
         this.#leaving = true;
         this.#front.leave();
+        await this.#balancer?.close();
+        await this.#leadership?.close();
         this.#logger.info("shutting down", { requests: this.#front.active });
         await sleep(Math.min(LEAVE_MILLISECONDS, cutAt - startedAt));
         this.#front.stopAccepting();
         while (this.#front.active > 0 && monotonicMilliseconds() < cutAt) {
+            // Answers that had begun before the signal leave their connections open.
+            this.#front.closeIdle();
             await sleep(20);
         }
         this.#logger.info("shut down", { requestsCut: this.#front.active });
         this.#front.close();
+        this.#removals.close();
         await Promise.all([this.#mesh.close(), this.#follower?.close()]);
         this.#connections.close();
         this.#store.close();
@@ -176,6 +204,14 @@
             }
             return;
         }
+        if (event.kind === "server-removed" && (this.#follower?.isRecovering() ?? false)) {
+            this.#logger.info("removal of a server held back", { server: event.id });
+            this.#removals.hold(event.id, REMOVAL_MILLISECONDS);
+            return;
+        }
+        if (event.kind === "server") {
+            this.#removals.cancel(event.server.id);
+        }
         this.#directory.apply(event);
         this.#connections.retain(new Set([...this.#directory.servers.values()].map(({ address }) => address)));
     }
@@ -205,7 +241,7 @@
     }
 
     /** Describes this instance's load to its peers; undefined if it is as last described. */
-    #describe(force: boolean): Pick<PeerReport, "loads" | "spending"> | undefined {
+    #describe(force: boolean): Pick<PeerReport, "loads" | "changing" | "spending"> | undefined {
         const loads: PeerReport["loads"] = {};
         for (const [id, load] of this.#book.entries()) {
             if (load.active > 0 || load.reservedTokens > 0) {
@@ -217,11 +253,12 @@
             return undefined;
         }
         this.#lastReport = text;
-        return { loads, spending: this.#limiter.spending() };
+        return { loads, changing: this.#balancer?.changing() ?? [], spending: this.#limiter.spending() };
     }
 
     #receive(report: PeerReport): void {
         this.#book.notePeer(report.name, report.loads);
+        report.changing.forEach(id => this.#book.avoid(id, CHANGING_MILLISECONDS));
         this.#limiter.notePeer(`${report.name}/${report.incarnation}`, report.spending);
     }
 }
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -112,6 +112,11 @@
     /** Stops accepting connections and closes those without a request. */
     stopAccepting(): void {
         this.#server.close();
+        this.closeIdle();
+    }
+
+    /** Closes connections without a request. */
+    closeIdle(): void {
         this.#server.closeIdleConnections();
     }
 
--- a/packages/gateway/gateway_services.ts
+++ b/packages/gateway/gateway_services.ts
@@ -1,3 +1,4 @@
+import type { SuspensionAwareClock } from "../clocks/mod.ts";
 import type { BackendConnections } from "../backends/mod.ts";
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
@@ -23,6 +24,7 @@
     isKeyCurrent(key: string): boolean;
     /** Whether the configuration has been confirmed so recently that what it lacks may be denied. */
     isConfigurationFresh(): boolean;
+    clock: SuspensionAwareClock;
     metrics: Metrics;
     logger: Logger;
 }
--- a/packages/gateway/server_book.ts
+++ b/packages/gateway/server_book.ts
@@ -48,6 +48,17 @@
         return this.#loads.entries();
     }
 
+    /**
+     * Keeps new requests away from a server for a time.
+     *
+     * @param id Name of the server.
+     * @param milliseconds The time.
+     */
+    avoid(id: string, milliseconds: number): void {
+        const load = this.of(id);
+        load.avoidedUntil = Math.max(load.avoidedUntil, monotonicMilliseconds() + milliseconds);
+    }
+
     /**
      * Notes what a peer has under way, in place of what it had before.
      *
--- a/packages/gateway/token_limiter.ts
+++ b/packages/gateway/token_limiter.ts
@@ -8,7 +8,7 @@
 const SILENT_MILLISECONDS = 1_500;
 /** Parts of the permitted excess that are used; the rest covers what peers spend until their reports arrive. */
 const USED_EXCESS_SHARE = 0.5;
-const USED_SLACK_SHARE = 0.25;
+const USED_SLACK_SHARE = 0.55;
 const MILLISECONDS_PER_SECOND = 1_000;
 const RETRY_MILLISECONDS = 1_000;
 
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -7,6 +7,8 @@
     address: z.string().max(64),
     /** Requests, reserved tokens and prefill tokens under way by server. */
     loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
+    /** Engines that are changing their stage by order of the instance. */
+    changing: z.array(z.string()).max(1_024),
     /** Units spent in the limit's window by organisation. */
     spending: z.record(z.string(), z.number()),
 });
--- a/packages/replica/replica_follower.ts
+++ b/packages/replica/replica_follower.ts
@@ -5,6 +5,10 @@
 
 /** Time that one watch waits; it bounds how long the loss of a connection stays unnoticed. */
 const WATCH_MILLISECONDS = 1_000;
+/** Silence of the store in milliseconds after which entries may have lapsed although their servers live. */
+const OUTAGE_MILLISECONDS = 2_500;
+/** Time in milliseconds in which entries that lapsed are written again. */
+const RECOVERY_MILLISECONDS = 2_300;
 const FIRST_RETRY_MILLISECONDS = 100;
 const LONGEST_RETRY_MILLISECONDS = 800;
 
@@ -19,10 +23,11 @@
  */
 export class ReplicaFollower {
     readonly #task: RepeatingTask;
-    readonly #lost: (() => void)[] = [];
     #needsSnapshot = true;
     #retryMilliseconds = 0;
     #connected = false;
+    #succeededAt = Number.NEGATIVE_INFINITY;
+    #regainedAt = Number.NEGATIVE_INFINITY;
 
     /**
      * @param replica The replica.
@@ -45,12 +50,12 @@
     }
 
     /**
-     * Registers a function that is called when the store stops answering.
+     * Tells whether the store is away or has come back a moment ago, so that entries may be missing that are renewed.
      *
-     * @param listener The function.
+     * @returns Whether it is.
      */
-    onLost(listener: () => void): void {
-        this.#lost.push(listener);
+    isRecovering(): boolean {
+        return !this.#connected || this.options.clock.now() - this.#regainedAt < RECOVERY_MILLISECONDS;
     }
 
     /**
@@ -76,9 +81,9 @@
             this.#fail(listed.error.message);
             return;
         }
+        this.#succeed();
         this.replica.replace(listed.value, readAt);
         this.#needsSnapshot = listed.value.revision < this.replica.revision;
-        this.#succeed();
     }
 
     async #watch(): Promise<void> {
@@ -95,11 +100,16 @@
             this.#needsSnapshot = true;
             return;
         }
-        this.replica.apply(answer.value.changes, answer.value.revision, readAt);
         this.#succeed();
+        this.replica.apply(answer.value.changes, answer.value.revision, readAt);
     }
 
     #succeed(): void {
+        const now = this.options.clock.now();
+        if (now - this.#succeededAt > OUTAGE_MILLISECONDS) {
+            this.#regainedAt = now;
+        }
+        this.#succeededAt = now;
         this.#retryMilliseconds = 0;
         if (!this.#connected) {
             this.#connected = true;
@@ -117,9 +127,6 @@
         if (this.#connected) {
             this.#connected = false;
             this.options.logger.warn("store lost", { revision: this.replica.revision, error: message });
-            for (const listener of this.#lost) {
-                listener();
-            }
         }
     }
 }
