Unframed answers cut by a reset are not whole; dead engines are noticed sooner

The connection's error is now checked. Silent engines: a reservation is given up after 250 ms, a prefill by its expected time, a stream that may be resumed after 700 ms; a prefill whose result cannot be fetched is not tried again, the decode engine computes the prompt.

--- a/packages/backends/backend_answer.ts
+++ b/packages/backends/backend_answer.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { Socket } from "node:net";
 
 /** The beginning of an answer; its body is still to be read. */
 export interface BackendAnswer {
@@ -8,6 +9,7 @@
     /** Names and values by turns, as they were sent. */
     rawHeaders: string[];
     body: IncomingMessage;
+    connection: Socket;
     /** Closes the connection. */
     close(): void;
 }
--- a/packages/backends/backend_connections.ts
+++ b/packages/backends/backend_connections.ts
@@ -148,6 +148,7 @@
         headers,
         rawHeaders: response.rawHeaders,
         body: response,
+        connection: response.socket,
         close: () => outgoing.destroy(),
     };
 }
--- /dev/null
+++ b/packages/backends/is_answer_complete.ts
@@ -0,0 +1,17 @@
+import type { BackendAnswer } from "./backend_answer.ts";
+
+/**
+ * Tells whether the whole body of an answer has arrived. A body without a length ends with its connection; when the
+ * connection was reset, the parser takes it for complete although it is not.
+ *
+ * @param answer The answer, after its body has ended.
+ * @returns Whether it is whole.
+ * @example
+ * ```ts
+ * answer.body.on("end", () => isAnswerComplete(answer));
+ * ```
+ */
+export function isAnswerComplete(answer: BackendAnswer): boolean {
+    const framed = answer.headers["content-length"] !== undefined || answer.headers["transfer-encoding"] !== undefined;
+    return answer.body.complete && (framed || !answer.connection.errored);
+}
--- a/packages/backends/read_answer_body.ts
+++ b/packages/backends/read_answer_body.ts
@@ -1,4 +1,5 @@
 import type { BackendAnswer } from "./backend_answer.ts";
+import { isAnswerComplete } from "./is_answer_complete.ts";
 
 /**
  * Reads the whole body of an answer.
@@ -36,7 +37,7 @@
             }
             chunks.push(chunk);
         });
-        answer.body.on("end", () => finish(answer.body.complete ? Buffer.concat(chunks) : undefined));
-        answer.body.on("close", () => finish(answer.body.complete ? Buffer.concat(chunks) : undefined));
+        answer.body.on("end", () => finish(isAnswerComplete(answer) ? Buffer.concat(chunks) : undefined));
+        answer.body.on("close", () => finish(isAnswerComplete(answer) ? Buffer.concat(chunks) : undefined));
     });
 }
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -14,7 +14,7 @@
 const OUTPUT_SHARE = 0.6;
 /** Part of a route's target time that a request may wait for memory. */
 const WAIT_SHARE = 0.6;
-const RESERVE_TIMEOUT_MILLISECONDS = 500;
+const RESERVE_TIMEOUT_MILLISECONDS = 250;
 /** Time in milliseconds that an engine is passed over after it refused a reservation. */
 const FULL_MILLISECONDS = 120;
 /** Time in milliseconds that an engine is passed over after it did not answer. */
--- a/packages/gateway/prefill_stage.ts
+++ b/packages/gateway/prefill_stage.ts
@@ -10,7 +10,11 @@
 
 /** Prompt tokens that outweigh a transfer between failure domains when a prefill engine is chosen. */
 const FAR_TOKENS = 600;
-const TIMEOUT_MILLISECONDS = 2_500;
+/** Prompt tokens in a millisecond below which a prefill engine counts as failed. */
+const SLOWEST_TOKENS_PER_MILLISECOND = 12;
+/** Time in milliseconds that a prefill may take besides. */
+const TIMEOUT_MILLISECONDS = 300;
+const BODY_MILLISECONDS = 500;
 const AVOID_MILLISECONDS = 800;
 const MAXIMUM_TRIES = 3;
 const MAXIMUM_ANSWER_BYTES = 65_536;
@@ -108,6 +112,7 @@
         const load = book.of(server.id);
         const startedAt = monotonicMilliseconds();
         load.prefillTokens += request.promptTokens;
+        const expected = TIMEOUT_MILLISECONDS + load.total().prefillTokens / SLOWEST_TOKENS_PER_MILLISECOND;
         load.active++;
         load.noteSent();
         try {
@@ -122,7 +127,7 @@
                     ...extraHeaders,
                 ],
                 body: request.body.length > 0 ? request.body : undefined,
-                timeoutMilliseconds: Math.min(TIMEOUT_MILLISECONDS, request.deadline - startedAt),
+                timeoutMilliseconds: Math.min(expected, request.deadline - startedAt),
                 signal: request.signal,
                 correlation: { header: headers.requestId, value: request.id },
             });
@@ -134,7 +139,7 @@
                 }
                 return err(answer.error.message);
             }
-            const body = await readAnswerBody(answer.value, TIMEOUT_MILLISECONDS, MAXIMUM_ANSWER_BYTES);
+            const body = await readAnswerBody(answer.value, BODY_MILLISECONDS, MAXIMUM_ANSWER_BYTES);
             const handle = answer.value.status === 200 && body ? engines.readPrefill(body.toString("utf8")) : undefined;
             metrics.increment("prefills_total", { result: handle ? "done" : String(answer.value.status) });
             if (!handle) {
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -1,5 +1,6 @@
+import { err } from "neverthrow";
 import type { BackendAnswer } from "../backends/mod.ts";
-import { readAnswerBody } from "../backends/mod.ts";
+import { isAnswerComplete, readAnswerBody } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { relayHeaders } from "./_relay_headers.ts";
 import { backendHeaders } from "./backend_headers.ts";
@@ -16,7 +17,9 @@
 /** Passes through prefill and decode of one request at most. */
 const MAXIMUM_PASSES = 4;
 const AVOID_MILLISECONDS = 800;
-/** Silence in milliseconds in a stream after which its engine counts as failed. */
+/** Silence in milliseconds after which an engine counts as failed when its stream may be continued elsewhere. */
+const RESUMABLE_GAP_MILLISECONDS = 700;
+/** Silence in milliseconds after which an engine counts as failed otherwise; callers give up a second later. */
 const GAP_MILLISECONDS = 2_500;
 const MAXIMUM_ANSWER_BYTES = 1_024 * 1_024;
 const NONE: ReadonlySet<string> = new Set();
@@ -25,13 +28,15 @@
 type PassOutcome =
     | { kind: "completed"; }
     | { kind: "relayed"; }
-    | { kind: "not-run" | "may-have-run" | "broken"; message: string; };
+    | { kind: "not-run" | "handle-lost" | "may-have-run" | "broken"; message: string; };
 
 /** What a request has received so far. */
 interface Progress {
     lastEventId: number | undefined;
     runs: number;
     prefilled: boolean;
+    /** Whether the decode engine is to compute the prompt itself, since a prefill's result could not be fetched. */
+    direct: boolean;
     excluded: Set<string>;
 }
 
@@ -67,7 +72,13 @@
      * @returns A promise that resolves once the answer is complete or was given up.
      */
     async forward(request: GatewayRequest): Promise<void> {
-        const progress: Progress = { lastEventId: undefined, runs: 0, prefilled: false, excluded: new Set() };
+        const progress: Progress = {
+            lastEventId: undefined,
+            runs: 0,
+            prefilled: false,
+            direct: false,
+            excluded: new Set(),
+        };
         let refusal: GatewayRefusal | undefined;
         for (let pass = 0; pass < MAXIMUM_PASSES && !request.signal.aborted; pass++) {
             if (pass > 0 && !this.services.retries.take(request.service.name)) {
@@ -83,8 +94,10 @@
             if (outcome.kind === "completed" || outcome.kind === "relayed") {
                 return;
             }
-            progress.excluded.add(grant.value.server.id);
-            if (outcome.kind !== "not-run") {
+            if (outcome.kind !== "handle-lost") {
+                progress.excluded.add(grant.value.server.id);
+            }
+            if (outcome.kind !== "not-run" && outcome.kind !== "handle-lost") {
                 progress.runs++;
                 refusal = failed("backend-failed", "may-have-run", outcome.message);
                 const mayRepeat = request.route.resumable && progress.runs < request.route.maximumServers;
@@ -118,7 +131,9 @@
             const resume = progress.lastEventId === undefined
                 ? []
                 : [this.services.headers.lastEventId, String(progress.lastEventId)];
-            const prefilled = await this.#prefill.run(request, grant.server, resume, progress.prefilled);
+            const prefilled = progress.direct
+                ? err("The prompt is computed by the decode engine")
+                : await this.#prefill.run(request, grant.server, resume, progress.prefilled);
             progress.prefilled = true;
             if (request.signal.aborted) {
                 prefilled.map(({ server, handle }) =>
@@ -137,7 +152,11 @@
             reservationUsed = true;
             const outcome = await this.#decode(request, grant, extra, progress);
             if (outcome.kind === "not-run" && prefilled.isOk()) {
-                this.caller.release(prefilled.value.server, engines.releaseHandle(prefilled.value.handle));
+                const { server, handle } = prefilled.value;
+                this.caller.release(server, engines.releaseHandle(handle));
+                this.services.book.avoid(server.id, AVOID_MILLISECONDS);
+                progress.direct = true;
+                return { kind: "handle-lost", message: outcome.message };
             }
             return outcome;
         }
@@ -171,7 +190,7 @@
             path: request.path,
             headers: [...withoutHeader(backendHeaders(request, server, headers), extra), ...extra],
             body: request.body.length > 0 ? request.body : undefined,
-            timeoutMilliseconds: Math.min(GAP_MILLISECONDS, request.deadline - monotonicMilliseconds()),
+            timeoutMilliseconds: Math.min(gapOf(request, progress), request.deadline - monotonicMilliseconds()),
             signal: request.signal,
             correlation: { header: headers.requestId, value: request.id },
         });
@@ -239,10 +258,9 @@
                 resolve(outcome);
             };
             const abort = () => finish({ kind: "broken", message: "The request was given up" });
-            let silence = setTimeout(
-                () => finish({ kind: "broken", message: "The stream fell silent" }),
-                GAP_MILLISECONDS,
-            );
+            const gap = gapOf(request, progress);
+            const fallSilent = () => finish({ kind: "broken", message: "The stream fell silent" });
+            let silence = setTimeout(fallSilent, gap);
             request.signal.addEventListener("abort", abort, { once: true });
             answer.body.on("data", (chunk: Buffer) => {
                 if (finished) {
@@ -262,19 +280,21 @@
                     response.write(event.bytes);
                 }
                 clearTimeout(silence);
-                silence = setTimeout(
-                    () => finish({ kind: "broken", message: "The stream fell silent" }),
-                    GAP_MILLISECONDS,
-                );
+                silence = setTimeout(fallSilent, gap);
             });
             answer.body.on("close", () => {
-                const whole = answer.body.complete && splitter.pendingBytes === 0 && response.headersSent;
+                const whole = isAnswerComplete(answer) && splitter.pendingBytes === 0 && response.headersSent;
                 finish(whole ? { kind: "completed" } : { kind: "broken", message: "The stream broke off" });
             });
         });
     }
 }
 
+function gapOf(request: GatewayRequest, progress: Progress): number {
+    const another = request.route.resumable && progress.runs + 1 < request.route.maximumServers;
+    return another ? RESUMABLE_GAP_MILLISECONDS : GAP_MILLISECONDS;
+}
+
 /** Drops headers of the request that are given anew. */
 function withoutHeader(headers: string[], replaced: string[]): string[] {
     const names = new Set(replaced.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase()));
