--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -19,6 +19,8 @@
 const FULL_MILLISECONDS = 120;
 /** Time in milliseconds that an engine is passed over after it did not answer. */
 const SILENT_MILLISECONDS = 1_000;
+/** Factor by which each recent failure makes an engine's free memory count less. */
+const FAILURE_PENALTY = 2;
 /** Engines tried for the request at the head before it waits again. */
 const MAXIMUM_TRIES = 3;
 
@@ -135,7 +137,7 @@
         const { directory, book } = this.services;
         const service = waiter.request.service;
         let best: ListedServer | undefined;
-        let bestFree = 0;
+        let highest = 0;
         for (const server of directory.usableServers(service.name)) {
             const load = book.of(server.id);
             if (
@@ -145,9 +147,10 @@
                 continue;
             }
             const free = (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
-            if (free >= waiter.tokens && free > bestFree) {
+            const preference = free / (1 + FAILURE_PENALTY * load.failures);
+            if (free >= waiter.tokens && preference > highest) {
                 best = server;
-                bestFree = free;
+                highest = preference;
             }
         }
         return best;
@@ -165,6 +168,13 @@
         const reservation = answer.status === 200 ? engines.readReservation(answer.body) : undefined;
         const result = reservation !== undefined ? "granted" : answer.status === 0 ? "silent" : "refused";
         metrics.increment("decode_reservations_total", { result });
+        this.services.logger.info("decode memory asked for", {
+            request: request.id,
+            engine: server.id,
+            tokens,
+            outcome: result,
+            waitedMilliseconds: Math.round(monotonicMilliseconds() - waiter.since),
+        });
         if (reservation !== undefined) {
             metrics.observe("decode_wait", monotonicMilliseconds() - waiter.since);
             waiter.resolve(ok({ server, reservation, tokens, expiresAt: startedAt + lifetime }));
@@ -172,10 +182,13 @@
         }
         load.reservedTokens -= tokens;
         load.active--;
-        const silent = answer.status === 0 || answer.status === 421;
+        const silent = answer.status === 0;
         if (silent) {
             load.noteFailure();
         }
+        if (answer.status === 421) {
+            book.markGone(server.id);
+        }
         load.avoidedUntil = monotonicMilliseconds() + (silent ? SILENT_MILLISECONDS : FULL_MILLISECONDS);
         waiter.tries++;
         if (waiter.tries >= MAXIMUM_TRIES * 4) {
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -29,8 +29,8 @@
 const CUT_MARGIN_MILLISECONDS = 400;
 /** Time in milliseconds that the removal of a server is held back while the store recovers. */
 const REMOVAL_MILLISECONDS = 1_700;
-/** Time in milliseconds that an engine is avoided after a peer said that it changes its stage. */
-const CHANGING_MILLISECONDS = 700;
+/** Time in milliseconds that a server is avoided after a peer said that it is gone or changes its stage. */
+const AVOIDED_MILLISECONDS = 700;
 /** Item that names the instance which orders engines to change their stage. */
 const STAGE_LEADER_KEY = "laburnumslip/stage-leader";
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -241,7 +241,7 @@
     }
 
     /** Describes this instance's load to its peers; undefined if it is as last described. */
-    #describe(force: boolean): Pick<PeerReport, "loads" | "changing" | "spending"> | undefined {
+    #describe(force: boolean): Pick<PeerReport, "loads" | "changing" | "gone" | "spending"> | undefined {
         const loads: PeerReport["loads"] = {};
         for (const [id, load] of this.#book.entries()) {
             if (load.active > 0 || load.reservedTokens > 0) {
@@ -253,12 +253,17 @@
             return undefined;
         }
         this.#lastReport = text;
-        return { loads, changing: this.#balancer?.changing() ?? [], spending: this.#limiter.spending() };
+        return {
+            loads,
+            changing: this.#balancer?.changing() ?? [],
+            gone: this.#book.gone(),
+            spending: this.#limiter.spending(),
+        };
     }
 
     #receive(report: PeerReport): void {
         this.#book.notePeer(report.name, report.loads);
-        report.changing.forEach(id => this.#book.avoid(id, CHANGING_MILLISECONDS));
+        [...report.changing, ...report.gone].forEach(id => this.#book.avoid(id, AVOIDED_MILLISECONDS));
         this.#limiter.notePeer(`${report.name}/${report.incarnation}`, report.spending);
     }
 }
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -15,7 +15,9 @@
 const MAXIMUM_ANSWER_BYTES = 8 * 1_024 * 1_024;
 /** Part of the remaining time that the first server of an idempotent request may take. */
 const FIRST_TRY_SHARE = 0.45;
-/** Time in milliseconds that a server is avoided after it could not be reached or was another one. */
+/** Time in milliseconds that a server is avoided after it refused a request. */
+const FULL_MILLISECONDS = 50;
+/** Time in milliseconds that a server is avoided after it could not be reached. */
 const AVOID_MILLISECONDS = 1_000;
 const NONE: ReadonlySet<string> = new Set();
 
@@ -64,6 +66,14 @@
             }
             tried.add(server.id);
             const outcome = await this.#send(request, server, runs + 1 < request.route.maximumServers);
+            this.services.logger.info("request sent to a server", {
+                request: request.id,
+                server: server.id,
+                send: sends + 1,
+                outcome: outcome.kind === "answered" ? outcome.answer.status : outcome.kind,
+                cause: outcome.kind === "answered" ? undefined : outcome.message,
+                afterMilliseconds: Math.round(monotonicMilliseconds() - request.receivedAt),
+            });
             if (outcome.kind === "answered") {
                 if (outcome.answer.status < 500 || request.route.kind !== "idempotent") {
                     this.#relay(request, outcome.answer, outcome.body);
@@ -136,7 +146,12 @@
                 MAXIMUM_ANSWER_BYTES,
             );
             if (status === 421 || answer.value.headers[headers.notRun] !== undefined) {
-                load.avoidedUntil = monotonicMilliseconds() + (status === 421 ? AVOID_MILLISECONDS : 50);
+                if (status === 421) {
+                    book.markGone(server.id);
+                }
+                else {
+                    book.avoid(server.id, FULL_MILLISECONDS);
+                }
                 return { kind: "not-run", message: `The server answered with status ${status}` };
             }
             if (!body) {
--- a/packages/gateway/prefill_stage.ts
+++ b/packages/gateway/prefill_stage.ts
@@ -14,6 +14,8 @@
 const SLOWEST_TOKENS_PER_MILLISECOND = 12;
 /** Time in milliseconds that a prefill may take besides. */
 const TIMEOUT_MILLISECONDS = 300;
+/** Factor on an engine's expected time for each recent failure. */
+const FAILURE_PENALTY = 3;
 const BODY_MILLISECONDS = 500;
 const AVOID_MILLISECONDS = 800;
 const MAXIMUM_TRIES = 3;
@@ -66,7 +68,15 @@
                 break;
             }
             tried.add(server.id);
+            const startedAt = monotonicMilliseconds();
             const result = await this.#runAt(request, server, extraHeaders);
+            this.services.logger.info("prefill ended", {
+                request: request.id,
+                engine: server.id,
+                tokens: request.promptTokens,
+                milliseconds: Math.round(monotonicMilliseconds() - startedAt),
+                outcome: result.isOk() ? "done" : result.error,
+            });
             if (result.isOk()) {
                 return ok({ server, handle: result.value });
             }
@@ -93,7 +103,8 @@
                 continue;
             }
             const distance = server.failureDomain === target.failureDomain ? 0 : FAR_TOKENS;
-            const cost = (load.total().prefillTokens + request.promptTokens) * (1 + load.failures) + distance
+            const cost = (load.total().prefillTokens + request.promptTokens) * (1 + FAILURE_PENALTY * load.failures)
+                + distance
                 + Math.random();
             if (cost < bestCost) {
                 best = server;
@@ -145,6 +156,9 @@
             if (!handle) {
                 load.noteFailure();
                 load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
+                if (answer.value.status === 421) {
+                    book.markGone(server.id);
+                }
                 return err(`The prefill engine answered with status ${answer.value.status}`);
             }
             metrics.observe("prefill", monotonicMilliseconds() - startedAt);
--- a/packages/gateway/server_book.ts
+++ b/packages/gateway/server_book.ts
@@ -2,6 +2,8 @@
 import type { Directory, ListedServer } from "../directory/mod.ts";
 import { ServerLoad } from "./server_load.ts";
 
+/** Time in milliseconds in which the entry of a server that is gone has been removed. */
+const GONE_MILLISECONDS = 6_000;
 /** Length in milliseconds of the window in which a cold server's requests are counted. */
 const COLD_WINDOW_MILLISECONDS = 1_000;
 
@@ -16,6 +18,8 @@
  */
 export class ServerBook {
     readonly #loads = new Map<string, ServerLoad>();
+    /** Servers that are no longer at their addresses, with their registered starts. */
+    readonly #gone = new Map<string, number>();
 
     /**
      * @param directory Registered servers; the book forgets those that are no longer registered.
@@ -59,6 +63,25 @@
         load.avoidedUntil = Math.max(load.avoidedUntil, monotonicMilliseconds() + milliseconds);
     }
 
+    /**
+     * Notes that another server answers at a server's address; it gets no requests until it registers again.
+     *
+     * @param id Name of the server.
+     */
+    markGone(id: string): void {
+        this.#gone.set(id, this.directory.servers.get(id)?.startedAt ?? 0);
+        this.avoid(id, GONE_MILLISECONDS);
+    }
+
+    /**
+     * Lists the servers at whose addresses other servers answer.
+     *
+     * @returns Their ids.
+     */
+    gone(): string[] {
+        return [...this.#gone.keys()];
+    }
+
     /**
      * Notes what a peer has under way, in place of what it had before.
      *
@@ -91,6 +114,13 @@
     }
 
     #forget(): void {
+        for (const [id, startedAt] of this.#gone) {
+            const listed = this.directory.servers.get(id);
+            if (!listed || listed.startedAt !== startedAt) {
+                this.#gone.delete(id);
+                this.#loads.get(id)?.reset();
+            }
+        }
         for (const [id, load] of this.#loads) {
             if (!this.directory.servers.has(id) && load.active === 0) {
                 this.#loads.delete(id);
--- a/packages/gateway/server_load.ts
+++ b/packages/gateway/server_load.ts
@@ -4,7 +4,7 @@
 /** Weight of the newest observation in moving averages. */
 const AVERAGE_WEIGHT = 0.15;
 /** Time in milliseconds in which a server's failures lose half of their weight. */
-const FAILURE_HALF_LIFE_MILLISECONDS = 2_000;
+const FAILURE_HALF_LIFE_MILLISECONDS = 3_000;
 /** Age in milliseconds above which a peer's report is no longer counted. */
 const PEER_REPORT_MILLISECONDS = 1_500;
 const MAXIMUM_SENT_TIMES = 64;
@@ -104,6 +104,12 @@
             : this.#averageMilliseconds + AVERAGE_WEIGHT * (milliseconds - this.#averageMilliseconds);
     }
 
+    /** Forgets the failures of a former start of the server. */
+    reset(): void {
+        this.avoidedUntil = 0;
+        this.#failures = 0;
+    }
+
     /** Notes a failure. */
     noteFailure(): void {
         this.#failures = this.failures + 1;
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -28,7 +28,7 @@
 type PassOutcome =
     | { kind: "completed"; }
     | { kind: "relayed"; }
-    | { kind: "not-run" | "handle-lost" | "may-have-run" | "broken"; message: string; };
+    | { kind: "not-run" | "moved" | "handle-lost" | "may-have-run" | "broken"; message: string; };
 
 /** What a request has received so far. */
 interface Progress {
@@ -91,13 +91,22 @@
                 break;
             }
             const outcome = await this.#pass(request, grant.value, progress);
+            this.services.logger.info("generation pass ended", {
+                request: request.id,
+                pass: pass + 1,
+                engine: grant.value.server.id,
+                outcome: outcome.kind,
+                cause: "message" in outcome ? outcome.message : undefined,
+                lastEvent: progress.lastEventId,
+                afterMilliseconds: Math.round(monotonicMilliseconds() - request.receivedAt),
+            });
             if (outcome.kind === "completed" || outcome.kind === "relayed") {
                 return;
             }
             if (outcome.kind !== "handle-lost") {
                 progress.excluded.add(grant.value.server.id);
             }
-            if (outcome.kind !== "not-run" && outcome.kind !== "handle-lost") {
+            if (outcome.kind === "may-have-run" || outcome.kind === "broken") {
                 progress.runs++;
                 refusal = failed("backend-failed", "may-have-run", outcome.message);
                 const mayRepeat = request.route.resumable && progress.runs < request.route.maximumServers;
@@ -151,9 +160,12 @@
             }
             reservationUsed = true;
             const outcome = await this.#decode(request, grant, extra, progress);
-            if (outcome.kind === "not-run" && prefilled.isOk()) {
+            if (prefilled.isOk() && (outcome.kind === "not-run" || outcome.kind === "moved")) {
                 const { server, handle } = prefilled.value;
                 this.caller.release(server, engines.releaseHandle(handle));
+                if (outcome.kind === "moved") {
+                    return outcome;
+                }
                 this.services.book.avoid(server.id, AVOID_MILLISECONDS);
                 progress.direct = true;
                 return { kind: "handle-lost", message: outcome.message };
@@ -206,6 +218,10 @@
         metrics.increment("decodes_total", { result: String(status) });
         if (status === 421 || answer.value.headers[headers.notRun] !== undefined) {
             await readAnswerBody(answer.value, GAP_MILLISECONDS, MAXIMUM_ANSWER_BYTES);
+            if (status === 421) {
+                book.markGone(server.id);
+                return { kind: "moved", message: "Another server answers at the engine's address" };
+            }
             return { kind: "not-run", message: `The decode engine answered with status ${status}` };
         }
         if (status !== 200) {
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -9,6 +9,8 @@
     loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
     /** Engines that are changing their stage by order of the instance. */
     changing: z.array(z.string()).max(1_024),
+    /** Servers at whose addresses other servers answer. */
+    gone: z.array(z.string()).max(1_024),
     /** Units spent in the limit's window by organisation. */
     spending: z.record(z.string(), z.number()),
 });
