Requests wait for memory until a prompt can be computed soon; a decode engine computes it when prefill is far behind

Shutdown waited for calls to the store, so 4 processes were killed at the end of the grace time; it now ends in time.

--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -6,23 +6,28 @@
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { GatewayServices } from "./gateway_services.ts";
+import type { PrefillStage } from "./prefill_stage.ts";
 import { ServerChooser } from "./server_chooser.ts";
 
 /** Time in milliseconds after which waiting requests are looked at again without any news. */
 const PERIOD_MILLISECONDS = 25;
 /** Part of the longest answer that is reserved; engines preempt the newest request when more is needed. */
-const OUTPUT_SHARE = 0.6;
-/** Part of a route's target time that a request may wait for memory. */
-const WAIT_SHARE = 0.6;
+const OUTPUT_SHARE = 0.45;
+/** Time in milliseconds that a request may wait for memory. */
+const LONGEST_WAIT_MILLISECONDS = 540;
+/** Time in milliseconds from the end of a prefill to the first event. */
+const FIRST_EVENT_MILLISECONDS = 120;
+/** Time in milliseconds that a prompt may wait for its engine, beyond its own computation, when memory is taken. */
+const PREFILL_WAIT_MILLISECONDS = 200;
 const RESERVE_TIMEOUT_MILLISECONDS = 250;
 /** Time in milliseconds that an engine is passed over after it refused a reservation. */
 const FULL_MILLISECONDS = 120;
 /** Time in milliseconds that an engine is passed over after it did not answer. */
 const SILENT_MILLISECONDS = 1_000;
+/** Time in milliseconds that a prompt's computation by a decode engine costs the engine's other requests. */
+const DIRECT_MILLISECONDS = 150;
 /** Factor by which each recent failure makes an engine's free memory count less. */
 const FAILURE_PENALTY = 2;
-/** Engines tried for the request at the head before it waits again. */
-const MAXIMUM_TRIES = 3;
 
 /** A request that waits for memory. */
 interface Waiter {
@@ -30,7 +35,8 @@
     tokens: number;
     since: number;
     giveUpAt: number;
-    tries: number;
+    /** Whether the first event can no longer come within the route's target. */
+    late: boolean;
     excluded: ReadonlySet<string>;
     resolve: (result: Result<DecodeGrant, GatewayRefusal>) => void;
 }
@@ -41,7 +47,7 @@
  *
  * @example
  * ```ts
- * const queue = new DecodeQueue(services, caller);
+ * const queue = new DecodeQueue(services, caller, prefill);
  * const grant = await queue.acquire(request, new Set());
  * queue.close();
  * ```
@@ -54,10 +60,12 @@
     /**
      * @param services What the gateway works with.
      * @param caller Calls engines.
+     * @param prefill Tells when a prompt can be computed.
      */
     constructor(
         private readonly services: GatewayServices,
         private readonly caller: EngineCaller,
+        private readonly prefill: PrefillStage,
     ) {
         this.#chooser = new ServerChooser(services);
         this.#timer = setInterval(() => this.pump(), PERIOD_MILLISECONDS);
@@ -82,12 +90,11 @@
                 request,
                 tokens: Math.ceil(request.promptTokens + OUTPUT_SHARE * request.outputTokens),
                 since,
-                giveUpAt: Math.min(request.deadline, since + WAIT_SHARE * request.route.targetMilliseconds),
-                tries: 0,
+                late: false,
+                giveUpAt: Math.min(request.deadline, since + LONGEST_WAIT_MILLISECONDS),
                 excluded,
                 resolve,
             });
-            this.#waiters.sort((left, right) => left.request.priority - right.request.priority);
             this.pump();
         });
     }
@@ -96,16 +103,18 @@
     pump(): void {
         const now = monotonicMilliseconds();
         const remaining: Waiter[] = [];
-        let blocked = false;
+        const blocked = new Set<string>();
+        this.#order(now);
         for (const waiter of this.#waiters) {
             if (waiter.request.signal.aborted || now >= waiter.giveUpAt) {
                 this.#giveUp(waiter);
                 continue;
             }
-            const server = blocked ? undefined : this.#choose(waiter, now);
+            const service = waiter.request.service.name;
+            const server = blocked.has(service) ? undefined : this.#choose(waiter, now);
             if (!server) {
-                // Later requests of the same rank must not overtake the head for good.
-                blocked = true;
+                // Others must not overtake the head for good.
+                blocked.add(service);
                 remaining.push(waiter);
                 continue;
             }
@@ -114,6 +123,23 @@
         this.#waiters = remaining;
     }
 
+    /** Orders requests by rank; those that cannot meet their target any more go last. */
+    #order(now: number): void {
+        if (this.#waiters.length < 2) {
+            return;
+        }
+        for (const waiter of this.#waiters) {
+            const { promptTokens, receivedAt, route } = waiter.request;
+            const needed = promptTokens / this.prefill.tokensPerMillisecond + FIRST_EVENT_MILLISECONDS;
+            waiter.late = now + needed > receivedAt + route.targetMilliseconds;
+        }
+        this.#waiters.sort((left, right) =>
+            Number(left.late) - Number(right.late)
+            || left.request.priority - right.request.priority
+            || left.since - right.since
+        );
+    }
+
     /** Ends the queue; waiting requests are refused. */
     close(): void {
         clearInterval(this.#timer);
@@ -136,6 +162,8 @@
     #choose(waiter: Waiter, now: number): ListedServer | undefined {
         const { directory, book } = this.services;
         const service = waiter.request.service;
+        const prefillWait = this.prefill.estimate(waiter.request);
+        const ownTime = waiter.request.promptTokens / this.prefill.tokensPerMillisecond;
         let best: ListedServer | undefined;
         let highest = 0;
         for (const server of directory.usableServers(service.name)) {
@@ -148,7 +176,11 @@
             }
             const free = (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
             const preference = free / (1 + FAILURE_PENALTY * load.failures);
-            if (free >= waiter.tokens && preference > highest) {
+            const wait = Math.min(
+                prefillWait,
+                this.prefill.estimateDirect(waiter.request, server) + DIRECT_MILLISECONDS,
+            );
+            if (free >= waiter.tokens && preference > highest && wait < ownTime + PREFILL_WAIT_MILLISECONDS) {
                 best = server;
                 highest = preference;
             }
@@ -190,11 +222,6 @@
             book.markGone(server.id);
         }
         load.avoidedUntil = monotonicMilliseconds() + (silent ? SILENT_MILLISECONDS : FULL_MILLISECONDS);
-        waiter.tries++;
-        if (waiter.tries >= MAXIMUM_TRIES * 4) {
-            this.#giveUp(waiter);
-            return;
-        }
         this.#waiters.unshift(waiter);
         this.pump();
     }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -26,7 +26,9 @@
 /** Time in milliseconds after the signal to stop during which the balancer still sends connections. */
 const LEAVE_MILLISECONDS = 3_500;
 /** Time in milliseconds before the kill at which what is left is cut. */
-const CUT_MARGIN_MILLISECONDS = 400;
+const CUT_MARGIN_MILLISECONDS = 700;
+/** Time in milliseconds that the last calls to the store and to peers may take. */
+const LAST_CALLS_MILLISECONDS = 300;
 /** Time in milliseconds that the removal of a server is held back while the store recovers. */
 const REMOVAL_MILLISECONDS = 1_700;
 /** Time in milliseconds that a server is avoided after a peer said that it is gone or changes its stage. */
@@ -172,8 +174,7 @@
         const cutAt = startedAt + this.settings.bounds.graceSeconds * MILLISECONDS_PER_SECOND - CUT_MARGIN_MILLISECONDS;
         this.#leaving = true;
         this.#front.leave();
-        await this.#balancer?.close();
-        await this.#leadership?.close();
+        const handover = this.#handOver();
         this.#logger.info("shutting down", { requests: this.#front.active });
         await sleep(Math.min(LEAVE_MILLISECONDS, cutAt - startedAt));
         this.#front.stopAccepting();
@@ -185,11 +186,17 @@
         this.#logger.info("shut down", { requestsCut: this.#front.active });
         this.#front.close();
         this.#removals.close();
-        await Promise.all([this.#mesh.close(), this.#follower?.close()]);
+        await Promise.race([Promise.all([handover, this.#mesh.close()]), sleep(LAST_CALLS_MILLISECONDS)]);
         this.#connections.close();
         this.#store.close();
     }
 
+    /** Gives up what other instances may take over. */
+    async #handOver(): Promise<void> {
+        await this.#balancer?.close();
+        await this.#leadership?.close();
+    }
+
     #apply(change: ItemChange): void {
         const event = this.adapter.decodeItem(change);
         if (!event) {
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -12,6 +12,7 @@
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { GatewayServices } from "./gateway_services.ts";
 import { PlainForwarder } from "./plain_forwarder.ts";
+import { PrefillStage } from "./prefill_stage.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
 import type { TokenLimiter } from "./token_limiter.ts";
@@ -58,9 +59,10 @@
         private readonly limiter: TokenLimiter,
     ) {
         const caller = new EngineCaller(services);
-        this.#queue = new DecodeQueue(services, caller);
+        const prefill = new PrefillStage(services);
+        this.#queue = new DecodeQueue(services, caller, prefill);
         this.#plain = new PlainForwarder(services);
-        this.#streams = new StreamForwarder(services, this.#queue, caller);
+        this.#streams = new StreamForwarder(services, this.#queue, caller, prefill);
         this.#server = createServer({
             maxHeaderSize: MAXIMUM_PARSED_HEADER_BYTES,
             keepAliveTimeout: DEFAULT_IDLE_MILLISECONDS,
--- a/packages/gateway/prefill_stage.ts
+++ b/packages/gateway/prefill_stage.ts
@@ -10,6 +10,15 @@
 
 /** Prompt tokens that outweigh a transfer between failure domains when a prefill engine is chosen. */
 const FAR_TOKENS = 600;
+/** Prompt tokens that an engine is taken to compute in a millisecond before it was measured. */
+const INITIAL_TOKENS_PER_MILLISECOND = 25;
+/** Weight of the newest measurement. */
+const SAMPLE_WEIGHT = 0.1;
+/** Prompt tokens from which on a prefill tells the engine's speed rather than the network's. */
+const SAMPLE_TOKENS = 1_000;
+/** Part of a prefill engine's speed at which a decode engine computes a prompt beside its other work. */
+const DIRECT_SPEED_SHARE = 0.45;
+const NONE: ReadonlySet<string> = new Set();
 /** Prompt tokens in a millisecond below which a prefill engine counts as failed. */
 const SLOWEST_TOKENS_PER_MILLISECOND = 12;
 /** Time in milliseconds that a prefill may take besides. */
@@ -37,6 +46,7 @@
  */
 export class PrefillStage {
     readonly #chooser: ServerChooser;
+    #tokensPerMillisecond = INITIAL_TOKENS_PER_MILLISECOND;
 
     /**
      * @param services What the gateway works with.
@@ -45,6 +55,37 @@
         this.#chooser = new ServerChooser(services);
     }
 
+    /** Prompt tokens that one prefill engine computes in a millisecond, as measured. */
+    get tokensPerMillisecond(): number {
+        return this.#tokensPerMillisecond;
+    }
+
+    /**
+     * Estimates when a prefill engine would have computed a prompt.
+     *
+     * @param request The request.
+     * @returns Milliseconds from now; infinite when no prefill engine may be used.
+     */
+    estimate(request: GatewayRequest): number {
+        const server = this.#choose(request, undefined, NONE);
+        return server
+            ? (this.services.book.of(server.id).total().prefillTokens + request.promptTokens)
+                / this.#tokensPerMillisecond
+            : Number.POSITIVE_INFINITY;
+    }
+
+    /**
+     * Estimates when a decode engine would have computed a prompt by itself.
+     *
+     * @param request The request.
+     * @param server The decode engine.
+     * @returns Milliseconds from now.
+     */
+    estimateDirect(request: GatewayRequest, server: ListedServer): number {
+        const tokens = this.services.book.of(server.id).total().prefillTokens + request.promptTokens;
+        return tokens / (this.#tokensPerMillisecond * DIRECT_SPEED_SHARE);
+    }
+
     /**
      * Has a prompt computed.
      *
@@ -87,7 +128,7 @@
 
     #choose(
         request: GatewayRequest,
-        target: ListedServer,
+        target: ListedServer | undefined,
         tried: ReadonlySet<string>,
     ): ListedServer | undefined {
         const { directory, book } = this.services;
@@ -102,7 +143,7 @@
             ) {
                 continue;
             }
-            const distance = server.failureDomain === target.failureDomain ? 0 : FAR_TOKENS;
+            const distance = !target || server.failureDomain === target.failureDomain ? 0 : FAR_TOKENS;
             const cost = (load.total().prefillTokens + request.promptTokens) * (1 + FAILURE_PENALTY * load.failures)
                 + distance
                 + Math.random();
@@ -122,6 +163,7 @@
         const { headers, engines, connections, book, metrics } = this.services;
         const load = book.of(server.id);
         const startedAt = monotonicMilliseconds();
+        const alone = load.total().prefillTokens === 0;
         load.prefillTokens += request.promptTokens;
         const expected = TIMEOUT_MILLISECONDS + load.total().prefillTokens / SLOWEST_TOKENS_PER_MILLISECOND;
         load.active++;
@@ -161,7 +203,12 @@
                 }
                 return err(`The prefill engine answered with status ${answer.value.status}`);
             }
-            metrics.observe("prefill", monotonicMilliseconds() - startedAt);
+            const milliseconds = monotonicMilliseconds() - startedAt;
+            metrics.observe("prefill", milliseconds);
+            if (alone && request.promptTokens > SAMPLE_TOKENS) {
+                this.#tokensPerMillisecond += SAMPLE_WEIGHT
+                    * (request.promptTokens / milliseconds - this.#tokensPerMillisecond);
+            }
             return ok(handle);
         }
         finally {
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -12,10 +12,12 @@
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { GatewayServices } from "./gateway_services.ts";
-import { PrefillStage } from "./prefill_stage.ts";
+import type { PrefillStage } from "./prefill_stage.ts";
 
 /** Passes through prefill and decode of one request at most. */
 const MAXIMUM_PASSES = 4;
+/** Time in milliseconds that must be gained for a decode engine to compute a prompt beside its other work. */
+const DIRECT_PENALTY_MILLISECONDS = 600;
 const AVOID_MILLISECONDS = 800;
 /** Silence in milliseconds after which an engine counts as failed when its stream may be continued elsewhere. */
 const RESUMABLE_GAP_MILLISECONDS = 700;
@@ -46,24 +48,22 @@
  *
  * @example
  * ```ts
- * await new StreamForwarder(services, queue, caller).forward(request);
+ * await new StreamForwarder(services, queue, caller, prefill).forward(request);
  * ```
  */
 export class StreamForwarder {
-    readonly #prefill: PrefillStage;
-
     /**
      * @param services What the gateway works with.
      * @param queue Reserves memory.
      * @param caller Calls engines.
+     * @param prefill Has prompts computed.
      */
     constructor(
         private readonly services: GatewayServices,
         private readonly queue: DecodeQueue,
         private readonly caller: EngineCaller,
-    ) {
-        this.#prefill = new PrefillStage(services);
-    }
+        private readonly prefill: PrefillStage,
+    ) {}
 
     /**
      * Forwards a request and answers its caller.
@@ -140,9 +140,9 @@
             const resume = progress.lastEventId === undefined
                 ? []
                 : [this.services.headers.lastEventId, String(progress.lastEventId)];
-            const prefilled = progress.direct
+            const prefilled = progress.direct || this.#isDirectFaster(request, grant)
                 ? err("The prompt is computed by the decode engine")
-                : await this.#prefill.run(request, grant.server, resume, progress.prefilled);
+                : await this.prefill.run(request, grant.server, resume, progress.prefilled);
             progress.prefilled = true;
             if (request.signal.aborted) {
                 prefilled.map(({ server, handle }) =>
@@ -159,7 +159,15 @@
                 );
             }
             reservationUsed = true;
-            const outcome = await this.#decode(request, grant, extra, progress);
+            const load = this.services.book.of(grant.server.id);
+            const directTokens = prefilled.isOk() ? 0 : request.promptTokens;
+            load.prefillTokens += directTokens;
+            const settle = () => {
+                load.prefillTokens -= settled ? 0 : directTokens;
+                settled = true;
+            };
+            let settled = false;
+            const outcome = await this.#decode(request, grant, extra, progress, settle).finally(settle);
             if (prefilled.isOk() && (outcome.kind === "not-run" || outcome.kind === "moved")) {
                 const { server, handle } = prefilled.value;
                 this.caller.release(server, engines.releaseHandle(handle));
@@ -180,11 +188,17 @@
         }
     }
 
+    #isDirectFaster(request: GatewayRequest, grant: DecodeGrant): boolean {
+        const direct = this.prefill.estimateDirect(request, grant.server);
+        return this.prefill.estimate(request) > direct + DIRECT_PENALTY_MILLISECONDS;
+    }
+
     async #decode(
         request: GatewayRequest,
         grant: DecodeGrant,
         extra: string[],
         progress: Progress,
+        onFirstEvent: () => void,
     ): Promise<PassOutcome> {
         const { headers, connections, book, metrics } = this.services;
         const { server } = grant;
@@ -234,7 +248,7 @@
             load.noteFailure();
             return { kind: "may-have-run", message: "The engine's answer is not signed or is encoded" };
         }
-        return await this.#relayEvents(request, answer.value, progress);
+        return await this.#relayEvents(request, answer.value, progress, onFirstEvent);
     }
 
     async #relayFailure(request: GatewayRequest, answer: BackendAnswer): Promise<PassOutcome> {
@@ -252,7 +266,12 @@
         return { kind: "relayed" };
     }
 
-    #relayEvents(request: GatewayRequest, answer: BackendAnswer, progress: Progress): Promise<PassOutcome> {
+    #relayEvents(
+        request: GatewayRequest,
+        answer: BackendAnswer,
+        progress: Progress,
+        onFirstEvent: () => void,
+    ): Promise<PassOutcome> {
         const { response } = request;
         const splitter = new EventSplitter();
         return new Promise(resolve => {
@@ -289,6 +308,7 @@
                         return;
                     }
                     progress.lastEventId = event.id;
+                    onFirstEvent();
                     if (!response.headersSent) {
                         this.services.metrics.observe("first_event", monotonicMilliseconds() - request.receivedAt);
                         response.writeHead(200, relayHeaders(answer.rawHeaders, NONE));
