--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -1,6 +1,7 @@
 import { randomBytes } from "node:crypto";
 import { once } from "node:events";
 import { createServer, type Server } from "node:http";
+import type { Writable } from "node:stream";
 import { BackendConnections } from "../backends/mod.ts";
 import { monotonicMilliseconds, sleep, SuspensionAwareClock } from "../clocks/mod.ts";
 import { type CoordinationStore, Leadership } from "../coordination/mod.ts";
@@ -73,12 +74,14 @@
     /**
      * @param settings Checked settings.
      * @param adapter The platform's names, formats and calls.
+     * @param logOutput Where log lines go. Default: standard output.
      */
     constructor(
         private readonly settings: GatewaySettings,
         private readonly adapter: GatewayAdapter,
+        logOutput: Writable = process.stdout,
     ) {
-        this.#logger = createLogger(settings.name, process.stdout);
+        this.#logger = createLogger(settings.name, logOutput);
         this.#store = adapter.openStore(settings.storeAddress, this.#metrics);
         const instanceCount = () => this.#instanceCount();
         const { bounds } = settings;
@@ -87,6 +90,7 @@
             windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
             excess: bounds.quotaExcess,
             slack: bounds.quotaSlack,
+            firstStart: settings.firstStart,
             instanceCount,
             clock: this.#clock,
         });
@@ -123,7 +127,7 @@
         this.#services = services;
         this.#front = new GatewayServer(services, this.#limiter);
         this.#readiness = createServer((request, response) => {
-            response.writeHead(request.url === adapter.readinessPath && this.#isReady() ? 200 : 503);
+            response.writeHead(request.url === adapter.readinessPath && this.ready ? 200 : 503);
             response.end();
         });
         this.#exposition = createServer((_request, response) => {
@@ -165,7 +169,8 @@
     }
 
     /**
-     * Stops without cutting a request, as far as the time until the kill allows.
+     * Stops without cutting a request, as far as the time until the kill allows. Calls to the store that are under way
+     * are not awaited, since the process is about to end.
      *
      * @returns A promise that resolves once nothing is left to do.
      */
@@ -185,10 +190,23 @@
         }
         this.#logger.info("shut down", { requestsCut: this.#front.active });
         this.#front.close();
-        this.#removals.close();
         await Promise.race([Promise.all([handover, this.#mesh.close()]), sleep(LAST_CALLS_MILLISECONDS)]);
+    }
+
+    /**
+     * Stops at once; requests under way are cut.
+     *
+     * @returns A promise that resolves once every port is closed.
+     */
+    async close(): Promise<void> {
+        this.#leaving = true;
+        this.#front.close();
+        this.#removals.close();
         this.#connections.close();
         this.#store.close();
+        await Promise.all([this.#follower?.close(), this.#handOver(), this.#mesh.close()]);
+        this.#readiness.close();
+        this.#exposition.close();
     }
 
     /** Gives up what other instances may take over. */
@@ -235,7 +253,18 @@
         return !failClosed || this.#age() < revokeMilliseconds * STALE_SHARE;
     }
 
-    #isReady(): boolean {
+    /** Number of instances known, this one included. */
+    get instances(): number {
+        return this.#mesh.size;
+    }
+
+    /** Version of the configuration in force; undefined before the first. */
+    get configurationVersion(): number | undefined {
+        return this.#directory.configuration?.version;
+    }
+
+    /** Whether the balancer may send requests. */
+    get ready(): boolean {
         if (this.#leaving || !this.#directory.configuration) {
             return false;
         }
--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -52,6 +52,8 @@
     seedAddresses: z.array(address).default([]),
     /** Address of the platform's key-value store. */
     storeAddress: address,
+    /** Whether the whole fleet starts for the first time. */
+    firstStart: z.boolean().default(false),
     /** Memory that the process may use. */
     memoryMegabytes: z.number().min(16),
     bounds: bounds.default(() => bounds.parse({})),
--- a/packages/gateway/server_chooser.ts
+++ b/packages/gateway/server_chooser.ts
@@ -2,8 +2,6 @@
 import type { ListedServer } from "../directory/mod.ts";
 import type { GatewayServices } from "./gateway_services.ts";
 
-/** Time in milliseconds that a server without any answer is expected to take. */
-const UNKNOWN_ANSWER_MILLISECONDS = 50;
 /** Factor on a server's expected time for each recent failure. */
 const FAILURE_PENALTY = 2;
 
@@ -33,13 +31,18 @@
         const now = monotonicMilliseconds();
         let best: ListedServer | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
-        for (const server of directory.usableServers(service)) {
+        const servers = directory.usableServers(service);
+        // A server without a recent answer is taken for as fast as the fastest, so that it gets a request.
+        const fastest = Math.min(
+            ...servers.map(({ id }) => book.of(id).averageMilliseconds ?? Number.POSITIVE_INFINITY),
+        );
+        for (const server of servers) {
             if (tried.has(server.id) || !book.admits(server, this.coldLimit(service))) {
                 continue;
             }
             const load = book.of(server.id);
-            const expected = load.averageMilliseconds ?? UNKNOWN_ANSWER_MILLISECONDS;
-            const waiting = Math.max(1, (load.total().active + 1) / Math.max(1, server.slots));
+            const expected = load.averageMilliseconds ?? (Number.isFinite(fastest) ? fastest : 1);
+            const waiting = (load.total().active + 1) / Math.max(1, server.slots);
             const avoided = load.avoidedUntil > now ? 1e6 : 0;
             const cost = expected * waiting * (1 + FAILURE_PENALTY * load.failures) * (1 + Math.random() * 0.2)
                 + avoided;
--- a/packages/gateway/server_load.ts
+++ b/packages/gateway/server_load.ts
@@ -3,6 +3,8 @@
 
 /** Weight of the newest observation in moving averages. */
 const AVERAGE_WEIGHT = 0.15;
+/** Time in milliseconds after which an average tells nothing about a server any more. */
+const AVERAGE_LIFETIME_MILLISECONDS = 3_000;
 /** Time in milliseconds in which a server's failures lose half of their weight. */
 const FAILURE_HALF_LIFE_MILLISECONDS = 3_000;
 /** Age in milliseconds above which a peer's report is no longer counted. */
@@ -20,14 +22,16 @@
     /** Monotonic time until which the server is not chosen. */
     avoidedUntil = 0;
     #averageMilliseconds: number | undefined;
+    #averagedAt = 0;
     #failures = 0;
     #failuresAt = 0;
     #sentAt: number[] = [];
     readonly #peers = new Map<string, { load: PeerServerLoad; at: number; }>();
 
-    /** Moving average of the time of an answer in milliseconds; undefined before the first one. */
+    /** Moving average of the time of an answer in milliseconds; undefined when there was none lately. */
     get averageMilliseconds(): number | undefined {
-        return this.#averageMilliseconds;
+        const old = monotonicMilliseconds() - this.#averagedAt > AVERAGE_LIFETIME_MILLISECONDS;
+        return old ? undefined : this.#averageMilliseconds;
     }
 
     /** Recent failures, weighted by age. */
@@ -99,9 +103,11 @@
      * @param milliseconds Time that it took.
      */
     noteSuccess(milliseconds: number): void {
-        this.#averageMilliseconds = this.#averageMilliseconds === undefined
+        const average = this.averageMilliseconds;
+        this.#averageMilliseconds = average === undefined
             ? milliseconds
-            : this.#averageMilliseconds + AVERAGE_WEIGHT * (milliseconds - this.#averageMilliseconds);
+            : average + AVERAGE_WEIGHT * (milliseconds - average);
+        this.#averagedAt = monotonicMilliseconds();
     }
 
     /** Forgets the failures of a former start of the server. */
--- a/packages/gateway/token_limiter.ts
+++ b/packages/gateway/token_limiter.ts
@@ -9,6 +9,8 @@
 /** Parts of the permitted excess that are used; the rest covers what peers spend until their reports arrive. */
 const USED_EXCESS_SHARE = 0.5;
 const USED_SLACK_SHARE = 0.55;
+/** Part of an equal share that a former process at this place is taken to have spent in the window before its end. */
+const FORMER_SHARE = 0.5;
 const MILLISECONDS_PER_SECOND = 1_000;
 const RETRY_MILLISECONDS = 1_000;
 
@@ -122,7 +124,8 @@
         }
         const silent = Math.max(0, this.options.instanceCount() - 1 - heard);
         // What a former process at this place spent in the window is not known.
-        const own = share * Math.max(0, 1 - (now - this.#startedAt) / this.options.windowMilliseconds);
+        const age = (now - this.#startedAt) / this.options.windowMilliseconds;
+        const own = this.options.firstStart ? 0 : share * FORMER_SHARE * Math.max(0, 1 - age);
         return spent + silent * share + own;
     }
 
--- a/packages/gateway/token_limiter_options.ts
+++ b/packages/gateway/token_limiter_options.ts
@@ -10,5 +10,7 @@
     slack: number;
     /** Number of instances that share the limits, this one included. */
     instanceCount: () => number;
+    /** Whether the fleet starts for the first time, so that nothing was spent before. */
+    firstStart: boolean;
     clock: SuspensionAwareClock;
 }
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -53,6 +53,7 @@
     #pulls: RepeatingTask | undefined;
     #reportedAt = 0;
     #nextPull = 0;
+    #closed = false;
 
     /**
      * @param options What the mesh works with.
@@ -97,6 +98,10 @@
      * @returns A promise that resolves once all is closed.
      */
     async close(): Promise<void> {
+        if (this.#closed) {
+            return;
+        }
+        this.#closed = true;
         await Promise.all([this.#registration?.close(), this.#reports?.close(), this.#pulls?.close()]);
         this.#pool.close();
         await this.#server.close();
--- a/packages/stand_ins/mod.ts
+++ b/packages/stand_ins/mod.ts
@@ -7,5 +7,5 @@
 export { runStandIns } from "./run_stand_ins.ts";
 export { ServiceStandIn } from "./service_stand_in.ts";
 export type { StandInConfiguration } from "./stand_in_configuration.ts";
-export type { StandInServer } from "./stand_in_server.ts";
+export { StandInServer } from "./stand_in_server.ts";
 export { StoreStandIn } from "./store_stand_in.ts";
