Resets that come with the last bytes are noticed; a leaving instance closes idle connections and takes no new streams

Also: spending was reported to peers only when the load changed, so a limit was exceeded for up to 500 ms.

--- a/packages/backends/backend_answer.ts
+++ b/packages/backends/backend_answer.ts
@@ -1,5 +1,4 @@
 import type { IncomingMessage } from "node:http";
-import type { Socket } from "node:net";
 
 /** The beginning of an answer; its body is still to be read. */
 export interface BackendAnswer {
@@ -9,7 +8,8 @@
     /** Names and values by turns, as they were sent. */
     rawHeaders: string[];
     body: IncomingMessage;
-    connection: Socket;
+    /** Tells whether a body without a length was cut by a reset of its connection. */
+    wasReset: () => boolean;
     /** Closes the connection. */
     close(): void;
 }
--- a/packages/backends/backend_connections.ts
+++ b/packages/backends/backend_connections.ts
@@ -136,6 +136,24 @@
     });
 }
 
+/** Whether an answer's length is known from its head. */
+function isFramed(response: IncomingMessage): boolean {
+    return response.headers["content-length"] !== undefined || response.headers["transfer-encoding"] !== undefined;
+}
+
+/**
+ * Notes whether a connection is reset at the end of its data. A reset that comes with the last bytes is reported as an
+ * ordinary end; only then the connection has no peer any more.
+ */
+function watchForReset(response: IncomingMessage): () => boolean {
+    const { socket } = response;
+    let reset = false;
+    socket.prependListener("end", () => {
+        reset = socket.remoteAddress === undefined;
+    });
+    return () => reset || Boolean(socket.errored);
+}
+
 function toAnswer(response: IncomingMessage, outgoing: ClientRequest): BackendAnswer {
     const headers: Record<string, string> = {};
     for (const [name, value] of Object.entries(response.headers)) {
@@ -148,7 +166,7 @@
         headers,
         rawHeaders: response.rawHeaders,
         body: response,
-        connection: response.socket,
+        wasReset: isFramed(response) ? () => false : watchForReset(response),
         close: () => outgoing.destroy(),
     };
 }
--- a/packages/backends/is_answer_complete.ts
+++ b/packages/backends/is_answer_complete.ts
@@ -12,6 +12,5 @@
  * ```
  */
 export function isAnswerComplete(answer: BackendAnswer): boolean {
-    const framed = answer.headers["content-length"] !== undefined || answer.headers["transfer-encoding"] !== undefined;
-    return answer.body.complete && (framed || !answer.connection.errored);
+    return answer.body.complete && !answer.wasReset();
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -25,7 +25,8 @@
 /** Age in milliseconds of the configuration up to which missing routes and keys are denied. */
 const FRESH_MILLISECONDS = 1_900;
 /** Time in milliseconds after the signal to stop during which the balancer still sends connections. */
-const LEAVE_MILLISECONDS = 3_500;
+const LEAVE_MILLISECONDS = 2_900;
+const LEAVE_STEP_MILLISECONDS = 25;
 /** Time in milliseconds before the kill at which what is left is cut. */
 const CUT_MARGIN_MILLISECONDS = 700;
 /** Time in milliseconds that the last calls to the store and to peers may take. */
@@ -181,13 +182,19 @@
         this.#front.leave();
         const handover = this.#handOver();
         this.#logger.info("shutting down", { requests: this.#front.active });
-        await sleep(Math.min(LEAVE_MILLISECONDS, cutAt - startedAt));
-        this.#front.stopAccepting();
-        while (this.#front.active > 0 && monotonicMilliseconds() < cutAt) {
-            // Answers that had begun before the signal leave their connections open.
+        while (monotonicMilliseconds() < cutAt) {
+            // Callers on idle connections, and those whose answers had begun before the signal, go elsewhere.
             this.#front.closeIdle();
-            await sleep(20);
+            await sleep(LEAVE_STEP_MILLISECONDS);
+            const left = monotonicMilliseconds() - startedAt > LEAVE_MILLISECONDS;
+            if (left && this.#front.active === 0) {
+                break;
+            }
+            if (left) {
+                this.#front.refuseStreams();
+            }
         }
+        this.#front.stopAccepting();
         this.#logger.info("shut down", { requestsCut: this.#front.active });
         this.#front.close();
         await Promise.race([Promise.all([handover, this.#mesh.close()]), sleep(LAST_CALLS_MILLISECONDS)]);
@@ -284,7 +291,8 @@
                 loads[id] = [load.active, load.reservedTokens, load.prefillTokens];
             }
         }
-        const text = JSON.stringify(loads);
+        const spending = this.#limiter.spending();
+        const text = JSON.stringify([loads, spending]);
         if (!force && text === this.#lastReport) {
             return undefined;
         }
@@ -293,7 +301,7 @@
             loads,
             changing: this.#balancer?.changing() ?? [],
             gone: this.#book.gone(),
-            spending: this.#limiter.spending(),
+            spending,
         };
     }
 
--- a/packages/gateway/gateway_refusal_reason.ts
+++ b/packages/gateway/gateway_refusal_reason.ts
@@ -1,6 +1,7 @@
 /** Why the router ends a request itself; each has a counter and a row in docs/OPERATIONS.md. */
 export type GatewayRefusalReason =
     | "not-configured"
+    | "leaving"
     | "configuration-stale"
     | "route-unknown"
     | "key-missing"
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -24,6 +24,7 @@
 const DEFAULT_HEADER_MILLISECONDS = 3_000;
 /** Time in milliseconds that a caller may take to send a body. */
 const BODY_MILLISECONDS = 10_000;
+const RETRY_WHEN_LEFT_MILLISECONDS = 500;
 const RETRY_WHEN_CONFIGURED_MILLISECONDS = 500;
 
 /** How a request was admitted. */
@@ -49,6 +50,7 @@
     readonly #sockets = new Map<Socket, { busy: boolean; }>();
     #active = 0;
     #leaving = false;
+    #refusingStreams = false;
 
     /**
      * @param services What the gateway works with.
@@ -117,6 +119,11 @@
         this.closeIdle();
     }
 
+    /** Refuses model requests from now on, since they may take longer than the instance has left. */
+    refuseStreams(): void {
+        this.#refusingStreams = true;
+    }
+
     /** Closes connections without a request. */
     closeIdle(): void {
         this.#server.closeIdleConnections();
@@ -257,6 +264,9 @@
         if (!service) {
             return refused(503, "no-backend-server", "The route's service is not known", 1_000);
         }
+        if (this.#refusingStreams && service.engine) {
+            return refused(503, "leaving", "The instance is shutting down", RETRY_WHEN_LEFT_MILLISECONDS);
+        }
         const wait = Number(headerOf(incoming, headers.remainingMilliseconds) ?? route.timeoutMilliseconds);
         const callerDeadline = receivedAt + (Number.isFinite(wait) && wait >= 0 ? wait : route.timeoutMilliseconds);
         const [promptTokens, outputTokens] = tokensOf(headerOf(incoming, headers.tokenCounts));
