--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -24,8 +24,6 @@
 const FULL_MILLISECONDS = 120;
 /** Time in milliseconds that an engine is passed over after it did not answer. */
 const SILENT_MILLISECONDS = 1_000;
-/** Time in milliseconds that a prompt's computation by a decode engine costs the engine's other requests. */
-const DIRECT_MILLISECONDS = 150;
 /** Factor by which each recent failure makes an engine's free memory count less. */
 const FAILURE_PENALTY = 2;
 
@@ -162,8 +160,8 @@
     #choose(waiter: Waiter, now: number): ListedServer | undefined {
         const { directory, book } = this.services;
         const service = waiter.request.service;
-        const prefillWait = this.prefill.estimate(waiter.request);
-        const ownTime = waiter.request.promptTokens / this.prefill.tokensPerMillisecond;
+        const prefillWait = this.prefill.estimate(waiter.request)
+            - waiter.request.promptTokens / this.prefill.tokensPerMillisecond;
         let best: ListedServer | undefined;
         let highest = 0;
         for (const server of directory.usableServers(service.name)) {
@@ -176,11 +174,8 @@
             }
             const free = (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
             const preference = free / (1 + FAILURE_PENALTY * load.failures);
-            const wait = Math.min(
-                prefillWait,
-                this.prefill.estimateDirect(waiter.request, server) + DIRECT_MILLISECONDS,
-            );
-            if (free >= waiter.tokens && preference > highest && wait < ownTime + PREFILL_WAIT_MILLISECONDS) {
+            const soon = prefillWait < PREFILL_WAIT_MILLISECONDS || this.prefill.isDirectFaster(waiter.request, server);
+            if (free >= waiter.tokens && preference > highest && soon) {
                 best = server;
                 highest = preference;
             }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -265,6 +265,11 @@
         return this.#mesh.size;
     }
 
+    /** Number of registered servers. */
+    get servers(): number {
+        return this.#directory.servers.size;
+    }
+
     /** Version of the configuration in force; undefined before the first. */
     get configurationVersion(): number | undefined {
         return this.#directory.configuration?.version;
--- a/packages/gateway/prefill_stage.ts
+++ b/packages/gateway/prefill_stage.ts
@@ -18,6 +18,8 @@
 const SAMPLE_TOKENS = 1_000;
 /** Part of a prefill engine's speed at which a decode engine computes a prompt beside its other work. */
 const DIRECT_SPEED_SHARE = 0.45;
+/** Time in milliseconds that must be gained for a decode engine to compute a prompt beside its other work. */
+const DIRECT_PENALTY_MILLISECONDS = 600;
 const NONE: ReadonlySet<string> = new Set();
 /** Prompt tokens in a millisecond below which a prefill engine counts as failed. */
 const SLOWEST_TOKENS_PER_MILLISECOND = 12;
@@ -75,15 +77,16 @@
     }
 
     /**
-     * Estimates when a decode engine would have computed a prompt by itself.
+     * Tells whether a decode engine should compute a prompt by itself, since prefill engines are far behind or lacking.
      *
      * @param request The request.
      * @param server The decode engine.
-     * @returns Milliseconds from now.
+     * @returns Whether it should.
      */
-    estimateDirect(request: GatewayRequest, server: ListedServer): number {
+    isDirectFaster(request: GatewayRequest, server: ListedServer): boolean {
         const tokens = this.services.book.of(server.id).total().prefillTokens + request.promptTokens;
-        return tokens / (this.#tokensPerMillisecond * DIRECT_SPEED_SHARE);
+        const direct = tokens / (this.#tokensPerMillisecond * DIRECT_SPEED_SHARE);
+        return this.estimate(request) > direct + DIRECT_PENALTY_MILLISECONDS;
     }
 
     /**
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -16,8 +16,6 @@
 
 /** Passes through prefill and decode of one request at most. */
 const MAXIMUM_PASSES = 4;
-/** Time in milliseconds that must be gained for a decode engine to compute a prompt beside its other work. */
-const DIRECT_PENALTY_MILLISECONDS = 600;
 const AVOID_MILLISECONDS = 800;
 /** Silence in milliseconds after which an engine counts as failed when its stream may be continued elsewhere. */
 const RESUMABLE_GAP_MILLISECONDS = 700;
@@ -140,7 +138,7 @@
             const resume = progress.lastEventId === undefined
                 ? []
                 : [this.services.headers.lastEventId, String(progress.lastEventId)];
-            const prefilled = progress.direct || this.#isDirectFaster(request, grant)
+            const prefilled = progress.direct || this.prefill.isDirectFaster(request, grant.server)
                 ? err("The prompt is computed by the decode engine")
                 : await this.prefill.run(request, grant.server, resume, progress.prefilled);
             progress.prefilled = true;
@@ -188,11 +186,6 @@
         }
     }
 
-    #isDirectFaster(request: GatewayRequest, grant: DecodeGrant): boolean {
-        const direct = this.prefill.estimateDirect(request, grant.server);
-        return this.prefill.estimate(request) > direct + DIRECT_PENALTY_MILLISECONDS;
-    }
-
     async #decode(
         request: GatewayRequest,
         grant: DecodeGrant,
