Requests that crash servers are refused after the third, at every instance

Cause: the gateway sent a repeated request to one server after another although each crashed under it. A broken connection makes its requests suspects; the end of the server's entry, a refused connection or another server at its address confirms the crash, and peers are told.

--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -215,6 +215,7 @@
         }
         if (answer.status === 421) {
             book.markGone(server.id);
+            this.services.crashes.confirm(server.id);
         }
         load.avoidedUntil = monotonicMilliseconds() + (silent ? SILENT_MILLISECONDS : FULL_MILLISECONDS);
         this.#waiters.unshift(waiter);
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -11,6 +11,7 @@
 import { Metrics } from "../metrics/mod.ts";
 import { PeerMesh, type PeerReport } from "../peers/mod.ts";
 import { type ItemChange, ItemReplica, ReplicaFollower } from "../replica/mod.ts";
+import { CrashRegistry } from "./crash_registry.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewayServices } from "./gateway_services.ts";
@@ -63,6 +64,7 @@
     readonly #incarnation = randomBytes(4).toString("hex");
     readonly #book: ServerBook;
     readonly #limiter: TokenLimiter;
+    readonly #crashes: CrashRegistry;
     readonly #mesh: PeerMesh;
     readonly #removals = new RemovalDelay(id => this.#directory.apply({ kind: "server-removed", id }));
     readonly #services: GatewayServices;
@@ -87,6 +89,7 @@
         const instanceCount = () => this.#instanceCount();
         const { bounds } = settings;
         this.#book = new ServerBook(this.#directory);
+        this.#crashes = new CrashRegistry(this.#directory, this.#logger);
         this.#limiter = new TokenLimiter({
             windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
             excess: bounds.quotaExcess,
@@ -121,6 +124,7 @@
             instanceCount,
             isKeyCurrent: key => this.#isKeyCurrent(key),
             isConfigurationFresh: () => this.#age() < FRESH_MILLISECONDS,
+            crashes: this.#crashes,
             clock: this.#clock,
             metrics: this.#metrics,
             logger: this.#logger,
@@ -265,9 +269,9 @@
         return this.#mesh.size;
     }
 
-    /** Number of registered servers. */
-    get servers(): number {
-        return this.#directory.servers.size;
+    /** Ids of the registered servers. */
+    get serverIds(): string[] {
+        return [...this.#directory.servers.keys()];
     }
 
     /** Version of the configuration in force; undefined before the first. */
@@ -289,7 +293,7 @@
     }
 
     /** Describes this instance's load to its peers; undefined if it is as last described. */
-    #describe(force: boolean): Pick<PeerReport, "loads" | "changing" | "gone" | "spending"> | undefined {
+    #describe(force: boolean): Pick<PeerReport, "loads" | "changing" | "gone" | "crashes" | "spending"> | undefined {
         const loads: PeerReport["loads"] = {};
         for (const [id, load] of this.#book.entries()) {
             if (load.active > 0 || load.reservedTokens > 0) {
@@ -306,6 +310,7 @@
             loads,
             changing: this.#balancer?.changing() ?? [],
             gone: this.#book.gone(),
+            crashes: this.#crashes.recent(),
             spending,
         };
     }
@@ -313,6 +318,7 @@
     #receive(report: PeerReport): void {
         this.#book.notePeer(report.name, report.loads);
         [...report.changing, ...report.gone].forEach(id => this.#book.avoid(id, AVOIDED_MILLISECONDS));
+        report.crashes.forEach(([fingerprint, server]) => this.#crashes.notePeer(fingerprint, server));
         this.#limiter.notePeer(`${report.name}/${report.incarnation}`, report.spending);
     }
 }
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -213,6 +213,16 @@
             endRequest(request, refusal, this.services);
             return;
         }
+        if (this.services.crashes.isConvicted(request)) {
+            const message = "Servers have crashed each time that the request ran";
+            endRequest(request, {
+                status: 502,
+                reason: "request-crashes-servers",
+                verdict: "may-have-run",
+                message,
+            }, this.services);
+            return;
+        }
         retries.noteRequest(request.service.name);
         metrics.increment("gateway_requests_total", { kind: request.route.kind });
         await (request.service.engine ? this.#streams : this.#plain).forward(request);
--- a/packages/gateway/gateway_services.ts
+++ b/packages/gateway/gateway_services.ts
@@ -3,6 +3,7 @@
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { CrashRegistry } from "./crash_registry.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
@@ -18,6 +19,7 @@
     book: ServerBook;
     connections: BackendConnections;
     retries: RetryAllowance;
+    crashes: CrashRegistry;
     /** Number of instances that share the fleet's limits, at least 1. */
     instanceCount(): number;
     /** Whether a key that was accepted may still be used. */
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -133,6 +133,12 @@
                 correlation: { header: headers.requestId, value: request.id },
             });
             if (answer.isErr()) {
+                if (answer.error.kind === "reset") {
+                    this.services.crashes.suspect(request, server.id);
+                }
+                if (answer.error.kind === "unreachable") {
+                    this.services.crashes.confirm(server.id);
+                }
                 return this.#noteFault(load, answer.error);
             }
             const { status } = answer.value;
@@ -148,6 +154,7 @@
             if (status === 421 || answer.value.headers[headers.notRun] !== undefined) {
                 if (status === 421) {
                     book.markGone(server.id);
+                    this.services.crashes.confirm(server.id);
                 }
                 else {
                     book.avoid(server.id, FULL_MILLISECONDS);
--- a/packages/gateway/prefill_stage.ts
+++ b/packages/gateway/prefill_stage.ts
@@ -189,6 +189,9 @@
             });
             if (answer.isErr()) {
                 metrics.increment("prefills_total", { result: answer.error.kind });
+                if (answer.error.kind === "reset") {
+                    this.services.crashes.suspect(request, server.id);
+                }
                 if (answer.error.kind !== "aborted") {
                     load.noteFailure();
                     load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
@@ -203,6 +206,7 @@
                 load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
                 if (answer.value.status === 421) {
                     book.markGone(server.id);
+                    this.services.crashes.confirm(server.id);
                 }
                 return err(`The prefill engine answered with status ${answer.value.status}`);
             }
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -105,6 +105,7 @@
                 progress.excluded.add(grant.value.server.id);
             }
             if (outcome.kind === "may-have-run" || outcome.kind === "broken") {
+                this.services.crashes.suspect(request, grant.value.server.id);
                 progress.runs++;
                 refusal = failed("backend-failed", "may-have-run", outcome.message);
                 const mayRepeat = request.route.resumable && progress.runs < request.route.maximumServers;
@@ -227,6 +228,7 @@
             await readAnswerBody(answer.value, GAP_MILLISECONDS, MAXIMUM_ANSWER_BYTES);
             if (status === 421) {
                 book.markGone(server.id);
+                this.services.crashes.confirm(server.id);
                 return { kind: "moved", message: "Another server answers at the engine's address" };
             }
             return { kind: "not-run", message: `The decode engine answered with status ${status}` };
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -11,6 +11,8 @@
     changing: z.array(z.string()).max(1_024),
     /** Servers at whose addresses other servers answer. */
     gone: z.array(z.string()).max(1_024),
+    /** Requests by fingerprint, with the servers that crashed while they ran. */
+    crashes: z.array(z.tuple([z.string(), z.string()])).max(1_024),
     /** Units spent in the limit's window by organisation. */
     spending: z.record(z.string(), z.number()),
 });
