--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -36,6 +36,8 @@
 const REMOVAL_MILLISECONDS = 1_700;
 /** Time in milliseconds that a server is avoided after a peer said that it is gone or changes its stage. */
 const AVOIDED_MILLISECONDS = 700;
+/** Part of the retries allowed besides that is used; what callers repeat while an instance restarts takes the rest. */
+const USED_RETRY_SLACK_SHARE = 0.8;
 /** Item that names the instance which orders engines to change their stage. */
 const STAGE_LEADER_KEY = "laburnumslip/stage-leader";
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -80,7 +82,7 @@
      * @param logOutput Where log lines go. Default: standard output.
      */
     constructor(
-        private readonly settings: GatewaySettings,
+        private settings: GatewaySettings,
         private readonly adapter: GatewayAdapter,
         logOutput: Writable = process.stdout,
     ) {
@@ -110,17 +112,13 @@
             receive: report => this.#receive(report),
         });
         const services: GatewayServices = {
-            settings,
+            settings: () => this.settings,
             headers: adapter.headers,
             engines: adapter.engines,
             directory: this.#directory,
             book: this.#book,
             connections: this.#connections,
-            retries: new RetryAllowance({
-                ratio: bounds.retryRatio,
-                slack: bounds.retrySlack * 0.8,
-                windowMilliseconds: bounds.retryWindowSeconds * MILLISECONDS_PER_SECOND,
-            }, instanceCount),
+            retries: new RetryAllowance(() => this.#retryLimit(), instanceCount),
             instanceCount,
             isKeyCurrent: key => this.#isKeyCurrent(key),
             isConfigurationFresh: () => this.#age() < FRESH_MILLISECONDS,
@@ -264,6 +262,16 @@
         return !failClosed || this.#age() < revokeMilliseconds * STALE_SHARE;
     }
 
+    /**
+     * Takes changed bounds of retries, cold servers, keys and shutdown over; the rest holds until the next start.
+     *
+     * @param settings Checked settings.
+     */
+    reload(settings: GatewaySettings): void {
+        this.settings = { ...this.settings, bounds: settings.bounds };
+        this.#logger.info("settings reloaded", { ...settings.bounds });
+    }
+
     /** Number of instances known, this one included. */
     get instances(): number {
         return this.#mesh.size;
@@ -288,6 +296,15 @@
         return !failClosed || this.#age() < revokeMilliseconds * STALE_SHARE;
     }
 
+    #retryLimit(): { ratio: number; slack: number; windowMilliseconds: number; } {
+        const { retryRatio, retrySlack, retryWindowSeconds } = this.settings.bounds;
+        return {
+            ratio: retryRatio,
+            slack: retrySlack * USED_RETRY_SLACK_SHARE,
+            windowMilliseconds: retryWindowSeconds * MILLISECONDS_PER_SECOND,
+        };
+    }
+
     #instanceCount(): number {
         return this.#mesh.size;
     }
--- a/packages/gateway/gateway_services.ts
+++ b/packages/gateway/gateway_services.ts
@@ -12,7 +12,8 @@
 
 /** What the parts of the gateway share. */
 export interface GatewayServices {
-    settings: GatewaySettings;
+    /** Present settings. */
+    settings: () => GatewaySettings;
     headers: ProtocolHeaders;
     engines: EngineProtocol;
     directory: Directory;
--- a/packages/gateway/retry_allowance.ts
+++ b/packages/gateway/retry_allowance.ts
@@ -16,7 +16,7 @@
  *
  * @example
  * ```ts
- * const allowance = new RetryAllowance({ ratio: 0.2, slack: 50, windowMilliseconds: 10_000 }, () => 3);
+ * const allowance = new RetryAllowance(() => ({ ratio: 0.2, slack: 50, windowMilliseconds: 10_000 }), () => 3);
  * allowance.noteRequest("orders");
  * allowance.take("orders"); // true
  * ```
@@ -25,11 +25,11 @@
     readonly #steps = new Map<string, Step[]>();
 
     /**
-     * @param limit Retries for each request, retries besides, and the window in which both are counted.
+     * @param limit Returns the retries for each request, the retries besides, and the window in which both are counted.
      * @param instanceCount Returns the number of instances that share the limit.
      */
     constructor(
-        private readonly limit: { ratio: number; slack: number; windowMilliseconds: number; },
+        private readonly limit: () => { ratio: number; slack: number; windowMilliseconds: number; },
         private readonly instanceCount: () => number,
     ) {}
 
@@ -57,7 +57,8 @@
             requests += step.requests;
             retries += step.retries;
         }
-        const allowed = this.limit.ratio * requests + this.limit.slack / this.instanceCount();
+        const { ratio, slack } = this.limit();
+        const allowed = ratio * requests + slack / this.instanceCount();
         if (retries + 1 > allowed) {
             return false;
         }
@@ -67,10 +68,11 @@
 
     #current(service: string): Step {
         const now = monotonicMilliseconds();
-        const length = this.limit.windowMilliseconds / STEPS;
+        const { windowMilliseconds } = this.limit();
+        const length = windowMilliseconds / STEPS;
         const steps = this.#steps.get(service) ?? [];
         this.#steps.set(service, steps);
-        while (steps[0] && now - steps[0].startedAt > this.limit.windowMilliseconds) {
+        while (steps[0] && now - steps[0].startedAt > windowMilliseconds) {
             steps.shift();
         }
         let current = steps.at(-1);
--- a/packages/gateway/server_chooser.ts
+++ b/packages/gateway/server_chooser.ts
@@ -66,7 +66,7 @@
         if (perSecond <= 0) {
             return Number.POSITIVE_INFINITY;
         }
-        const whole = perSecond * settings.bounds.coldExcess + settings.bounds.coldSlack;
+        const whole = perSecond * settings().bounds.coldExcess + settings().bounds.coldSlack;
         return Math.max(1, Math.floor(Math.min(whole, perSecond) / this.services.instanceCount()));
     }
 }
