The bundle for the platform leaves out what it does not use

Cause: the bundle held the HTTP client of the stand-alone router and every language of the schema library: 1,366,529 bytes.

--- a/packages/callers/parse_model_request.ts
+++ b/packages/callers/parse_model_request.ts
@@ -1,5 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
-import { z } from "zod";
+import * as z from "zod";
 import { Refusal } from "../verdicts/mod.ts";
 import type { ModelRequest } from "./model_request.ts";
 
--- a/packages/configuration/change_schema.ts
+++ b/packages/configuration/change_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { Change } from "./change.ts";
 
 const operation = z.object({
--- a/packages/configuration/declaration.ts
+++ b/packages/configuration/declaration.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { declarationSchema } from "./declaration_schema.ts";
 
 /** Checked declaration, with defaults filled in. */
--- a/packages/configuration/declaration_schema.ts
+++ b/packages/configuration/declaration_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const name = z.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/, "expected lower-case letters, digits, dots and hyphens");
 const labels = z.record(name, z.string().max(128));
--- a/packages/configuration/stored_configuration_schema.ts
+++ b/packages/configuration/stored_configuration_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { changeSchema } from "./change_schema.ts";
 import { declarationSchema } from "./declaration_schema.ts";
 import type { StoredConfiguration } from "./stored_configuration.ts";
--- a/packages/documents/parse_document.ts
+++ b/packages/documents/parse_document.ts
@@ -1,7 +1,7 @@
 import { findNodeAtLocation, type Node, type ParseError, parseTree, printParseErrorCode } from "jsonc-parser";
 import { getNodeValue } from "jsonc-parser";
 import { err, ok, type Result } from "neverthrow";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { DocumentError } from "./document_error.ts";
 
 type Path = (string | number)[];
--- a/packages/documents/parse_document_test.ts
+++ b/packages/documents/parse_document_test.ts
@@ -2,7 +2,7 @@
 import { readdirSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { expect, test } from "vitest";
-import { z } from "zod";
+import * as z from "zod";
 import { checkDeclaration, declarationSchema } from "../configuration/mod.ts";
 import { settingsSchema } from "../settings/mod.ts";
 import { formatDocumentError, parseDocument } from "./mod.ts";
--- a/packages/engines/http_engine.ts
+++ b/packages/engines/http_engine.ts
@@ -1,7 +1,7 @@
 import { createParser } from "eventsource-parser";
 import { err, ok, type Result } from "neverthrow";
 import { type Dispatcher, Pool } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import type { DecodeEvent } from "./decode_event.ts";
 import type { DecodeRequest } from "./decode_request.ts";
 import type { Engine } from "./engine.ts";
--- a/packages/fleet/heartbeats.ts
+++ b/packages/fleet/heartbeats.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { monotonicMilliseconds, RepeatingTask } from "../clocks/mod.ts";
 import { changeSchema, storedConfigurationSchema } from "../configuration/mod.ts";
 import { type CallContext, instanceId } from "../instances/mod.ts";
--- a/packages/gateway/gateway_settings.ts
+++ b/packages/gateway/gateway_settings.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { gatewaySettingsSchema } from "./gateway_settings_schema.ts";
 
 /** Checked settings of an instance behind the platform's balancer. */
--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const address = z.string().regex(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, "expected an IP number and a port");
 const milliseconds = z.number().min(0).max(3_600_000);
--- a/packages/homes/homes.ts
+++ b/packages/homes/homes.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { monotonicMilliseconds, RepeatingTask } from "../clocks/mod.ts";
 import type { ConfigurationDocument } from "../configuration/mod.ts";
 import { instanceId } from "../instances/mod.ts";
--- a/packages/instance_list/http_instance_list.ts
+++ b/packages/instance_list/http_instance_list.ts
@@ -1,6 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { Pool } from "undici";
-import { z } from "zod";
+import * as z from "zod";
 import type { InstanceList } from "./instance_list.ts";
 import type { ListedInstance } from "./listed_instance.ts";
 
--- a/packages/instances/_handshake.ts
+++ b/packages/instances/_handshake.ts
@@ -1,5 +1,5 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
-import { z } from "zod";
+import * as z from "zod";
 
 /** Messages and proofs of the handshake that opens each connection. */
 export const handshake = {
--- a/packages/instances/instance_server.ts
+++ b/packages/instances/instance_server.ts
@@ -2,7 +2,7 @@
 import { randomBytes } from "node:crypto";
 import { once } from "node:events";
 import { createServer, type Server, type Socket } from "node:net";
-import type { z } from "zod";
+import type * as z from "zod";
 import type { Logger } from "../logs/mod.ts";
 import { handshake } from "./_handshake.ts";
 import { Traffic } from "./_traffic.ts";
--- a/packages/instances/instances_test.ts
+++ b/packages/instances/instances_test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { afterAll, afterEach, beforeAll, expect, test } from "vitest";
-import { z } from "zod";
+import * as z from "zod";
 import { PortBlock } from "../harness/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { encodeFrame, FrameDecoder, InstanceClient, InstanceServer } from "./mod.ts";
--- a/packages/limits/charge_parameters.ts
+++ b/packages/limits/charge_parameters.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const place = { organisation: z.string().max(64), index: z.int().min(0).max(16) };
 
--- a/packages/membership/epoch_record_schema.ts
+++ b/packages/membership/epoch_record_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import type { EpochRecord } from "./epoch_record.ts";
 
 const member = z.object({
--- a/packages/once/once_client.ts
+++ b/packages/once/once_client.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import { sleep } from "../clocks/mod.ts";
 import type { InstancePool } from "../instances/mod.ts";
 import type { Logger } from "../logs/mod.ts";
--- a/packages/once/once_parameters.ts
+++ b/packages/once/once_parameters.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const key = z.string().regex(/^[0-9a-f]{32}$/);
 const attempt = z.string().max(200);
--- a/packages/once/once_shard.ts
+++ b/packages/once/once_shard.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { type Store, type StoredValue, updateValue } from "../store/mod.ts";
 import type { BeginAnswer } from "./begin_answer.ts";
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { monotonicMilliseconds, RepeatingTask } from "../clocks/mod.ts";
 import { InstancePool, InstanceServer } from "../instances/mod.ts";
 import type { ItemChange, ItemSnapshot } from "../replica/mod.ts";
--- a/packages/peers/peer_report.ts
+++ b/packages/peers/peer_report.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { peerReportSchema } from "./peer_report_schema.ts";
 
 /** What an instance tells its peers about itself. */
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 /** Schema of what an instance tells its peers about itself. */
 export const peerReportSchema = z.object({
--- a/packages/reservations/reservation_parameters.ts
+++ b/packages/reservations/reservation_parameters.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const id = z.string().max(200);
 
--- a/packages/runtime/_operator_calls.ts
+++ b/packages/runtime/_operator_calls.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { changeSchema, type ConfigurationState } from "../configuration/mod.ts";
 import type { EnginePool } from "../engines/mod.ts";
 import type { ConfigurationFollower, Heartbeats } from "../fleet/mod.ts";
--- a/packages/settings/settings.ts
+++ b/packages/settings/settings.ts
@@ -1,4 +1,4 @@
-import type { z } from "zod";
+import type * as z from "zod";
 import type { settingsSchema } from "./settings_schema.ts";
 
 /** Checked settings of one instance, with defaults filled in. */
--- a/packages/settings/settings_schema.ts
+++ b/packages/settings/settings_schema.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 
 const address = z.string().regex(
     /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:]+\]):\d{1,5}$/,
--- a/packages/suspects/suspect_registry.ts
+++ b/packages/suspects/suspect_registry.ts
@@ -1,4 +1,4 @@
-import { z } from "zod";
+import * as z from "zod";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { SuspectRegistryOptions } from "./suspect_registry_options.ts";
 
