--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -149,7 +149,7 @@
     async start(): Promise<void> {
         this.#logger.info("starting", { incarnation: this.#incarnation, failureDomain: this.settings.failureDomain });
         this.#follower = new ReplicaFollower(this.#replica, this.#store, {
-            prefix: "",
+            prefix: this.adapter.itemPrefix,
             clock: this.#clock,
             logger: this.#logger,
             metrics: this.#metrics,
--- a/packages/gateway/gateway_adapter.ts
+++ b/packages/gateway/gateway_adapter.ts
@@ -9,8 +9,8 @@
 export interface GatewayAdapter {
     headers: ProtocolHeaders;
     engines: EngineProtocol;
-    /** Prefixes of the items that describe servers, drains and the configuration. */
-    directoryPrefix: string;
+    /** Prefix of the stored items to follow: those of servers, drains and the configuration, and the instances' own. */
+    itemPrefix: string;
     /** Path of the readiness check. */
     readinessPath: string;
     /** Decodes a change of a stored item. */
--- a/packages/gateway/gateway_refusal_reason.ts
+++ b/packages/gateway/gateway_refusal_reason.ts
@@ -12,7 +12,6 @@
     | "over-limit"
     | "no-backend-server"
     | "no-capacity"
-    | "queue-timeout"
     | "backend-failed"
     | "retry-budget-spent"
     | "request-crashes-servers"
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -18,8 +18,6 @@
     key: string | undefined;
     promptTokens: number;
     outputTokens: number;
-    /** The caller's estimate of output tokens, at most {@linkcode outputTokens}. */
-    expectedOutputTokens: number;
     /** Rank; 0 goes first. */
     priority: number;
     /** Monotonic time at which the request's head was read. */
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -2,8 +2,8 @@
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { relayHeaders } from "../headers/mod.ts";
 import { parseAddress } from "../instances/mod.ts";
-import { relayHeaders } from "./_relay_headers.ts";
 import { chooseService } from "./choose_service.ts";
 import { DecodeQueue } from "./decode_queue.ts";
 import { endRequest } from "./end_request.ts";
@@ -280,7 +280,6 @@
         const wait = Number(headerOf(incoming, headers.remainingMilliseconds) ?? route.timeoutMilliseconds);
         const callerDeadline = receivedAt + (Number.isFinite(wait) && wait >= 0 ? wait : route.timeoutMilliseconds);
         const [promptTokens, outputTokens] = tokensOf(headerOf(incoming, headers.tokenCounts));
-        const estimate = Number(headerOf(incoming, headers.outputEstimate) ?? outputTokens);
         return {
             kind: "admitted",
             request: {
@@ -294,7 +293,6 @@
                 key,
                 promptTokens,
                 outputTokens,
-                expectedOutputTokens: Number.isFinite(estimate) ? Math.min(estimate, outputTokens) : outputTokens,
                 priority: organisation?.priority ?? route.priority,
                 receivedAt,
                 callerDeadline,
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -1,7 +1,7 @@
 import { type BackendAnswer, readAnswerBody } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { ListedServer } from "../directory/mod.ts";
-import { relayHeaders } from "./_relay_headers.ts";
+import { relayHeaders } from "../headers/mod.ts";
 import { backendHeaders } from "./backend_headers.ts";
 import { endRequest } from "./end_request.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
--- a/packages/gateway/protocol_headers.ts
+++ b/packages/gateway/protocol_headers.ts
@@ -14,8 +14,6 @@
     signature: string;
     /** Prompt tokens and most output tokens, separated by a comma. */
     tokenCounts: string;
-    /** The caller's estimate of the number of output tokens. */
-    outputEstimate: string;
     /** Names the stage when only the prompt is to be computed. */
     stage: string;
     /** Where the result of a prefill is fetched from. */
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -2,7 +2,7 @@
 import type { BackendAnswer } from "../backends/mod.ts";
 import { isAnswerComplete, readAnswerBody } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
-import { relayHeaders } from "./_relay_headers.ts";
+import { relayHeaders } from "../headers/mod.ts";
 import { backendHeaders } from "./backend_headers.ts";
 import type { DecodeGrant } from "./decode_grant.ts";
 import type { DecodeQueue } from "./decode_queue.ts";
--- a/packages/gateway/_relay_headers.ts
+++ b/packages/headers/relay_headers.ts
@@ -1,18 +1,16 @@
-const HOP_BY_HOP = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-]);
+import { HOP_BY_HOP } from "./_hop_by_hop.ts";
 
-/** Removes, from names and values by turns, what concerns one connection only (RFC 9110, section 7.6.1). */
+/**
+ * Removes, from names and values by turns, what concerns one connection only (RFC 9110, section 7.6.1).
+ *
+ * @param raw Names and values as they were sent.
+ * @param removed Names, in lower case, of further headers to remove.
+ * @returns The names and values that remain, unchanged and in order.
+ * @example
+ * ```ts
+ * relayHeaders(["Connection", "close", "Accept", "*"], new Set()); // ["Accept", "*"]
+ * ```
+ */
 export function relayHeaders(raw: string[], removed: ReadonlySet<string>): string[] {
     const named = new Set<string>();
     for (let index = 0; index + 1 < raw.length; index += 2) {
--- a/packages/headers/remove_hop_by_hop_headers.ts
+++ b/packages/headers/remove_hop_by_hop_headers.ts
@@ -1,19 +1,5 @@
 import type { IncomingHttpHeaders } from "node:http";
-
-const HOP_BY_HOP = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-    "host",
-]);
+import { HOP_BY_HOP } from "./_hop_by_hop.ts";
 
 /**
  * Removes the headers that concern one connection only (RFC 9110, section 7.6.1).
@@ -29,7 +15,7 @@
     const named = String(headers.connection ?? "").split(",").map(name => name.trim().toLowerCase());
     const kept: Record<string, string | string[]> = {};
     for (const [name, value] of Object.entries(headers)) {
-        if (value !== undefined && !HOP_BY_HOP.has(name) && !named.includes(name)) {
+        if (value !== undefined && name !== "host" && !HOP_BY_HOP.has(name) && !named.includes(name)) {
             kept[name] = value;
         }
     }
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -1,22 +1,38 @@
 import { build } from "esbuild";
 import { readFile } from "node:fs/promises";
 
+/** Options that all bundles have in common. */
+const COMMON = {
+    outExtension: { ".js": ".cjs" },
+    bundle: true,
+    platform: "node",
+    format: "cjs",
+    mainFields: ["module", "main"],
+    target: "node20",
+    logLevel: "warning",
+};
+
 /** Bundles the router and the development program into `dist/`. */
 export async function bundle() {
     const { version } = JSON.parse(await readFile("package.json", "utf8"));
     await build({
+        ...COMMON,
         entryPoints: {
             laburnumslip: "packages/operators/main.ts",
             development: "packages/development/main.ts",
         },
         outdir: "dist",
-        outExtension: { ".js": ".cjs" },
-        bundle: true,
-        platform: "node",
-        format: "cjs",
-        mainFields: ["module", "main"],
-        target: "node20",
         define: { LABURNUMSLIP_VERSION: JSON.stringify(version) },
-        logLevel: "warning",
+    });
+}
+
+/** Bundles the program that runs on the users' platform into `target/`. */
+export async function bundlePlatform() {
+    await build({
+        ...COMMON,
+        entryPoints: { laburnumslip: "platform/main.ts" },
+        outdir: "target",
+        minify: true,
+        keepNames: true,
     });
 }
