--- /dev/null
+++ b/packages/gateway/retry_allowance_test.ts
@@ -0,0 +1,31 @@
+import { expect, test } from "vitest";
+import { RetryAllowance } from "./retry_allowance.ts";
+
+const limit = () => ({ ratio: 0.2, slack: 52, windowMilliseconds: 10_000 });
+
+function takeAll(allowance: RetryAllowance): number {
+    let taken = 0;
+    while (taken < 1_000 && allowance.take("orders")) {
+        taken++;
+    }
+    return taken;
+}
+
+test("all instances together retry no more than the limit", () => {
+    const allowances = Array.from({ length: 6 }, () => new RetryAllowance(limit, () => 6));
+    for (const allowance of allowances) {
+        for (let request = 0; request < 100; request++) {
+            allowance.noteRequest("orders");
+        }
+    }
+    const taken = allowances.reduce((sum, allowance) => sum + takeAll(allowance), 0);
+    expect(taken).toBeLessThanOrEqual(0.2 * 600 + 52);
+    expect(taken).toBeGreaterThan(0.2 * 600);
+});
+
+test("services have allowances of their own", () => {
+    const allowance = new RetryAllowance(limit, () => 1);
+    takeAll(allowance);
+    expect(allowance.take("orders")).toBe(false);
+    expect(allowance.take("models")).toBe(true);
+});
