--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -193,7 +193,7 @@
                 break;
             }
             if (left) {
-                this.#front.refuseStreams();
+                this.#front.refuseBeyond(cutAt);
             }
         }
         this.#front.stopAccepting();
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -50,7 +50,7 @@
     readonly #sockets = new Map<Socket, { busy: boolean; }>();
     #active = 0;
     #leaving = false;
-    #refusingStreams = false;
+    #endsAt = Number.POSITIVE_INFINITY;
 
     /**
      * @param services What the gateway works with.
@@ -119,9 +119,13 @@
         this.closeIdle();
     }
 
-    /** Refuses model requests from now on, since they may take longer than the instance has left. */
-    refuseStreams(): void {
-        this.#refusingStreams = true;
+    /**
+     * Refuses, from now on, requests that may take longer than the instance has left.
+     *
+     * @param endsAt Monotonic time in milliseconds at which what is under way is cut.
+     */
+    refuseBeyond(endsAt: number): void {
+        this.#endsAt = endsAt;
     }
 
     /** Closes connections without a request. */
@@ -274,11 +278,12 @@
         if (!service) {
             return refused(503, "no-backend-server", "The route's service is not known", 1_000);
         }
-        if (this.#refusingStreams && service.engine) {
-            return refused(503, "leaving", "The instance is shutting down", RETRY_WHEN_LEFT_MILLISECONDS);
-        }
         const wait = Number(headerOf(incoming, headers.remainingMilliseconds) ?? route.timeoutMilliseconds);
         const callerDeadline = receivedAt + (Number.isFinite(wait) && wait >= 0 ? wait : route.timeoutMilliseconds);
+        const deadline = Math.min(callerDeadline, receivedAt + route.timeoutMilliseconds);
+        if (deadline > this.#endsAt) {
+            return refused(503, "leaving", "The instance is shutting down", RETRY_WHEN_LEFT_MILLISECONDS);
+        }
         const [promptTokens, outputTokens] = tokensOf(headerOf(incoming, headers.tokenCounts));
         return {
             kind: "admitted",
@@ -296,7 +301,7 @@
                 priority: organisation?.priority ?? route.priority,
                 receivedAt,
                 callerDeadline,
-                deadline: Math.min(callerDeadline, receivedAt + route.timeoutMilliseconds),
+                deadline,
                 signal,
                 response,
             },
