A crash is counted though the only instance that saw it ends before it has told the others

Ruled out: reporting before the home has answered; a broken connection alone would make suspects of requests whose server lives. Change: a reservation carries the request's fingerprint. The server's home reports the crash itself: when the holder gives the reservation back as failed, when the holder does not answer that it is void, and when the holder is gone later.

--- a/packages/capacity/measure_capacity.ts
+++ b/packages/capacity/measure_capacity.ts
@@ -88,6 +88,7 @@
         pieces: 1,
         priority: 5,
         suspect: false,
+        fingerprint: "",
         waitMilliseconds: 0,
     });
     return await runProbe({
--- a/packages/promises/crashing_requests_test.ts
+++ b/packages/promises/crashing_requests_test.ts
@@ -54,3 +54,40 @@
         await fleet.close();
     }
 });
+
+test("a crash is counted although the only instance that had the request is killed before the crash", async () => {
+    const fleet = await Fleet.start({ instances: 6, engines: ENGINES, services: 0 });
+    try {
+        const faults = { poison: POISON, poisonDelayMilliseconds: 700 };
+        await Promise.all(fleet.engines.map(({ address }) => fleet.control(address, faults)));
+        await fleet.whenSettled();
+        const send = (index: number) =>
+            fleet.call(index, "/v1/completions", {
+                key: fleet.key("north"),
+                body: { model: "drafting", prompt: `[[guilty]]word${POISON}`, max_tokens: 20 },
+            });
+        const homed = await Promise.all(fleet.instances.map(async (_, index) => {
+            const client = fleet.operator(index);
+            const status = await client.status();
+            client.close();
+            return status.isOk() ? status.value.servers.filter(({ server }) => server.startsWith("prefill")).length : 1;
+        }));
+        // An instance that has no ledger of a prefill server, so that only the request itself ends with it.
+        const witness = homed.indexOf(0);
+        expect(witness).toBeGreaterThanOrEqual(0);
+        const lost = send(witness);
+        await sleep(300);
+        await fleet.instances[witness]?.process.kill();
+        await lost;
+        await sleep(1_500);
+        const others = fleet.instances.map((_, index) => index).filter(index => index !== witness);
+        const again = await send(others[0] ?? 0);
+        expect(again.reason).toBe("request-crashes-servers");
+        const traces = await Promise.all(fleet.engines.map(({ address }) => fleet.control<EngineTrace>(address)));
+        const crashed = traces.filter(({ trace }) => trace.some(({ label }) => label === "guilty"));
+        expect(crashed).toHaveLength(2);
+    }
+    finally {
+        await fleet.close();
+    }
+});
--- a/packages/reservations/held_reservation.ts
+++ b/packages/reservations/held_reservation.ts
@@ -8,6 +8,8 @@
     organisation: string;
     /** Pieces reserved. */
     pieces: number;
+    /** Recognises the request when its caller sends it again. */
+    fingerprint?: string;
     /** Whether the home has granted it; until then it is only asked for. */
     granted?: boolean;
     /** Whether it must not be used any more, as the server started anew. */
--- a/packages/reservations/reservation_client.ts
+++ b/packages/reservations/reservation_client.ts
@@ -65,8 +65,8 @@
      */
     async reserve(request: ReserveRequest): Promise<Grant | ReserveAnswer> {
         const askedAt = monotonicMilliseconds();
-        const { server, id, pieces, organisation } = request;
-        this.held.add({ server, id, pieces, organisation });
+        const { server, id, pieces, organisation, fingerprint } = request;
+        this.held.add({ server, id, pieces, organisation, fingerprint });
         const answer = await this.pool.call<ReserveAnswer>(
             this.membership.homeOf({ group: `server/${server}`, index: 0 }),
             "servers.reserve",
--- a/packages/reservations/reservation_parameters.ts
+++ b/packages/reservations/reservation_parameters.ts
@@ -12,6 +12,7 @@
         pieces: z.int().min(1),
         priority: z.int().min(0).max(9),
         suspect: z.boolean(),
+        fingerprint: z.string().max(64),
         waitMilliseconds: z.number().min(0).max(60_000),
     }),
     /** `servers.release` at the server's home. */
--- a/packages/reservations/reserve_request.ts
+++ b/packages/reservations/reserve_request.ts
@@ -12,6 +12,8 @@
     priority: number;
     /** Whether the request may have crashed a server; at most one such request runs on a server at a time. */
     suspect: boolean;
+    /** Recognises the request when its caller sends it again. */
+    fingerprint: string;
     /** Milliseconds that the request may wait. */
     waitMilliseconds: number;
 }
--- a/packages/reservations/server_ledger.ts
+++ b/packages/reservations/server_ledger.ts
@@ -14,6 +14,10 @@
 interface Reservation {
     pieces: number;
     suspect: boolean;
+    /** Recognises the request; unknown if only the engine says that it runs. */
+    fingerprint: string | undefined;
+    /** Whether the server has failed or started anew since. */
+    void: boolean;
     /** Boot id of the server when the capacity was granted. */
     bootId: string | undefined;
     confirmedAt: number;
@@ -27,6 +31,7 @@
     priority: number;
     cost: number;
     suspect: boolean;
+    fingerprint: string;
     answer: (answer: ReserveAnswer) => void;
     timer: NodeJS.Timeout;
 }
@@ -108,8 +113,8 @@
      * @param held Its reservations.
      */
     learn(held: HeldReservation[]): void {
-        for (const { id, pieces } of held) {
-            this.#adopt(id, pieces);
+        for (const { id, pieces, fingerprint } of held) {
+            this.#adopt(id, pieces, fingerprint);
         }
     }
 
@@ -144,6 +149,7 @@
                 priority: request.priority,
                 cost: request.pieces,
                 suspect: request.suspect,
+                fingerprint: request.fingerprint,
                 answer: resolve,
                 timer: setTimeout(() => {
                     this.#queue.remove(waiter);
@@ -188,6 +194,19 @@
         return reservation !== undefined && (this.#down || reservation.bootId !== this.#bootId);
     }
 
+    /**
+     * Lists the requests that held one of some reservations when the server failed or started anew.
+     *
+     * @param ids Ids of the reservations.
+     * @returns Their fingerprints, as far as they are known.
+     */
+    crashedUnder(ids: string[]): string[] {
+        return ids.flatMap(id => {
+            const reservation = this.#reservations.get(id);
+            return reservation?.void && reservation.fingerprint !== undefined ? [reservation.fingerprint] : [];
+        });
+    }
+
     /** Grants nothing until the engine has answered, as it may have failed. */
     pause(): void {
         this.#paused = true;
@@ -311,16 +330,21 @@
 
     #noteRestart(): void {
         this.#ramp.reset();
+        this.#reservations.forEach(reservation => {
+            reservation.void = true;
+        });
         if (this.#reservations.size > 0) {
             this.#onVoid([...this.#reservations.keys()]);
         }
     }
 
-    #adopt(id: string, pieces: number): void {
+    #adopt(id: string, pieces: number, fingerprint?: string): void {
         if (!this.#reservations.has(id)) {
             this.#reservations.set(id, {
                 pieces,
                 suspect: false,
+                fingerprint,
+                void: false,
                 bootId: this.#bootId,
                 confirmedAt: Number.NEGATIVE_INFINITY,
                 orphaned: false,
@@ -369,6 +393,8 @@
             this.#reservations.set(next.id, {
                 pieces: next.cost,
                 suspect: next.suspect,
+                fingerprint: next.fingerprint,
+                void: false,
                 bootId: this.#bootId,
                 confirmedAt: monotonicMilliseconds(),
                 orphaned: false,
--- a/packages/reservations/server_ledger_test.ts
+++ b/packages/reservations/server_ledger_test.ts
@@ -5,7 +5,16 @@
 const CAPACITY = 10;
 
 function request(id: string, pieces: number, suspect = false, waitMilliseconds = 1_000) {
-    return { server: "s", id, organisation: `o${pieces % 3}`, pieces, priority: 5, suspect, waitMilliseconds };
+    return {
+        server: "s",
+        id,
+        organisation: `o${pieces % 3}`,
+        pieces,
+        priority: 5,
+        suspect,
+        fingerprint: id,
+        waitMilliseconds,
+    };
 }
 
 const action = fc.oneof(
--- a/packages/reservations/server_state.ts
+++ b/packages/reservations/server_state.ts
@@ -28,6 +28,8 @@
     invariants: Invariants;
     metrics: Metrics;
     logger: Logger;
+    /** Tells every instance that a server crashed while a request held a reservation there. */
+    reportCrash: (fingerprint: string, server: string, role: "prefill" | "decode") => void;
 }
 
 /** A ledger with the task that compares it with its engine. */
@@ -97,7 +99,7 @@
         }
         const ledger = new ServerLedger(server.capacity, readHandover(handover));
         ledger.setDrained(isDrained(this.options.configuration.document, name));
-        ledger.onVoid(ids => this.#voidAll(name, ids));
+        ledger.onVoid(ids => this.#voidAll(name, ledger, ids));
         const watch = new CrashWatch(() => {
             ledger.pause();
             void this.#sweep(name, ledger, watch);
@@ -184,6 +186,10 @@
         ledger.pause();
         await this.#sweep(name, ledger, watch);
         const crashed = ledger.hasFailedSince(id);
+        if (crashed) {
+            // The instance that saw the crash may end before it has told the others.
+            this.#reportCrash(name, ledger, [id]);
+        }
         ledger.release(id, "unused");
         return crashed;
     }
@@ -203,28 +209,49 @@
         }
         ledger.reconcile(report.value, askedAt);
         watch.watch(server.address);
-        await this.#confirmOwners(ledger);
+        await this.#confirmOwners(name, ledger);
         for (const id of ledger.orphans()) {
             this.options.metrics.increment("orphans_cancelled_total");
             await engine.cancel(id);
         }
     }
 
-    #voidAll(server: string, ids: string[]): void {
-        const { membership, pool } = this.options;
+    #voidAll(server: string, ledger: ServerLedger, ids: string[]): void {
         for (const [owner, owned] of groupByOwner(ids)) {
-            void pool.call(membership.find(owner), "requests.void", { server, ids: owned });
+            void this.#voidOwned(server, ledger, owner, owned);
+        }
+    }
+
+    async #voidOwned(server: string, ledger: ServerLedger, owner: string, ids: string[]): Promise<void> {
+        const { membership, pool } = this.options;
+        // The reservations may have been given back by the time of the answer.
+        const suspects = ledger.crashedUnder(ids);
+        const answer = await pool.call(membership.find(owner), "requests.void", { server, ids });
+        if (answer.isErr()) {
+            this.#reportCrashes(server, suspects);
+        }
+    }
+
+    #reportCrash(server: string, ledger: ServerLedger, ids: string[]): void {
+        this.#reportCrashes(server, ledger.crashedUnder(ids));
+    }
+
+    #reportCrashes(server: string, fingerprints: string[]): void {
+        const role = this.options.configuration.document.backendServers[server]?.role;
+        if (role === "prefill" || role === "decode") {
+            fingerprints.forEach(fingerprint => this.options.reportCrash(fingerprint, server, role));
         }
     }
 
-    async #confirmOwners(ledger: ServerLedger): Promise<void> {
+    async #confirmOwners(server: string, ledger: ServerLedger): Promise<void> {
         const idsByOwner = groupByOwner(ledger.unconfirmed());
-        await Promise.all([...idsByOwner].map(([owner, ids]) => this.#confirmOwner(ledger, owner, ids)));
+        await Promise.all([...idsByOwner].map(([owner, ids]) => this.#confirmOwner(server, ledger, owner, ids)));
     }
 
-    async #confirmOwner(ledger: ServerLedger, owner: string, ids: string[]): Promise<void> {
+    async #confirmOwner(server: string, ledger: ServerLedger, owner: string, ids: string[]): Promise<void> {
         const { membership, pool } = this.options;
         if (membership.isGone(owner)) {
+            this.#reportCrash(server, ledger, ids);
             ids.forEach(id => ledger.confirm(id, false));
             return;
         }
--- a/packages/routing/_server_seeker.ts
+++ b/packages/routing/_server_seeker.ts
@@ -95,6 +95,7 @@
             pieces,
             priority: this.priority(),
             suspect: this.options.suspects.isSuspectAt(this.job.fingerprint, role),
+            fingerprint: this.job.fingerprint,
             waitMilliseconds,
         });
     }
--- a/packages/runtime/instance.ts
+++ b/packages/runtime/instance.ts
@@ -110,7 +110,13 @@
         this.#follower = new ConfigurationFollower(shared);
         this.#heartbeats = new Heartbeats(shared);
         const shareState = new ShareState(this.#configuration, this.#server, invariants);
-        this.#serverState = new ServerState(shared);
+        const suspects = new SuspectRegistry(shared);
+        this.#serverState = new ServerState({
+            ...shared,
+            reportCrash: (fingerprint, server, role) => {
+                void suspects.report(fingerprint, server, role);
+            },
+        });
         this.#homes = new Homes([shareState, this.#serverState], shared);
         const onceState = new OnceState(this.#store, this.#server, this.#membership);
         this.#once = new OnceClient(this.#membership, this.#pool, logger);
@@ -122,7 +128,7 @@
             ...shared,
             limiter,
             reservations,
-            suspects: new SuspectRegistry(shared),
+            suspects,
             policy,
             failureDomain,
         });
--- a/packages/stand_ins/engine_stand_in.ts
+++ b/packages/stand_ins/engine_stand_in.ts
@@ -71,7 +71,7 @@
  * Faults: `crash` (drops everything and starts cold after a moment), `down` (drops each call),
  * `stallTransfers`, `crossEvents` (share of the events that carry another request's id), `repeatEvents` (share of the
  * events sent twice), `loseCancelAnswers` (share of the cancels whose answer is cut), `poison` (text in a prompt that
- * crashes the engine).
+ * crashes the engine), `poisonDelayMilliseconds` (time from its arrival to the crash).
  *
  * @example
  * ```ts
@@ -192,6 +192,7 @@
         if (typeof poison === "string" && poison !== "" && prompt.includes(poison)) {
             this.#counts.poisoned++;
             entry.crashed = true;
+            await sleep(Number(this.faults["poisonDelayMilliseconds"] ?? 0));
             this.#crash();
             return;
         }
