Two instances read the store for all, and reports to peers are encoded once

An age counted from before a watch also passed 1.3 s in each cycle, so that peers were asked for copies and unknown routes got 503 in place of 404 for a part of each second. Ruled out: longer watches alone (each change still wakes every instance); one-way confirmations (a message that was held up would make old knowledge look new). Change: two instances, by rank among those that reach the store, watch it and send the changes to all; the others ask them each 250 ms how old their knowledge is and read for themselves when it is older than 1.5 s or when changes are too large to be sent. A watch without changes confirms as of its end. Reports carry whether the instance reaches the store; with many peers they go out less often; probes of connections are messages of their own, also under load. Tests: two readers and their replacement, a configuration too large to send, late changes in the wrong order, changes without a date, removals around an outage.

--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -9,7 +9,7 @@
 import { parseAddress } from "../instances/mod.ts";
 import { createLogger, type Logger } from "../logs/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
-import { PeerMesh, type PeerReport } from "../peers/mod.ts";
+import { type Peer, PeerMesh, type PeerReport } from "../peers/mod.ts";
 import { type ItemChange, ItemReplica, ReplicaFollower } from "../replica/mod.ts";
 import { CrashRegistry } from "./crash_registry.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
@@ -108,6 +108,8 @@
             clock: this.#clock,
             metrics: this.#metrics,
             logger: this.#logger,
+            readsStore: () => this.#follower?.connected ?? false,
+            onNewer: revision => this.#follower?.readUpTo(revision),
             describe: force => this.#describe(force),
             receive: report => this.#receive(report),
         });
@@ -150,6 +152,8 @@
         this.#logger.info("starting", { incarnation: this.#incarnation, failureDomain: this.settings.failureDomain });
         this.#follower = new ReplicaFollower(this.#replica, this.#store, {
             prefix: this.adapter.itemPrefix,
+            isReader: () => this.#mesh.isReader(),
+            onRead: news => this.#mesh.publish(news),
             clock: this.#clock,
             logger: this.#logger,
             metrics: this.#metrics,
@@ -238,7 +242,7 @@
             }
             return;
         }
-        if (event.kind === "server-removed" && (this.#follower?.isRecovering() ?? false)) {
+        if (event.kind === "server-removed" && this.#replica.isRecovering(this.#clock.now())) {
             this.#logger.info("removal of a server held back", { server: event.id });
             this.#removals.hold(event.id, REMOVAL_MILLISECONDS);
             return;
@@ -277,6 +281,11 @@
         return this.#mesh.size;
     }
 
+    /** Whether this instance is one of those that read the store for all. */
+    get isStoreReader(): boolean {
+        return this.#mesh.isReader();
+    }
+
     /** Ids of the registered servers. */
     get serverIds(): string[] {
         return [...this.#directory.servers.keys()];
@@ -310,7 +319,7 @@
     }
 
     /** Describes this instance's load to its peers; undefined if it is as last described. */
-    #describe(force: boolean): Pick<PeerReport, "loads" | "changing" | "gone" | "crashes" | "spending"> | undefined {
+    #describe(force: boolean): Omit<PeerReport, keyof Peer> | undefined {
         const loads: PeerReport["loads"] = {};
         for (const [id, load] of this.#book.entries()) {
             if (load.active > 0 || load.reservedTokens > 0) {
@@ -318,12 +327,14 @@
             }
         }
         const spending = this.#limiter.spending();
-        const text = JSON.stringify([loads, spending]);
+        const readsStore = this.#follower?.connected ?? false;
+        const text = JSON.stringify([loads, spending, readsStore]);
         if (!force && text === this.#lastReport) {
             return undefined;
         }
         this.#lastReport = text;
         return {
+            readsStore,
             loads,
             changing: this.#balancer?.changing() ?? [],
             gone: this.#book.gone(),
--- a/packages/instances/instance_client.ts
+++ b/packages/instances/instance_client.ts
@@ -94,6 +94,21 @@
         }
     }
 
+    /**
+     * Sends a frame that was encoded before; nothing tells whether it arrived.
+     *
+     * @param method Name of the method in the frame, under which its bytes are counted.
+     * @param frame The frame.
+     * @returns A promise that resolves once the frame is sent or has failed.
+     */
+    async sendFrame(method: string, frame: Buffer): Promise<void> {
+        const connection = await this.#connect();
+        if (connection.isOk() && !connection.value.socket.destroyed) {
+            this.#traffic.sent(method, frame.length);
+            connection.value.socket.write(frame);
+        }
+    }
+
     /** Closes the connection; calls under way fail. */
     close(): void {
         this.#closed = true;
--- a/packages/instances/instance_pool.ts
+++ b/packages/instances/instance_pool.ts
@@ -1,6 +1,8 @@
+import { createJSONRPCNotification } from "json-rpc-2.0";
 import { err, ok, type Result } from "neverthrow";
 import type { Metrics } from "../metrics/mod.ts";
 import { CallFailure } from "./call_failure.ts";
+import { encodeFrame } from "./encode_frame.ts";
 import { InstanceClient } from "./instance_client.ts";
 import { instanceId } from "./instance_id.ts";
 import type { InstanceIdentity } from "./instance_identity.ts";
@@ -85,6 +87,23 @@
         await this.#client(target).notify(method, params);
     }
 
+    /**
+     * Calls a method of many instances without waiting for results; the calls may be lost. The call is encoded once.
+     *
+     * @param targets The instances, without this one.
+     * @param method Name of the method.
+     * @param params Its parameters.
+     */
+    broadcast(targets: Target[], method: string, params: object): void {
+        if (targets.length === 0) {
+            return;
+        }
+        const frame = encodeFrame(createJSONRPCNotification(method, params));
+        for (const target of targets) {
+            void this.#client(target).sendFrame(method, frame);
+        }
+    }
+
     /**
      * Calls whichever instance answers at an address.
      *
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -1,40 +1,37 @@
 import * as z from "zod";
 import { monotonicMilliseconds, RepeatingTask } from "../clocks/mod.ts";
 import { InstancePool, InstanceServer } from "../instances/mod.ts";
-import type { ItemChange, ItemSnapshot } from "../replica/mod.ts";
+import type { ItemChange, ReplicaNews } from "../replica/mod.ts";
+import type { KnownPeer } from "./known_peer.ts";
 import type { Peer } from "./peer.ts";
 import type { PeerMeshOptions } from "./peer_mesh_options.ts";
 import { peerReportSchema } from "./peer_report_schema.ts";
 import { Registration } from "./registration.ts";
+import { ReplicaExchange } from "./replica_exchange.ts";
 
 /** Instances of one private network; the platform hands no secret to its processes. */
 const SECRET = "laburnumslip-private-network";
 const KEY_PREFIX = "laburnumslip/instances/";
+/** Shortest time in milliseconds between two reports. */
 const PERIOD_MILLISECONDS = 50;
+/** Reports that one instance sends in a second at most; with more peers each gets fewer. */
+const REPORTS_PER_SECOND = 150;
+const MILLISECONDS_PER_SECOND = 1_000;
 /** Time in milliseconds after which a report is sent even if nothing has changed. */
 const FORCED_REPORT_MILLISECONDS = 500;
-/** Age in milliseconds of the replica above which peers are asked. */
-const STALE_MILLISECONDS = 1_300;
+/** Shortest time in milliseconds between two probes of a peer. */
+const PROBE_MILLISECONDS = 500;
+/** Probes that one instance sends in a second at most. */
+const PROBES_PER_SECOND = 20;
 const PROBE_TIMEOUT_MILLISECONDS = 1_000;
-const PULL_PERIOD_MILLISECONDS = 300;
-const PULL_TIMEOUT_MILLISECONDS = 600;
 /** Time in milliseconds that a peer is kept after its last report when the store does not list it. */
 const FORGET_MILLISECONDS = 6_000;
 
 const peerSchema = z.object({ name: z.string(), incarnation: z.string(), address: z.string() });
-const pullSchema = z.object({ revision: z.number() });
-
-/** A peer's copy of the store, as far as it is newer than what was asked for. */
-interface PullAnswer {
-    revision: number;
-    /** Age in milliseconds of the copy's confirmation. */
-    age: number;
-    snapshot?: ItemSnapshot;
-}
 
 /**
- * The other instances: finds them through the store, tells them about this instance, and asks them for their copy of
- * the store when it cannot be reached.
+ * The other instances: finds them through the store, tells them about this instance, and exchanges copies of the store
+ * with them.
  *
  * @example
  * ```ts
@@ -47,12 +44,15 @@
     readonly #server: InstanceServer;
     readonly #pool: InstancePool;
     readonly #listed = new Map<string, Peer>();
-    readonly #heard = new Map<string, { peer: Peer; at: number; }>();
+    readonly #heard = new Map<string, KnownPeer>();
+    readonly #exchange: ReplicaExchange;
     #registration: Registration | undefined;
     #reports: RepeatingTask | undefined;
-    #pulls: RepeatingTask | undefined;
     #reportedAt = 0;
-    #nextPull = 0;
+    #sentAt = 0;
+    #probes: RepeatingTask | undefined;
+    #probesDue = 0;
+    #nextProbe = 0;
     #closed = false;
 
     /**
@@ -63,11 +63,18 @@
         this.#server = new InstanceServer(self, SECRET, { metrics, logger });
         this.#pool = new InstancePool(self, SECRET, metrics, this.#server);
         this.#server.handle("peers.report", peerReportSchema, async report => {
-            const { name, incarnation, address } = report;
-            this.#heard.set(name, { peer: { name, incarnation, address }, at: monotonicMilliseconds() });
+            const { name, incarnation, address, readsStore } = report;
+            const peer = { name, incarnation, address };
+            this.#heard.set(name, { peer, heardAt: monotonicMilliseconds(), readsStore });
             options.receive(report);
         });
-        this.#server.handle("replica.pull", pullSchema, async ({ revision }) => this.#answerPull(revision));
+        this.#server.handle("peers.probe", z.object({}), async () => ({}));
+        this.#exchange = new ReplicaExchange({
+            ...options,
+            pool: this.#pool,
+            server: this.#server,
+            peers: () => this.#peers(),
+        });
         replica.onChange(change => this.#list(change));
     }
 
@@ -76,6 +83,24 @@
         return this.#peers().length + 1;
     }
 
+    /**
+     * Tells whether this instance is one of those that read the store.
+     *
+     * @returns Whether it is.
+     */
+    isReader(): boolean {
+        return this.#exchange.isReader();
+    }
+
+    /**
+     * Passes on what a read of the store has brought, if this instance reads for its peers.
+     *
+     * @param news What was read.
+     */
+    publish(news: ReplicaNews): void {
+        this.#exchange.publish(news);
+    }
+
     /**
      * Opens the port for other instances and registers this one.
      *
@@ -89,7 +114,8 @@
         this.#registration = new Registration(store, KEY_PREFIX + self.name, JSON.stringify(self), logger);
         const onError = (error: unknown) => logger.error("peer task failed", { error: String(error) });
         this.#reports = new RepeatingTask(PERIOD_MILLISECONDS, async () => this.#report(), onError);
-        this.#pulls = new RepeatingTask(PULL_PERIOD_MILLISECONDS, () => this.#pullWhenStale(), onError);
+        this.#probes = new RepeatingTask(PERIOD_MILLISECONDS, async () => this.#probe(), onError);
+        this.#exchange.start();
     }
 
     /**
@@ -102,20 +128,28 @@
             return;
         }
         this.#closed = true;
-        await Promise.all([this.#registration?.close(), this.#reports?.close(), this.#pulls?.close()]);
+        await Promise.all([
+            this.#registration?.close(),
+            this.#reports?.close(),
+            this.#probes?.close(),
+            this.#exchange.close(),
+        ]);
         this.#pool.close();
         await this.#server.close();
     }
 
-    #peers(): Peer[] {
+    #peers(): KnownPeer[] {
         const oldest = monotonicMilliseconds() - FORGET_MILLISECONDS;
-        const peers = new Map(this.#listed);
-        for (const [name, { peer, at }] of this.#heard) {
-            if (at < oldest) {
+        const peers = new Map<string, KnownPeer>();
+        for (const [name, peer] of this.#listed) {
+            peers.set(name, { peer, heardAt: Number.NEGATIVE_INFINITY, readsStore: false });
+        }
+        for (const [name, known] of this.#heard) {
+            if (known.heardAt < oldest) {
                 this.#heard.delete(name);
             }
-            else if (peers.get(name)?.incarnation !== peer.incarnation) {
-                peers.set(name, peer);
+            else {
+                peers.set(name, known);
             }
         }
         peers.delete(this.options.self.name);
@@ -147,82 +181,43 @@
 
     #report(): void {
         const now = monotonicMilliseconds();
+        const peers = this.#peers();
+        // Timers fire a little late, so that equal periods must not be compared to the millisecond.
+        if (
+            now - this.#sentAt < peers.length / REPORTS_PER_SECOND * MILLISECONDS_PER_SECOND - PERIOD_MILLISECONDS / 2
+        ) {
+            return;
+        }
         const force = now - this.#reportedAt >= FORCED_REPORT_MILLISECONDS;
         const description = this.options.describe(force);
         if (!description) {
             return;
         }
-        this.#reportedAt = now;
+        this.#sentAt = now;
+        this.#reportedAt = force ? now : this.#reportedAt;
         const report = { ...this.options.self, ...description };
-        for (const peer of this.#peers()) {
-            void (force ? this.#probe(peer, report) : this.#pool.notify(peer, "peers.report", report));
+        this.#pool.broadcast(peers.map(({ peer }) => peer), "peers.report", report);
+    }
+
+    /** Probes peers in turn, so that a connection which has fallen silent is noticed. */
+    #probe(): void {
+        const peers = this.#peers();
+        const perSecond = Math.min(PROBES_PER_SECOND, peers.length * MILLISECONDS_PER_SECOND / PROBE_MILLISECONDS);
+        this.#probesDue += perSecond * PERIOD_MILLISECONDS / MILLISECONDS_PER_SECOND;
+        for (; this.#probesDue >= 1; this.#probesDue--) {
+            const known = peers[this.#nextProbe++ % Math.max(1, peers.length)];
+            if (known) {
+                void this.#probePeer(known.peer);
+            }
         }
     }
 
-    /** Sends a report that is answered, so that a connection which has fallen silent is noticed. */
-    async #probe(peer: Peer, report: object): Promise<void> {
-        const answer = await this.#pool.call(peer, "peers.report", report, PROBE_TIMEOUT_MILLISECONDS);
+    async #probePeer(peer: Peer): Promise<void> {
+        const answer = await this.#pool.call(peer, "peers.probe", {}, PROBE_TIMEOUT_MILLISECONDS);
         if (answer.isErr() && answer.error.kind === "timeout") {
             this.options.logger.warn("peer does not answer", { peer: peer.name });
             this.options.metrics.increment("peer_timeouts_total");
             this.#pool.disconnect(peer);
         }
     }
-
-    async #pullWhenStale(): Promise<void> {
-        const { clock, replica } = this.options;
-        if (clock.now() - replica.confirmedAt < STALE_MILLISECONDS) {
-            return;
-        }
-        const peers = this.#peers();
-        const peer = peers[this.#nextPull++ % Math.max(1, peers.length)];
-        if (peer) {
-            await this.#pull(peer);
-            return;
-        }
-        const seeds = this.options.seedAddresses.filter(address => address !== this.options.self.address);
-        const seed = seeds[this.#nextPull % Math.max(1, seeds.length)];
-        if (seed !== undefined) {
-            await this.#pullSeed(seed);
-        }
-    }
-
-    async #pull(peer: Peer): Promise<void> {
-        const { clock, replica } = this.options;
-        const askedAt = clock.now();
-        const params = { revision: replica.revision };
-        const answer = await this.#pool.call<PullAnswer>(peer, "replica.pull", params, PULL_TIMEOUT_MILLISECONDS);
-        if (answer.isOk()) {
-            this.#adopt(answer.value, askedAt, peer.name);
-        }
-    }
-
-    async #pullSeed(address: string): Promise<void> {
-        const askedAt = this.options.clock.now();
-        const params = { revision: this.options.replica.revision };
-        const answer = await this.#pool.callAddress<PullAnswer>(address, "replica.pull", params);
-        if (answer.isOk()) {
-            this.#adopt(answer.value, askedAt, address);
-        }
-    }
-
-    #adopt(answer: PullAnswer, askedAt: number, from: string): void {
-        const { replica, logger, metrics } = this.options;
-        const confirmedAt = askedAt - answer.age;
-        if (answer.snapshot && answer.revision > replica.revision) {
-            logger.info("items taken from a peer", { peer: from, revision: answer.revision, age: answer.age });
-            metrics.increment("replica_snapshots_from_peers_total");
-            replica.replace(answer.snapshot, confirmedAt);
-        }
-        replica.confirm(answer.revision, confirmedAt);
-    }
-
-    #answerPull(revision: number): PullAnswer {
-        const { clock, replica } = this.options;
-        const age = Math.min(1e9, clock.now() - replica.confirmedAt);
-        if (replica.revision <= revision) {
-            return { revision: replica.revision, age };
-        }
-        return { revision: replica.revision, age, snapshot: replica.snapshot() };
-    }
 }
--- a/packages/peers/peer_mesh_options.ts
+++ b/packages/peers/peer_mesh_options.ts
@@ -18,6 +18,10 @@
     logger: Logger;
     /** Describes this instance; undefined while nothing has changed since the last report. */
     describe(force: boolean): Omit<PeerReport, keyof Peer> | undefined;
+    /** Whether this instance's last read of the store succeeded. */
+    readsStore(): boolean;
+    /** Told that a peer knows a revision whose changes have not come. */
+    onNewer(revision: number): void;
     /** Receives a peer's report. */
     receive(report: PeerReport): void;
 }
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -5,6 +5,8 @@
     name: z.string().max(128),
     incarnation: z.string().max(64),
     address: z.string().max(64),
+    /** Whether the instance's last read of the store succeeded. */
+    readsStore: z.boolean(),
     /** Requests, reserved tokens and prefill tokens under way by server. */
     loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number()])),
     /** Engines that are changing their stage by order of the instance. */
--- a/packages/replica/item_replica.ts
+++ b/packages/replica/item_replica.ts
@@ -2,6 +2,11 @@
 import type { ItemSnapshot } from "./item_snapshot.ts";
 import type { StoredItem } from "./stored_item.ts";
 
+/** Time in milliseconds without a confirmation after which entries may have lapsed although their writers live. */
+const OUTAGE_MILLISECONDS = 2_000;
+/** Time in milliseconds in which entries that lapsed during an outage are written again. */
+const RECOVERY_MILLISECONDS = 2_300;
+
 /**
  * Copy of the store's items, complete up to a revision that never falls.
  *
@@ -18,6 +23,7 @@
     readonly #listeners: ((change: ItemChange) => void)[] = [];
     #revision = 0;
     #confirmedAt = Number.NEGATIVE_INFINITY;
+    #outageEndedAt = Number.NEGATIVE_INFINITY;
 
     /** Revision of the store up to which the copy is complete; 0 before the first snapshot. */
     get revision(): number {
@@ -29,6 +35,16 @@
         return this.#confirmedAt;
     }
 
+    /**
+     * Tells whether the store is away or has come back a moment ago, so that entries may be missing that are renewed.
+     *
+     * @param now Present time, by the clock that the callers of this class use.
+     * @returns Whether it is.
+     */
+    isRecovering(now: number): boolean {
+        return now - this.#confirmedAt > OUTAGE_MILLISECONDS || now - this.#outageEndedAt < RECOVERY_MILLISECONDS;
+    }
+
     /**
      * Registers a function that is called for each change.
      *
@@ -80,14 +96,18 @@
     }
 
     /**
-     * Applies the changes after the copy's revision.
+     * Applies the changes after the copy's revision; older ones among them have no effect.
      *
      * @param changes The changes, in order.
      * @param revision Revision up to which they are complete.
-     * @param readAt Time before they were asked for.
+     * @param readAt Time before they were asked for; undefined if that is not known, so that they confirm nothing.
      */
-    apply(changes: ItemChange[], revision: number, readAt: number): void {
+    apply(changes: ItemChange[], revision: number, readAt?: number): void {
+        const known = this.#revision;
         for (const change of changes) {
+            if (revisionOf(change) <= known) {
+                continue;
+            }
             if (change.kind === "written") {
                 this.#write(change.item);
             }
@@ -106,15 +126,22 @@
      */
     confirm(revision: number, confirmedAt: number): void {
         if (revision > 0 && revision <= this.#revision) {
-            this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
+            this.#noteConfirmed(confirmedAt);
         }
     }
 
-    #advance(revision: number, readAt: number): void {
+    #advance(revision: number, readAt: number | undefined): void {
         if (revision >= this.#revision) {
             this.#revision = revision;
-            this.#confirmedAt = Math.max(this.#confirmedAt, readAt);
+            this.#noteConfirmed(readAt ?? this.#confirmedAt);
+        }
+    }
+
+    #noteConfirmed(confirmedAt: number): void {
+        if (confirmedAt - this.#confirmedAt > OUTAGE_MILLISECONDS) {
+            this.#outageEndedAt = confirmedAt;
         }
+        this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
     }
 
     #write(item: StoredItem): void {
@@ -141,3 +168,7 @@
         }
     }
 }
+
+function revisionOf(change: ItemChange): number {
+    return change.kind === "written" ? change.item.revision : change.revision;
+}
--- a/packages/replica/item_replica_test.ts
+++ b/packages/replica/item_replica_test.ts
@@ -47,3 +47,38 @@
     replica.confirm(4, 200);
     expect(replica.confirmedAt).toBe(300);
 });
+
+test("changes that come late and out of order do not bring back what was removed since", () => {
+    const { replica, changes } = replicaWithLog();
+    replica.replace({ items: [], revision: 5 }, 100);
+    const written: ItemChange = { kind: "written", item: item("a", 6) };
+    const removed: ItemChange = { kind: "removed", key: "a", revision: 7 };
+    replica.apply([written, removed], 7, 150);
+    replica.apply([written], 6);
+    expect(replica.get("a")).toBeUndefined();
+    expect(replica.revision).toBe(7);
+    expect(changes).toHaveLength(2);
+});
+
+test("changes without a date do not make the copy younger", () => {
+    const { replica } = replicaWithLog();
+    replica.replace({ items: [], revision: 5 }, 100);
+    replica.apply([{ kind: "written", item: item("a", 6) }], 6);
+    expect(replica.get("a")).toBeDefined();
+    expect(replica.confirmedAt).toBe(100);
+});
+
+test("removals are doubted during an outage of the store and for a while after it", () => {
+    const { replica } = replicaWithLog();
+    replica.replace({ items: [], revision: 5 }, 100);
+    expect(replica.isRecovering(2_000)).toBe(true);
+    replica.confirm(5, 1_500);
+    replica.confirm(5, 3_000);
+    expect(replica.isRecovering(4_900)).toBe(false);
+    expect(replica.isRecovering(5_100)).toBe(true);
+    replica.confirm(5, 5_200);
+    expect(replica.isRecovering(7_000)).toBe(true);
+    expect(replica.isRecovering(7_190)).toBe(true);
+    replica.confirm(5, 7_000);
+    expect(replica.isRecovering(7_600)).toBe(false);
+});
--- a/packages/replica/replica_follower.ts
+++ b/packages/replica/replica_follower.ts
@@ -4,20 +4,28 @@
 import type { ReplicaFollowerOptions } from "./replica_follower_options.ts";
 
 /** Time that one watch waits; it bounds how long the loss of a connection stays unnoticed. */
-const WATCH_MILLISECONDS = 1_000;
-/** Silence of the store in milliseconds after which entries may have lapsed although their servers live. */
-const OUTAGE_MILLISECONDS = 2_500;
-/** Time in milliseconds in which entries that lapsed are written again. */
-const RECOVERY_MILLISECONDS = 2_300;
+const WATCH_MILLISECONDS = 800;
+/** Time that a watch waits after one that has brought changes, which confirms the copy only as of its own start. */
+const WATCH_AFTER_CHANGES_MILLISECONDS = 300;
+/** Time in milliseconds between changes and the next watch, so that changes that come together cost one call. */
+const GATHER_MILLISECONDS = 60;
+/** Age in milliseconds of the copy above which the store is read although peers are to do so. */
+const LATE_MILLISECONDS = 1_500;
+/** Time in milliseconds for which an instance goes on reading after its peers' news were late. */
+const TAKEOVER_MILLISECONDS = 5_000;
+/** Time in milliseconds after which it is checked again whether the store is to be read. */
+const IDLE_MILLISECONDS = 100;
 const FIRST_RETRY_MILLISECONDS = 100;
 const LONGEST_RETRY_MILLISECONDS = 800;
 
 /**
- * Keeps a replica up to date from the store: one snapshot, then a watch from its revision.
+ * Keeps a replica up to date from the store: one snapshot, then a watch from its revision. While peers read the store
+ * and pass on what they learn, the store is left alone.
  *
  * @example
  * ```ts
- * const follower = new ReplicaFollower(replica, source, { prefix: "", clock, logger, metrics });
+ * const follower = new ReplicaFollower(replica, source, { prefix: "", clock, isReader, onRead, logger, metrics });
+ * follower.readUpTo(17);
  * await follower.close();
  * ```
  */
@@ -26,8 +34,10 @@
     #needsSnapshot = true;
     #retryMilliseconds = 0;
     #connected = false;
-    #succeededAt = Number.NEGATIVE_INFINITY;
-    #regainedAt = Number.NEGATIVE_INFINITY;
+    #readsUntil = Number.NEGATIVE_INFINITY;
+    #wantedRevision = 0;
+    #changed = false;
+    #wake = new AbortController();
 
     /**
      * @param replica The replica.
@@ -50,12 +60,13 @@
     }
 
     /**
-     * Tells whether the store is away or has come back a moment ago, so that entries may be missing that are renewed.
+     * Reads the store at once if the copy is older than a revision that a peer has told of.
      *
-     * @returns Whether it is.
+     * @param revision The revision.
      */
-    isRecovering(): boolean {
-        return !this.#connected || this.options.clock.now() - this.#regainedAt < RECOVERY_MILLISECONDS;
+    readUpTo(revision: number): void {
+        this.#wantedRevision = Math.max(this.#wantedRevision, revision);
+        this.#wake.abort();
     }
 
     /**
@@ -71,7 +82,21 @@
         if (this.#retryMilliseconds > 0) {
             await sleep(this.#retryMilliseconds, signal);
         }
-        await (this.#needsSnapshot ? this.#list() : this.#watch());
+        if (!this.#mustRead()) {
+            this.#wake = new AbortController();
+            await sleep(IDLE_MILLISECONDS, AbortSignal.any([signal, this.#wake.signal]));
+            return;
+        }
+        await (this.#needsSnapshot ? this.#list() : this.#watch(signal));
+    }
+
+    #mustRead(): boolean {
+        const now = this.options.clock.now();
+        if (this.replica.revision > 0 && now - this.replica.confirmedAt > LATE_MILLISECONDS) {
+            this.#readsUntil = now + TAKEOVER_MILLISECONDS;
+        }
+        return !this.#connected || now < this.#readsUntil || this.#wantedRevision > this.replica.revision
+            || this.options.isReader();
     }
 
     async #list(): Promise<void> {
@@ -81,15 +106,21 @@
             this.#fail(listed.error.message);
             return;
         }
-        this.#succeed();
+        const after = this.replica.revision;
         this.replica.replace(listed.value, readAt);
+        this.#succeed();
         this.#needsSnapshot = listed.value.revision < this.replica.revision;
+        this.options.onRead({ after, revision: listed.value.revision, changes: undefined });
     }
 
-    async #watch(): Promise<void> {
+    async #watch(signal: AbortSignal): Promise<void> {
+        const wait = this.#changed ? WATCH_AFTER_CHANGES_MILLISECONDS : WATCH_MILLISECONDS;
+        if (this.#changed) {
+            await sleep(GATHER_MILLISECONDS, signal);
+        }
         const readAt = this.options.clock.now();
         const after = this.replica.revision;
-        const answer = await this.source.watch(this.options.prefix, after, WATCH_MILLISECONDS);
+        const answer = await this.source.watch(this.options.prefix, after, wait);
         if (answer.isErr()) {
             this.#fail(answer.error.message);
             return;
@@ -100,16 +131,18 @@
             this.#needsSnapshot = true;
             return;
         }
+        const { changes, revision } = answer.value;
+        // A watch without changes has seen the store as it was at the end of its wait.
+        this.#changed = changes.length > 0;
+        const waited = !this.#changed && this.options.clock.now() - readAt >= wait;
+        this.replica.apply(changes, revision, waited ? readAt + wait : readAt);
         this.#succeed();
-        this.replica.apply(answer.value.changes, answer.value.revision, readAt);
+        if (this.#changed) {
+            this.options.onRead({ after, revision, changes });
+        }
     }
 
     #succeed(): void {
-        const now = this.options.clock.now();
-        if (now - this.#succeededAt > OUTAGE_MILLISECONDS) {
-            this.#regainedAt = now;
-        }
-        this.#succeededAt = now;
         this.#retryMilliseconds = 0;
         if (!this.#connected) {
             this.#connected = true;
--- a/packages/replica/replica_follower_options.ts
+++ b/packages/replica/replica_follower_options.ts
@@ -1,6 +1,7 @@
 import type { SuspensionAwareClock } from "../clocks/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { ReplicaNews } from "./replica_news.ts";
 
 /** What a {@linkcode ReplicaFollower} works with. */
 export interface ReplicaFollowerOptions {
@@ -8,6 +9,10 @@
     prefix: string;
     /** Clock that dates what was read. */
     clock: SuspensionAwareClock;
+    /** Whether the store is to be read by this instance, as no peer does so in its place. */
+    isReader(): boolean;
+    /** Receives what was read, to be passed on to peers. */
+    onRead(news: ReplicaNews): void;
     logger: Logger;
     metrics: Metrics;
 }
