A fault soak of the real programs on the platform's form

Not covered: the time of day cannot be moved for one process here; links between instances have no proxy.

--- a/packages/harness/managed_process.ts
+++ b/packages/harness/managed_process.ts
@@ -17,10 +17,14 @@
     /**
      * @param argumentsOfNode Arguments of the Node.js program.
      * @param logFile File for its output.
+     * @param environment Variables of the environment besides this process's own.
      */
-    constructor(argumentsOfNode: string[], logFile: string) {
+    constructor(argumentsOfNode: string[], logFile: string, environment: Record<string, string> = {}) {
         const log = openSync(logFile, "a");
-        this.#child = spawn(process.execPath, argumentsOfNode, { stdio: ["ignore", log, log] });
+        this.#child = spawn(process.execPath, argumentsOfNode, {
+            stdio: ["ignore", log, log],
+            env: { ...process.env, ...environment },
+        });
         closeSync(log);
     }
 
@@ -49,6 +53,11 @@
         this.#child.kill("SIGCONT");
     }
 
+    /** Tells the process that its settings may have changed. */
+    reload(): void {
+        this.#child.kill("SIGHUP");
+    }
+
     /**
      * Ends the process at once.
      *
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -36,3 +36,12 @@
         keepNames: true,
     });
 }
+
+/** Bundles the fault soak of that program into `target/`. */
+export async function bundlePlatformSoak() {
+    await build({
+        ...COMMON,
+        entryPoints: { soak: "platform/stand_ins/soak/main.ts" },
+        outdir: "target",
+    });
+}
--- a/tools/test_setup.mjs
+++ b/tools/test_setup.mjs
@@ -1,6 +1,6 @@
-import { bundle } from "./bundle.mjs";
+import { bundle, bundlePlatform } from "./bundle.mjs";
 
 /** Bundles the programs once before the tests that start them as processes. */
 export default async function setup() {
-    await bundle();
+    await Promise.all([bundle(), bundlePlatform()]);
 }
