What a process had spent of a limit counts also after its end

Ruled out: late reports alone; the excess was larger than a report period allows.

Change: peers keep the last report of an ended process until it has left the window and tell it to all, new processes included; a silent peer counts as what it reported or its equal share, whichever is more; what nobody remembers counts as a full equal share that falls over the window, and is part of the report.

--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -102,6 +102,7 @@
         this.#book = new ServerBook(this.#directory);
         this.#crashes = new CrashRegistry(this.#directory, this.#logger);
         this.#limiter = new TokenLimiter({
+            self: { name: settings.name, incarnation: this.#incarnation },
             windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
             excess: bounds.quotaExcess,
             slack: bounds.quotaSlack,
@@ -293,9 +294,9 @@
                 loads[id] = [active, reservedTokens, prefillTokens, Number(failures.toFixed(1)), Math.round(successes)];
             }
         }
-        const spending = this.#limiter.spending();
+        const spent = this.#limiter.report();
         const readsStore = this.#follower?.connected ?? false;
-        const text = JSON.stringify([loads, spending, readsStore]);
+        const text = JSON.stringify([loads, spent.spending, readsStore]);
         if (!force && text === this.#lastReport) {
             return undefined;
         }
@@ -306,7 +307,7 @@
             changing: this.#balancer?.changing() ?? [],
             gone: this.#book.gone(),
             crashes: this.#crashes.recent(),
-            spending,
+            ...spent,
         };
     }
 
@@ -314,7 +315,7 @@
         this.#book.notePeer(report.name, report.loads);
         [...report.changing, ...report.gone].forEach(id => this.#book.avoid(id, AVOIDED_MILLISECONDS));
         report.crashes.forEach(([fingerprint, server]) => this.#crashes.notePeer(fingerprint, server));
-        this.#limiter.notePeer(`${report.name}/${report.incarnation}`, report.spending);
+        this.#limiter.notePeer(report.name, report.incarnation, report);
     }
 }
 
--- a/packages/gateway/token_limiter.ts
+++ b/packages/gateway/token_limiter.ts
@@ -2,6 +2,7 @@
 import { SpendingWindow } from "./_spending_window.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
+import type { SpendingReport } from "./spending_report.ts";
 import type { TokenLimiterOptions } from "./token_limiter_options.ts";
 
 /** Age in milliseconds above which a peer's report no longer tells what it spends. */
@@ -9,21 +10,29 @@
 /** Parts of the permitted excess that are used; the rest covers what peers spend until their reports arrive. */
 const USED_EXCESS_SHARE = 0.5;
 const USED_SLACK_SHARE = 0.55;
-/** Part of an equal share that a former process at this place is taken to have spent in the window before its end. */
-const FORMER_SHARE = 0.5;
 const MILLISECONDS_PER_SECOND = 1_000;
 const RETRY_MILLISECONDS = 1_000;
 
-/** What a peer has said that it spent. */
+/** What a live process has last reported. */
 interface PeerSpending {
-    byOrganisation: Record<string, number>;
+    incarnation: string;
+    spending: Record<string, number>;
+    assumedShare: number;
+    at: number;
+}
+
+/** What a process that has ended had last reported. */
+interface EndedSpending {
+    instance: string;
+    spending: Record<string, number>;
     at: number;
 }
 
 /**
  * Keeps organisations within their limits over all instances together. Each instance counts what its peers report; a
- * peer that is silent is taken to spend its equal share, so that parts of a fleet that do not hear each other spend no
- * more than the whole may.
+ * peer that is silent is taken to spend its equal share at least, so that parts of a fleet that do not hear each other
+ * spend no more than the whole may. What a process had spent counts until it has left the window, also when the process
+ * has ended: its peers remember it and tell those that started since.
  *
  * @example
  * ```ts
@@ -34,6 +43,7 @@
 export class TokenLimiter {
     readonly #windows = new Map<string, SpendingWindow>();
     readonly #peers = new Map<string, PeerSpending>();
+    readonly #ended = new Map<string, EndedSpending>();
     readonly #startedAt: number;
 
     /**
@@ -44,30 +54,47 @@
     }
 
     /**
-     * Returns what this instance has spent in the window.
+     * Describes what was spent in the window, for peers.
      *
-     * @returns Units by organisation.
+     * @returns This process's spending, and what it remembers of processes that have ended.
      */
-    spending(): Record<string, number> {
+    report(): SpendingReport {
         const now = this.options.clock.now();
-        const spent: Record<string, number> = {};
+        this.#forget(now);
+        const spending: Record<string, number> = {};
         for (const [organisation, window] of this.#windows) {
             const sum = window.sum(now);
             if (sum > 0) {
-                spent[organisation] = Math.round(sum);
+                spending[organisation] = Math.round(sum);
             }
         }
-        return spent;
+        const ended: SpendingReport["ended"] = {};
+        for (const [process, { spending: spent, at }] of this.#ended) {
+            ended[process] = [Math.round(now - at), spent];
+        }
+        return { spending, assumedShare: Number(this.#assumedShare(now).toFixed(2)), ended };
     }
 
     /**
-     * Notes what a peer has spent in its window.
+     * Notes what a peer has reported.
      *
-     * @param peer Name and incarnation of the peer.
-     * @param byOrganisation Units by organisation.
+     * @param name Name of the peer.
+     * @param incarnation Start of its process.
+     * @param report What it said.
      */
-    notePeer(peer: string, byOrganisation: Record<string, number>): void {
-        this.#peers.set(peer, { byOrganisation, at: this.options.clock.now() });
+    notePeer(name: string, incarnation: string, report: SpendingReport): void {
+        const now = this.options.clock.now();
+        const former = this.#peers.get(name);
+        const { spending, assumedShare } = report;
+        this.#peers.set(name, { incarnation, spending, assumedShare, at: now });
+        this.#ended.delete(`${name}/${incarnation}`);
+        if (former && former.incarnation !== incarnation) {
+            this.#noteEnded(name, former.incarnation, former.spending, former.at);
+        }
+        for (const [process, [age, spent]] of Object.entries(report.ended)) {
+            const separator = process.lastIndexOf("/");
+            this.#noteEnded(process.slice(0, separator), process.slice(separator + 1), spent, now - age);
+        }
     }
 
     /**
@@ -87,7 +114,7 @@
         const { excess, slack, windowMilliseconds } = this.options;
         const limit = organisation.ratePerSecond * windowMilliseconds / MILLISECONDS_PER_SECOND + organisation.burst;
         const allowed = limit * (1 + excess * USED_EXCESS_SHARE) + slack * USED_SLACK_SHARE;
-        const spent = window.sum(now) + this.#spentByPeers(organisation.name, limit, now);
+        const spent = window.sum(now) + this.#spentByOthers(organisation.name, limit, now);
         if (spent + cost > allowed) {
             return {
                 status: 429,
@@ -103,30 +130,75 @@
         return undefined;
     }
 
-    #spentByPeers(organisation: string, limit: number, now: number): number {
+    /** What peers spent in the window, and processes that have ended, a former one at this place included. */
+    #spentByOthers(organisation: string, limit: number, now: number): number {
+        this.#forget(now);
         const share = limit / this.options.instanceCount();
-        let heard = 0;
+        const remembered = new Set<string>();
         let spent = 0;
-        for (const [peer, { byOrganisation, at }] of this.#peers) {
-            const age = now - at;
-            if (age > this.options.windowMilliseconds) {
-                this.#peers.delete(peer);
+        for (const { instance, spending } of this.#ended.values()) {
+            remembered.add(instance);
+            spent += spending[organisation] ?? 0;
+        }
+        const silent: number[] = [];
+        let heard = 0;
+        for (const [name, { spending, assumedShare, at }] of this.#peers) {
+            const reported = spending[organisation] ?? 0;
+            if (now - at > SILENT_MILLISECONDS) {
+                silent.push(reported);
                 continue;
             }
-            const reported = byOrganisation[organisation] ?? 0;
-            if (age <= SILENT_MILLISECONDS) {
-                heard++;
-                spent += reported;
-            }
-            else {
-                spent += reported * (1 - age / this.options.windowMilliseconds);
+            heard++;
+            spent += reported + (remembered.has(name) ? 0 : share * assumedShare);
+        }
+        const unheard = Math.max(0, this.options.instanceCount() - 1 - heard);
+        // Peers that are neither heard nor expected have ended; what they had spent still counts.
+        silent.sort((left, right) => right - left);
+        for (let index = 0; index < Math.max(unheard, silent.length); index++) {
+            spent += Math.max(silent[index] ?? 0, index < unheard ? share : 0);
+        }
+        return spent + share * this.#assumedShare(now);
+    }
+
+    /**
+     * Part of an equal share that a former process at this place is taken to have spent; none once a peer has told, or if
+     * the fleet starts for the first time.
+     */
+    #assumedShare(now: number): number {
+        const { self, firstStart, windowMilliseconds } = this.options;
+        const told = [...this.#ended.values()].some(({ instance }) => instance === self.name);
+        return firstStart || told ? 0 : Math.max(0, 1 - (now - this.#startedAt) / windowMilliseconds);
+    }
+
+    #noteEnded(instance: string, incarnation: string, spending: Record<string, number>, at: number): void {
+        const { self } = this.options;
+        const process = `${instance}/${incarnation}`;
+        const alive = instance === self.name
+            ? incarnation === self.incarnation
+            : this.#peers.get(instance)?.incarnation === incarnation;
+        const known = this.#ended.get(process);
+        if (alive) {
+            return;
+        }
+        if (!known) {
+            this.#ended.set(process, { instance, spending: { ...spending }, at });
+            return;
+        }
+        // Peers that tell each other of it must not make it younger.
+        for (const [organisation, spent] of Object.entries(spending)) {
+            known.spending[organisation] = Math.max(known.spending[organisation] ?? 0, spent);
+        }
+    }
+
+    #forget(now: number): void {
+        const oldest = now - this.options.windowMilliseconds;
+        for (const map of [this.#peers, this.#ended]) {
+            for (const [key, { at }] of map) {
+                if (at < oldest) {
+                    map.delete(key);
+                }
             }
         }
-        const silent = Math.max(0, this.options.instanceCount() - 1 - heard);
-        // What a former process at this place spent in the window is not known.
-        const age = (now - this.#startedAt) / this.options.windowMilliseconds;
-        const own = this.options.firstStart ? 0 : share * FORMER_SHARE * Math.max(0, 1 - age);
-        return spent + silent * share + own;
     }
 
     #windowOf(organisation: string): SpendingWindow {
--- a/packages/gateway/token_limiter_options.ts
+++ b/packages/gateway/token_limiter_options.ts
@@ -2,6 +2,8 @@
 
 /** What a {@linkcode TokenLimiter} works with. */
 export interface TokenLimiterOptions {
+    /** Name of this instance and start of this process. */
+    self: { name: string; incarnation: string; };
     /** Window in milliseconds over which an organisation's limit is counted. */
     windowMilliseconds: number;
     /** Part of the limit by which it may be exceeded. */
--- a/packages/gateway/token_limiter_test.ts
+++ b/packages/gateway/token_limiter_test.ts
@@ -18,28 +18,45 @@
 
 const request = { organisation, promptTokens: 90, outputTokens: 10 } as GatewayRequest;
 
-function fleet(count: number) {
+/** What counts of each process of the fleet; a replaced process starts anew under the same name. */
+function fleet(count: number, firstStart = true) {
     const times = { now: 0 };
     const clock = new SuspensionAwareClock(() => times.now, () => times.now);
-    const limiters = Array.from({ length: count }, () =>
+    const starts = new Array<number>(count).fill(0);
+    const create = (index: number, first: boolean) =>
         new TokenLimiter({
+            self: { name: `instance-${index}`, incarnation: String(starts[index]) },
             windowMilliseconds: 8_000,
             excess: 0,
             slack: 0,
-            firstStart: true,
+            firstStart: first,
             instanceCount: () => count,
             clock,
-        }));
+        });
+    const limiters = Array.from({ length: count }, (_, index) => create(index, firstStart));
     const exchange = (hears: (from: number, to: number) => boolean) => {
         limiters.forEach((limiter, to) =>
             limiters.forEach((other, from) => {
                 if (from !== to && hears(from, to)) {
-                    limiter.notePeer(`instance-${from}`, other.spending());
+                    limiter.notePeer(`instance-${from}`, String(starts[from]), other.report());
                 }
             })
         );
     };
-    return { times, limiters, exchange };
+    const replace = (index: number) => {
+        starts[index] = (starts[index] ?? 0) + 1;
+        limiters[index] = create(index, false);
+    };
+    return { times, limiters, exchange, replace };
+}
+
+/** Most units admitted in any window. */
+function mostInAWindow(admitted: { at: number; units: number; }[]): number {
+    return Math.max(
+        ...admitted.map(({ at: start }) =>
+            admitted.filter(({ at }) => at >= start && at < start + 8_000).reduce((sum, { units }) => sum + units, 0)
+        ),
+    );
 }
 
 test("what all instances admit in any window keeps to the limit while they hear each other", () => {
@@ -86,3 +103,54 @@
     times.now += 9_000;
     expect(limiter?.charge(request)).toBeUndefined();
 });
+
+test("what replaced processes had spent counts while one peer is paused", () => {
+    const { times, limiters, exchange, replace } = fleet(4);
+    const admitted: { at: number; units: number; }[] = [];
+    const charge = (index: number) => {
+        const limiter = limiters[index];
+        if (limiter && !limiter.charge(request)) {
+            admitted.push({ at: times.now, units: 100 });
+        }
+    };
+    let paused = -1;
+    for (; times.now < 20_000; times.now += 20) {
+        exchange((from, to) => from !== paused && to !== paused);
+        if (times.now >= 6_000 && times.now < 8_000) {
+            // Two instances get all the traffic and spend the whole limit.
+            charge(times.now % 40 === 0 ? 1 : 3);
+        }
+        if (times.now === 8_200) {
+            paused = 2;
+            replace(1);
+        }
+        if (times.now === 8_400) {
+            replace(3);
+        }
+        if (times.now >= 8_600) {
+            [0, 1, 3].forEach(charge);
+        }
+    }
+    expect(mostInAWindow(admitted)).toBeLessThanOrEqual(LIMIT);
+    // The paused instance's share is not used, nor what falls to it.
+    expect(admitted.length * 100).toBeGreaterThan(LIMIT * 1.5);
+});
+
+test("after all processes were replaced at once, a limit that was used evenly is kept", () => {
+    const { times, limiters, exchange, replace } = fleet(4);
+    const admitted: { at: number; units: number; }[] = [];
+    for (; times.now < 24_000; times.now += 20) {
+        if (times.now === 12_000) {
+            [0, 1, 2, 3].forEach(replace);
+        }
+        exchange(() => true);
+        // The organisation asks evenly for all that its limit allows, and for much more after the replacement.
+        const asks = times.now >= 12_000 || times.now % 80 === 0;
+        const limiter = asks ? limiters[Math.floor(times.now / 80) % 4] : undefined;
+        if (limiter && !limiter.charge(request)) {
+            admitted.push({ at: times.now, units: 100 });
+        }
+    }
+    expect(mostInAWindow(admitted)).toBeLessThanOrEqual(LIMIT);
+    expect(admitted.length * 100).toBeGreaterThan(24 * 1_000 * 0.8);
+});
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -17,4 +17,8 @@
     crashes: z.array(z.tuple([z.string(), z.string()])).max(1_024),
     /** Units spent in the limit's window by organisation. */
     spending: z.record(z.string(), z.number()),
+    /** Part of an equal share that a former process at the instance's place is taken to have spent. */
+    assumedShare: z.number(),
+    /** What processes that ended within the window had spent: age in milliseconds, units by organisation. */
+    ended: z.record(z.string(), z.tuple([z.number(), z.record(z.string(), z.number())])),
 });
