Sums of peers' loads are kept, and a prompt's wait is estimated once a choice

Cause: choosing a decode engine summed the loads of all peers for each engine, and, while prefill engines were behind, estimated the prompt's wait anew for each of them: engines x engines x peers steps for one choice, in fleets of 87 instances and 98 engines.

Change: the sum is kept until a peer's load changes or becomes too old; the estimate is passed on. Same choices.

--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -163,22 +163,24 @@
     #choose(waiter: Waiter, now: number): ListedServer | undefined {
         const { directory, book } = this.services;
         const service = waiter.request.service;
-        const prefillWait = this.prefill.estimate(waiter.request)
-            - waiter.request.promptTokens / this.prefill.tokensPerMillisecond;
+        const estimate = this.prefill.estimate(waiter.request);
+        const prefillWait = estimate - waiter.request.promptTokens / this.prefill.tokensPerMillisecond;
+        const coldLimit = this.#chooser.coldLimit(service.name);
         let best: ListedServer | undefined;
         let highest = 0;
         for (const server of directory.usableServers(service.name)) {
             const load = book.of(server.id);
             if (
                 server.stage !== "decode" || load.avoidedUntil > now || waiter.excluded.has(server.id)
-                || !book.admits(server, this.#chooser.coldLimit(service.name))
+                || !book.admits(server, coldLimit)
             ) {
                 continue;
             }
             const { active, reservedTokens } = load.total();
             const free = (service.engine?.memoryTokens ?? 0) - reservedTokens;
             const preference = free / (1 + LOSS_PENALTY * load.lossRate);
-            const soon = prefillWait < PREFILL_WAIT_MILLISECONDS || this.prefill.isDirectFaster(waiter.request, server);
+            const soon = prefillWait < PREFILL_WAIT_MILLISECONDS
+                || this.prefill.isDirectFaster(waiter.request, server, estimate);
             if (active < server.slots && free >= waiter.tokens && preference > highest && soon) {
                 best = server;
                 highest = preference;
--- a/packages/gateway/prefill_stage.ts
+++ b/packages/gateway/prefill_stage.ts
@@ -76,13 +76,14 @@
      *
      * @param request The request.
      * @param server The decode engine.
+     * @param estimate Milliseconds until a prefill engine would have computed it. Default: as estimated now.
      * @returns Whether it should.
      */
-    isDirectFaster(request: GatewayRequest, server: ListedServer): boolean {
+    isDirectFaster(request: GatewayRequest, server: ListedServer, estimate = this.estimate(request)): boolean {
         const load = this.services.book.of(server.id);
         const tokens = load.total().prefillTokens + request.promptTokens;
         const direct = tokens / (this.#tokensPerMillisecond * DIRECT_SPEED_SHARE);
-        return this.estimate(request) > direct + DIRECT_PENALTY_MILLISECONDS;
+        return estimate > direct + DIRECT_PENALTY_MILLISECONDS;
     }
 
     /**
@@ -136,11 +137,12 @@
         const now = monotonicMilliseconds();
         let best: ListedServer | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
+        const coldLimit = this.#chooser.coldLimit(request.service.name);
         for (const server of directory.usableServers(request.service.name)) {
             const load = book.of(server.id);
             if (
                 server.stage !== "prefill" || load.avoidedUntil > now || tried.has(server.id)
-                || !book.admits(server, this.#chooser.coldLimit(request.service.name))
+                || !book.admits(server, coldLimit)
             ) {
                 continue;
             }
--- a/packages/gateway/server_load.ts
+++ b/packages/gateway/server_load.ts
@@ -30,6 +30,9 @@
     #outcomesAt = 0;
     #sentAt: number[] = [];
     readonly #peers = new Map<string, { load: PeerServerLoad; at: number; }>();
+    /** Sum of the peers' loads, kept until one of them changes or becomes too old. */
+    #peerSum: PeerServerLoad | undefined;
+    #peerSumUntil = 0;
 
     /** Moving average of the time of an answer in milliseconds; undefined when there was none lately. */
     get averageMilliseconds(): number | undefined {
@@ -55,25 +58,15 @@
      * @returns The sums.
      */
     total(): PeerServerLoad {
-        const sum = {
-            active: this.active,
-            reservedTokens: this.reservedTokens,
-            prefillTokens: this.prefillTokens,
-            ...this.outcomes,
+        const peers = this.#sumOfPeers();
+        const { failures, successes } = this.outcomes;
+        return {
+            active: peers.active + this.active,
+            reservedTokens: peers.reservedTokens + this.reservedTokens,
+            prefillTokens: peers.prefillTokens + this.prefillTokens,
+            failures: peers.failures + failures,
+            successes: peers.successes + successes,
         };
-        const oldest = monotonicMilliseconds() - PEER_REPORT_MILLISECONDS;
-        for (const [peer, { load, at }] of this.#peers) {
-            if (at < oldest) {
-                this.#peers.delete(peer);
-                continue;
-            }
-            sum.active += load.active;
-            sum.reservedTokens += load.reservedTokens;
-            sum.prefillTokens += load.prefillTokens;
-            sum.failures += load.failures;
-            sum.successes += load.successes;
-        }
-        return sum;
     }
 
     /**
@@ -84,6 +77,7 @@
      */
     notePeer(peer: string, load: PeerServerLoad): void {
         this.#peers.set(peer, { load, at: monotonicMilliseconds() });
+        this.#peerSum = undefined;
     }
 
     /**
@@ -92,7 +86,9 @@
      * @param peer Name of the peer.
      */
     forgetPeer(peer: string): void {
-        this.#peers.delete(peer);
+        if (this.#peers.delete(peer)) {
+            this.#peerSum = undefined;
+        }
     }
 
     /** Notes that a request was sent. */
@@ -142,6 +138,30 @@
         this.#noteOutcome(1, 0);
     }
 
+    #sumOfPeers(): PeerServerLoad {
+        const now = monotonicMilliseconds();
+        if (this.#peerSum && now < this.#peerSumUntil) {
+            return this.#peerSum;
+        }
+        const sum = { active: 0, reservedTokens: 0, prefillTokens: 0, failures: 0, successes: 0 };
+        this.#peerSumUntil = Number.POSITIVE_INFINITY;
+        for (const [peer, { load, at }] of this.#peers) {
+            const until = at + PEER_REPORT_MILLISECONDS;
+            if (until <= now) {
+                this.#peers.delete(peer);
+                continue;
+            }
+            this.#peerSumUntil = Math.min(this.#peerSumUntil, until);
+            sum.active += load.active;
+            sum.reservedTokens += load.reservedTokens;
+            sum.prefillTokens += load.prefillTokens;
+            sum.failures += load.failures;
+            sum.successes += load.successes;
+        }
+        this.#peerSum = sum;
+        return sum;
+    }
+
     #noteOutcome(failures: number, successes: number): void {
         const before = this.outcomes;
         this.#failures = before.failures + failures;
