Engines change their stage only when that has been wanted for some time

Before traffic two engines were ordered away while two others had not registered yet, and one was ordered back. Ruled out: refused or late orders (all answered 202, in force after 6 s).

Change: a plan of its own (StagePlan) asks for a change under load only if the division has been off by more than 0.7 engines for 5 s, and before traffic only once the number of engines has been the same for 1.5 s.

stage_plan_test.ts is red with these times and the tolerance off, green with them.

--- a/packages/gateway/stage_balancer.ts
+++ b/packages/gateway/stage_balancer.ts
@@ -3,23 +3,14 @@
 import type { EngineStage, ListedServer } from "../directory/mod.ts";
 import { EngineCaller } from "./engine_caller.ts";
 import type { GatewayServices } from "./gateway_services.ts";
+import { StagePlan } from "./stage_plan.ts";
 
 const PERIOD_MILLISECONDS = 250;
 const CALL_MILLISECONDS = 800;
-/** Part of the engines of a service that compute prompts while nothing is known of the traffic. */
-const PREFILL_SHARE = 0.24;
 /** Time in milliseconds between two orders to engines of one service once there is traffic. */
 const PAUSE_MILLISECONDS = 8_000;
 /** Time in milliseconds until a changed stage is registered and known, besides the change itself. */
 const ANNOUNCEMENT_MILLISECONDS = 3_000;
-/** Part of the decode memory in use below which nothing speaks against a change. */
-const IDLE_FILL = 0.02;
-/** Part of the decode memory in use above which decode engines are needed most. */
-const BUSY_FILL = 0.6;
-/** Prompt tokens under way at each prefill engine above which another one is needed. */
-const CROWDED_TOKENS = 9_000;
-/** Time in milliseconds that prefill engines must be lacking, since a crashed one comes back. */
-const SHORTAGE_MILLISECONDS = 1_500;
 /** Weight of the newest sample in the averages of the load. */
 const SAMPLE_WEIGHT = 0.08;
 
@@ -30,8 +21,7 @@
     /** Average of decode memory in use, as a part of the whole. */
     decodeFill: number;
     orderedAt: number;
-    /** Time since which prefill engines are lacking. */
-    shortSince: number | undefined;
+    plan: StagePlan;
 }
 
 /**
@@ -117,7 +107,7 @@
             decoders += server.stage === "decode" ? 1 : 0;
         }
         const load = this.#loads.get(service)
-            ?? { prefillTokens: 0, decodeFill: 0, orderedAt: Number.NEGATIVE_INFINITY, shortSince: undefined };
+            ?? { prefillTokens: 0, decodeFill: 0, orderedAt: Number.NEGATIVE_INFINITY, plan: new StagePlan() };
         const fill = reservedTokens / Math.max(1, decoders * memoryTokens);
         load.prefillTokens += SAMPLE_WEIGHT * (prefillTokens - load.prefillTokens);
         load.decodeFill += SAMPLE_WEIGHT * (fill - load.decodeFill);
@@ -129,36 +119,21 @@
         this.changing();
         const now = this.services.clock.now();
         const prefillers = servers.filter(server => this.#futureStage(server) === "prefill");
-        const wanted = this.#wantedPrefillers(servers.length, prefillers.length, load);
-        if (prefillers.length >= wanted) {
-            load.shortSince = undefined;
-        }
-        else {
-            load.shortSince ??= now;
-        }
-        if (now - load.orderedAt <= this.#pause(load)) {
+        const { prefillTokens, decodeFill } = load;
+        const division = { engines: servers.length, prefillers: prefillers.length, prefillTokens, decodeFill };
+        const stage = load.plan.next(division, now);
+        if (!stage || now - load.orderedAt <= this.#pause(load)) {
             return;
         }
-        const settled = servers.filter(({ id }) => !this.#changing.has(id));
-        if (prefillers.length > wanted && (load.decodeFill < IDLE_FILL || load.decodeFill > BUSY_FILL)) {
-            await this.#move(settled.filter(({ stage }) => stage === "prefill"), "decode", load, fence);
-        }
-        else if (load.shortSince !== undefined && now - load.shortSince > SHORTAGE_MILLISECONDS) {
-            await this.#move(settled.filter(({ stage }) => stage === "decode"), "prefill", load, fence);
-        }
+        const former: EngineStage = stage === "prefill" ? "decode" : "prefill";
+        const candidates = servers.filter(server => server.stage === former && !this.#changing.has(server.id));
+        await this.#move(candidates, stage, load, fence);
     }
 
     #futureStage(server: ListedServer): EngineStage | undefined {
         return this.#changing.get(server.id)?.stage ?? server.stage;
     }
 
-    #wantedPrefillers(engines: number, prefillers: number, load: ServiceLoad): number {
-        const usual = Math.max(1, Math.round(PREFILL_SHARE * engines));
-        const waiting = load.prefillTokens / Math.max(1, prefillers);
-        const crowded = waiting > CROWDED_TOKENS && load.decodeFill < BUSY_FILL;
-        return Math.min(engines - 1, crowded ? Math.max(usual, prefillers + 1) : usual);
-    }
-
     async #move(candidates: ListedServer[], stage: EngineStage, load: ServiceLoad, fence: number): Promise<void> {
         const server = this.#leastLoaded(candidates);
         if (server) {
