A request that no server has run is not charged to its organisation

Change: the forwarders return the verdict of a request; a request that has not run gets its charge back. What a peer has spent since its last report is estimated from its rate. Crashing requests are refused before they are charged.

A test of the refund is new.

--- a/packages/gateway/_spending_window.ts
+++ b/packages/gateway/_spending_window.ts
@@ -7,14 +7,18 @@
 
     constructor(private readonly windowMilliseconds: number) {}
 
-    /** Adds an amount. */
-    add(amount: number, now: number): void {
-        const last = this.#steps.at(-1);
-        if (last && now - last.startedAt < this.windowMilliseconds / STEPS) {
-            last.amount += amount;
-            return;
+    /** Adds an amount and returns a function that takes it back. */
+    add(amount: number, now: number): () => void {
+        let step = this.#steps.at(-1);
+        if (!step || now - step.startedAt >= this.windowMilliseconds / STEPS) {
+            step = { startedAt: now, amount: 0 };
+            this.#steps.push(step);
         }
-        this.#steps.push({ startedAt: now, amount });
+        const charged = step;
+        charged.amount += amount;
+        return () => {
+            charged.amount -= amount;
+        };
     }
 
     /** Sums what was added in the window. */
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -205,11 +205,6 @@
 
     async #forward(request: GatewayRequest): Promise<void> {
         const { retries, metrics } = this.services;
-        const refusal = this.limiter.charge(request);
-        if (refusal) {
-            endRequest(request, refusal, this.services);
-            return;
-        }
         if (this.services.crashes.isConvicted(request)) {
             const message = "Servers have crashed each time that the request ran";
             endRequest(request, {
@@ -220,9 +215,17 @@
             }, this.services);
             return;
         }
+        const charge = this.limiter.charge(request);
+        if (charge.isErr()) {
+            endRequest(request, charge.error, this.services);
+            return;
+        }
         retries.noteRequest(request.service.name);
         metrics.increment("gateway_requests_total", { kind: request.route.kind });
-        await (request.service.engine ? this.#streams : this.#plain).forward(request);
+        const verdict = await (request.service.engine ? this.#streams : this.#plain).forward(request);
+        if (verdict === "not-run") {
+            charge.value.refund();
+        }
     }
 
     #maximumBodyBytes(): number {
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -2,6 +2,7 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { ListedServer } from "../directory/mod.ts";
 import { relayHeaders } from "../headers/mod.ts";
+import type { Verdict } from "../verdicts/mod.ts";
 import { backendHeaders } from "./backend_headers.ts";
 import { endRequest } from "./end_request.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
@@ -48,9 +49,9 @@
      * Forwards a request and answers its caller.
      *
      * @param request The request.
-     * @returns A promise that resolves once the answer is given.
+     * @returns Whether the request may have run, once the answer is given.
      */
-    async forward(request: GatewayRequest): Promise<void> {
+    async forward(request: GatewayRequest): Promise<Verdict> {
         const tried = new Set<string>();
         let runs = 0;
         let failed: { answer: BackendAnswer; body: Buffer; } | undefined;
@@ -78,7 +79,7 @@
             if (outcome.kind === "answered") {
                 if (outcome.answer.status < 500 || request.route.kind !== "idempotent") {
                     this.#relay(request, outcome.answer, outcome.body);
-                    return;
+                    return "may-have-run";
                 }
                 failed = outcome;
                 runs++;
@@ -97,9 +98,11 @@
         }
         if (failed) {
             this.#relay(request, failed.answer, failed.body);
-            return;
+            return "may-have-run";
         }
-        endRequest(request, this.#final(request, refusal), this.services);
+        const final = this.#final(request, refusal);
+        endRequest(request, final, this.services);
+        return final.verdict;
     }
 
     #mayUseKey(request: GatewayRequest): boolean {
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -3,6 +3,7 @@
 import { readAnswerBody } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { relayHeaders } from "../headers/mod.ts";
+import type { Verdict } from "../verdicts/mod.ts";
 import { backendHeaders } from "./backend_headers.ts";
 import type { DecodeGrant } from "./decode_grant.ts";
 import type { DecodeQueue } from "./decode_queue.ts";
@@ -55,9 +56,9 @@
      * Forwards a request and answers its caller.
      *
      * @param request The request.
-     * @returns A promise that resolves once the answer is complete or was given up.
+     * @returns Whether the request may have run, once its answer is complete or was given up.
      */
-    async forward(request: GatewayRequest): Promise<void> {
+    async forward(request: GatewayRequest): Promise<Verdict> {
         const progress: PassProgress = {
             lastEventId: undefined,
             runs: 0,
@@ -89,7 +90,7 @@
                 ...this.services.knowledge.describe(),
             });
             if (outcome.kind === "completed" || outcome.kind === "relayed") {
-                return;
+                return "may-have-run";
             }
             if (outcome.kind === "key-withdrawn") {
                 refusal = failed("configuration-stale", "not-run", outcome.message);
@@ -115,7 +116,9 @@
             }
         }
         this.#giveBack(progress);
-        endRequest(request, this.#final(request, refusal), this.services);
+        const final = this.#final(request, refusal);
+        endRequest(request, final, this.services);
+        return final.verdict;
     }
 
     /** Frees a prefill's result that is not going to be used. */
--- a/packages/gateway/token_limiter.ts
+++ b/packages/gateway/token_limiter.ts
@@ -1,8 +1,10 @@
+import { err, ok, type Result } from "neverthrow";
 import type { OrganisationProfile } from "../directory/mod.ts";
 import { SpendingWindow } from "./_spending_window.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { SpendingReport } from "./spending_report.ts";
+import type { TokenCharge } from "./token_charge.ts";
 import type { TokenLimiterOptions } from "./token_limiter_options.ts";
 
 /** Age in milliseconds above which a peer's report no longer tells what it spends. */
@@ -10,6 +12,8 @@
 /** Parts of the permitted excess that are used; the rest covers what peers spend until their reports arrive. */
 const USED_EXCESS_SHARE = 0.5;
 const USED_SLACK_SHARE = 0.55;
+/** How many times its mean rate in the window a peer may have spent since its last report. */
+const PEAK_FACTOR = 2;
 const MILLISECONDS_PER_SECOND = 1_000;
 const RETRY_MILLISECONDS = 1_000;
 
@@ -37,7 +41,8 @@
  * @example
  * ```ts
  * const limiter = new TokenLimiter(options);
- * const refusal = limiter.charge(request);
+ * const charge = limiter.charge(request);
+ * charge.map(({ refund }) => refund()); // if no server has run the request
  * ```
  */
 export class TokenLimiter {
@@ -101,12 +106,12 @@
      * Charges a request to its organisation.
      *
      * @param request The request.
-     * @returns The refusal, or undefined if the request is within the limit.
+     * @returns The charge, or the refusal if the request is beyond the limit.
      */
-    charge(request: GatewayRequest): GatewayRefusal | undefined {
+    charge(request: GatewayRequest): Result<TokenCharge, GatewayRefusal> {
         const { organisation } = request;
         if (!organisation || organisation.ratePerSecond <= 0) {
-            return undefined;
+            return ok({ refund: () => {} });
         }
         const now = this.options.clock.now();
         const cost = costOf(organisation, request);
@@ -116,7 +121,7 @@
         const allowed = limit * (1 + excess * USED_EXCESS_SHARE) + slack * USED_SLACK_SHARE;
         const spent = window.sum(now) + this.#spentByOthers(organisation.name, limit, now);
         if (spent + cost > allowed) {
-            return {
+            return err({
                 status: 429,
                 reason: "over-limit",
                 verdict: "not-run",
@@ -124,10 +129,9 @@
                     Math.round(allowed)
                 }`,
                 retryAfterMilliseconds: RETRY_MILLISECONDS,
-            };
+            });
         }
-        window.add(cost, now);
-        return undefined;
+        return ok({ refund: window.add(cost, now) });
     }
 
     /** What peers spent in the window, and processes that have ended, a former one at this place included. */
@@ -149,7 +153,8 @@
                 continue;
             }
             heard++;
-            spent += reported + (remembered.has(name) ? 0 : share * assumedShare);
+            const since = reported * PEAK_FACTOR * (now - at) / this.options.windowMilliseconds;
+            spent += reported + since + (remembered.has(name) ? 0 : share * assumedShare);
         }
         const unheard = Math.max(0, this.options.instanceCount() - 1 - heard);
         // Peers that are neither heard nor expected have ended; what they had spent still counts.
--- a/packages/gateway/token_limiter_test.ts
+++ b/packages/gateway/token_limiter_test.ts
@@ -66,7 +66,7 @@
         exchange(() => true);
         // One instance after the other, so that each knows what was admitted before.
         const limiter = limiters[times.now / 20 % 4];
-        if (limiter && !limiter.charge(request)) {
+        if (limiter?.charge(request).isOk()) {
             admitted.push(times.now);
         }
     }
@@ -86,7 +86,7 @@
     for (let step = 0; step < 400; step++) {
         exchange(sameSide);
         const limiter = limiters[step % 4];
-        admitted += limiter && !limiter.charge(request) ? 100 : 0;
+        admitted += limiter?.charge(request).isOk() ? 100 : 0;
     }
     expect(admitted).toBeLessThanOrEqual(LIMIT);
     expect(admitted).toBeGreaterThan(LIMIT * 0.9);
@@ -96,12 +96,12 @@
     const { times, limiters, exchange } = fleet(1);
     exchange(() => true);
     const [limiter] = limiters;
-    while (limiter && !limiter.charge(request)) {
+    while (limiter?.charge(request).isOk()) {
         // Spends the whole limit.
     }
-    expect(limiter?.charge(request)?.status).toBe(429);
+    expect(limiter?.charge(request)._unsafeUnwrapErr().status).toBe(429);
     times.now += 9_000;
-    expect(limiter?.charge(request)).toBeUndefined();
+    expect(limiter?.charge(request).isOk()).toBe(true);
 });
 
 test("what replaced processes had spent counts while one peer is paused", () => {
@@ -109,7 +109,7 @@
     const admitted: { at: number; units: number; }[] = [];
     const charge = (index: number) => {
         const limiter = limiters[index];
-        if (limiter && !limiter.charge(request)) {
+        if (limiter?.charge(request).isOk()) {
             admitted.push({ at: times.now, units: 100 });
         }
     };
@@ -147,10 +147,22 @@
         // The organisation asks evenly for all that its limit allows, and for much more after the replacement.
         const asks = times.now >= 12_000 || times.now % 80 === 0;
         const limiter = asks ? limiters[Math.floor(times.now / 80) % 4] : undefined;
-        if (limiter && !limiter.charge(request)) {
+        if (limiter?.charge(request).isOk()) {
             admitted.push({ at: times.now, units: 100 });
         }
     }
     expect(mostInAWindow(admitted)).toBeLessThanOrEqual(LIMIT);
     expect(admitted.length * 100).toBeGreaterThan(24 * 1_000 * 0.8);
 });
+
+test("what no server has run does not count", () => {
+    const { limiters: [limiter] } = fleet(1);
+    for (let refused = 0; refused < 2 * LIMIT / 100; refused++) {
+        limiter?.charge(request)._unsafeUnwrap().refund();
+    }
+    let admitted = 0;
+    while (limiter?.charge(request).isOk()) {
+        admitted += 100;
+    }
+    expect(admitted).toBe(LIMIT);
+});
