In large fleets each instance prefers servers of its own; a run after a failed prefill counts as a retry

Change: an instance chooses from a part of the servers, ranked by a hash of its and their names, the smaller the older reports are, and from others when it can use none of these; requests and prefills of peers count less the older they are; a prefill may wait longer where the queue is not known. A decode engine that computes a prompt after a failed prefill takes from the allowance for retries. With more instances than a cold server bears requests, only some of them send to it.

Tests: server_subset_test.ts; requests_test.ts "counts as a retry" red before (the engine ran the request), green now. Fleets of up to nine instances choose as before.

--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -165,23 +165,22 @@
         const service = waiter.request.service;
         const estimate = this.prefill.estimate(waiter.request);
         const prefillWait = estimate - waiter.request.promptTokens / this.prefill.tokensPerMillisecond;
-        const coldLimit = this.#chooser.coldLimit(service.name);
+        const engines = directory.usableServers(service.name).filter(({ stage }) => stage === "decode");
+        const eligible = engines.filter(server => {
+            const load = book.of(server.id);
+            const { active, reservedTokens } = load.total();
+            return load.avoidedUntil <= now && !waiter.excluded.has(server.id) && this.#chooser.admits(server)
+                && active < server.slots && (service.engine?.memoryTokens ?? 0) - reservedTokens >= waiter.tokens
+                && (prefillWait < PREFILL_WAIT_MILLISECONDS
+                    || this.prefill.isDirectFaster(waiter.request, server, estimate));
+        });
         let best: ListedServer | undefined;
         let highest = 0;
-        for (const server of directory.usableServers(service.name)) {
+        for (const server of this.services.subset.narrow(eligible, engines.length)) {
             const load = book.of(server.id);
-            if (
-                server.stage !== "decode" || load.avoidedUntil > now || waiter.excluded.has(server.id)
-                || !book.admits(server, coldLimit)
-            ) {
-                continue;
-            }
-            const { active, reservedTokens } = load.total();
-            const free = (service.engine?.memoryTokens ?? 0) - reservedTokens;
+            const free = (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
             const preference = free / (1 + LOSS_PENALTY * load.lossRate);
-            const soon = prefillWait < PREFILL_WAIT_MILLISECONDS
-                || this.prefill.isDirectFaster(waiter.request, server, estimate);
-            if (active < server.slots && free >= waiter.tokens && preference > highest && soon) {
+            if (preference > highest) {
                 best = server;
                 highest = preference;
             }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -19,6 +19,7 @@
 import { Knowledge } from "./knowledge.ts";
 import { RetryAllowance } from "./retry_allowance.ts";
 import { ServerBook } from "./server_book.ts";
+import { ServerSubset } from "./server_subset.ts";
 import { StageBalancer } from "./stage_balancer.ts";
 import { TokenLimiter } from "./token_limiter.ts";
 
@@ -33,6 +34,8 @@
 const AVOIDED_MILLISECONDS = 700;
 /** Part of the retries allowed besides that is used; what callers repeat while an instance restarts takes the rest. */
 const USED_RETRY_SLACK_SHARE = 0.8;
+/** Time in milliseconds between reports up to which peers' loads count in full; about that of one prefill. */
+const FRESH_REPORT_MILLISECONDS = 100;
 /** Recent failures, weighted by age, above which peers are told of a server without requests. */
 const TOLD_FAILURES = 0.1;
 /** Item that names the instance which orders engines to change their stage. */
@@ -132,6 +135,9 @@
             connections: this.#connections,
             retries: new RetryAllowance(() => this.#retryLimit(), instanceCount),
             instanceCount,
+            reportPeriod: () => this.#mesh.reportPeriod,
+            peerFreshness: () => this.#peerFreshness(),
+            subset: new ServerSubset(settings.name, () => this.#peerFreshness(), () => this.#mesh.names),
             knowledge: this.#knowledge,
             crashes: this.#crashes,
             clock: this.#clock,
@@ -280,6 +286,10 @@
         };
     }
 
+    #peerFreshness(): number {
+        return Math.min(1, FRESH_REPORT_MILLISECONDS / this.#mesh.reportPeriod);
+    }
+
     #instanceCount(): number {
         return this.#mesh.size;
     }
--- a/packages/gateway/gateway_services.ts
+++ b/packages/gateway/gateway_services.ts
@@ -10,6 +10,7 @@
 import type { ProtocolHeaders } from "./protocol_headers.ts";
 import type { RetryAllowance } from "./retry_allowance.ts";
 import type { ServerBook } from "./server_book.ts";
+import type { ServerSubset } from "./server_subset.ts";
 
 /** What the parts of the gateway share. */
 export interface GatewayServices {
@@ -24,6 +25,12 @@
     crashes: CrashRegistry;
     /** Number of instances that share the fleet's limits, at least 1. */
     instanceCount(): number;
+    /** Time in milliseconds between two reports of a peer; loads of peers are about as old. */
+    reportPeriod(): number;
+    /** Part, up to 1, that peers' loads tell of what is short-lived, as their reports come late in a large fleet. */
+    peerFreshness(): number;
+    /** Servers that this instance prefers. */
+    subset: ServerSubset;
     /** How old and of which version what the directory holds is. */
     knowledge: Knowledge;
     clock: SuspensionAwareClock;
--- a/packages/gateway/prefill_stage.ts
+++ b/packages/gateway/prefill_stage.ts
@@ -5,6 +5,7 @@
 import { backendHeaders } from "./backend_headers.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { GatewayServices } from "./gateway_services.ts";
+import type { PrefillFailure } from "./prefill_failure.ts";
 import type { PrefillHandle } from "./prefill_handle.ts";
 import type { Prefilled } from "./prefilled.ts";
 import { ServerChooser } from "./server_chooser.ts";
@@ -66,8 +67,7 @@
     estimate(request: GatewayRequest): number {
         const server = this.#choose(request, undefined, NONE);
         return server
-            ? (this.services.book.of(server.id).total().prefillTokens + request.promptTokens)
-                / this.#tokensPerMillisecond
+            ? (this.#queued(server) + request.promptTokens) / this.#tokensPerMillisecond
             : Number.POSITIVE_INFINITY;
     }
 
@@ -80,8 +80,7 @@
      * @returns Whether it should.
      */
     isDirectFaster(request: GatewayRequest, server: ListedServer, estimate = this.estimate(request)): boolean {
-        const load = this.services.book.of(server.id);
-        const tokens = load.total().prefillTokens + request.promptTokens;
+        const tokens = this.#queued(server) + request.promptTokens;
         const direct = tokens / (this.#tokensPerMillisecond * DIRECT_SPEED_SHARE);
         return estimate > direct + DIRECT_PENALTY_MILLISECONDS;
     }
@@ -100,7 +99,7 @@
         target: ListedServer,
         extraHeaders: string[],
         repeated: boolean,
-    ): Promise<Result<Prefilled, string>> {
+    ): Promise<Result<Prefilled, PrefillFailure>> {
         const tried = new Set<string>();
         let message = "No prefill engine can take the request";
         for (let tries = 0; tries < MAXIMUM_TRIES && !request.signal.aborted; tries++) {
@@ -110,7 +109,7 @@
             }
             tried.add(server.id);
             const startedAt = monotonicMilliseconds();
-            const tokensBefore = this.services.book.of(server.id).total().prefillTokens;
+            const tokensBefore = this.#queued(server);
             const result = await this.#runAt(request, server, extraHeaders);
             this.services.logger.info("prefill ended", {
                 request: request.id,
@@ -125,7 +124,7 @@
             }
             message = result.error;
         }
-        return err(message);
+        return err({ message, sent: tried.size > 0 });
     }
 
     #choose(
@@ -137,17 +136,14 @@
         const now = monotonicMilliseconds();
         let best: ListedServer | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
-        const coldLimit = this.#chooser.coldLimit(request.service.name);
-        for (const server of directory.usableServers(request.service.name)) {
+        const engines = directory.usableServers(request.service.name).filter(({ stage }) => stage === "prefill");
+        const eligible = engines.filter(server =>
+            book.of(server.id).avoidedUntil <= now && !tried.has(server.id) && this.#chooser.admits(server)
+        );
+        for (const server of this.services.subset.narrow(eligible, engines.length)) {
             const load = book.of(server.id);
-            if (
-                server.stage !== "prefill" || load.avoidedUntil > now || tried.has(server.id)
-                || !book.admits(server, coldLimit)
-            ) {
-                continue;
-            }
             const distance = !target || server.failureDomain === target.failureDomain ? 0 : FAR_TOKENS;
-            const cost = (load.total().prefillTokens + request.promptTokens) * (1 + LOSS_PENALTY * load.lossRate)
+            const cost = (this.#queued(server) + request.promptTokens) * (1 + LOSS_PENALTY * load.lossRate)
                 + distance
                 + Math.random();
             if (cost < bestCost) {
@@ -158,6 +154,16 @@
         return best;
     }
 
+    /** Prompt tokens that wait at an engine, as far as is known. */
+    #queued(server: ListedServer): number {
+        return this.services.book.of(server.id).total(this.services.peerFreshness()).prefillTokens;
+    }
+
+    /** Time in milliseconds by which peers' reports are older than in a small fleet. */
+    #staleness(): number {
+        return this.services.reportPeriod() * (1 - this.services.peerFreshness());
+    }
+
     async #runAt(
         request: GatewayRequest,
         server: ListedServer,
@@ -168,7 +174,9 @@
         const startedAt = monotonicMilliseconds();
         const alone = load.total().prefillTokens === 0;
         load.prefillTokens += request.promptTokens;
-        const expected = TIMEOUT_MILLISECONDS + load.total().prefillTokens / SLOWEST_TOKENS_PER_MILLISECOND;
+        // What peers have sent since their last reports is not known.
+        const expected = TIMEOUT_MILLISECONDS + this.#staleness()
+            + load.total().prefillTokens / SLOWEST_TOKENS_PER_MILLISECOND;
         load.active++;
         load.noteSent();
         try {
--- a/packages/gateway/server_book.ts
+++ b/packages/gateway/server_book.ts
@@ -103,14 +103,14 @@
      * Tells whether a request may be sent to a server now, given what a cold server bears.
      *
      * @param server The server.
-     * @param coldLimit Requests that this instance may send to a cold server in one second.
+     * @param coldLimit Returns the requests that this instance may send to the server in one second while it is cold.
      * @returns Whether it may.
      */
-    admits(server: ListedServer, coldLimit: number): boolean {
+    admits(server: ListedServer, coldLimit: () => number): boolean {
         if (!this.directory.isCold(server.id)) {
             return true;
         }
-        return this.of(server.id).countSince(monotonicMilliseconds() - COLD_WINDOW_MILLISECONDS) < coldLimit;
+        return this.of(server.id).countSince(monotonicMilliseconds() - COLD_WINDOW_MILLISECONDS) < coldLimit();
     }
 
     #forget(): void {
--- a/packages/gateway/server_chooser.ts
+++ b/packages/gateway/server_chooser.ts
@@ -36,16 +36,14 @@
         const fastest = Math.min(
             ...servers.map(({ id }) => book.of(id).averageMilliseconds ?? Number.POSITIVE_INFINITY),
         );
-        for (const server of servers) {
-            if (tried.has(server.id) || !book.admits(server, this.coldLimit(service))) {
-                continue;
-            }
+        const untried = servers.filter(server => !tried.has(server.id) && this.admits(server));
+        const sound = untried.filter(({ id }) => book.of(id).avoidedUntil <= now);
+        const freshness = this.services.peerFreshness();
+        for (const server of this.services.subset.narrow(sound.length > 0 ? sound : untried, servers.length)) {
             const load = book.of(server.id);
             const expected = load.averageMilliseconds ?? (Number.isFinite(fastest) ? fastest : 1);
-            const waiting = (load.total().active + 1) / Math.max(1, server.slots);
-            const avoided = load.avoidedUntil > now ? 1e6 : 0;
-            const cost = expected * waiting * (1 + LOSS_PENALTY * load.lossRate) * (1 + Math.random() * 0.2)
-                + avoided;
+            const waiting = (load.total(freshness).active + 1) / Math.max(1, server.slots);
+            const cost = expected * waiting * (1 + LOSS_PENALTY * load.lossRate) * (1 + Math.random() * 0.2);
             if (cost < bestCost) {
                 best = server;
                 bestCost = cost;
@@ -55,18 +53,24 @@
     }
 
     /**
-     * Computes what this instance may send to a cold server in one second.
+     * Tells whether a request may be sent to a server now, given what it bears while it is cold.
      *
-     * @param service Name of the service.
-     * @returns The number of requests.
+     * @param server The server.
+     * @returns Whether it may.
      */
-    coldLimit(service: string): number {
-        const { directory, settings } = this.services;
+    admits(server: ListedServer): boolean {
+        return this.services.book.admits(server, () => this.#coldLimit(server));
+    }
+
+    /** Requests that this instance may send to a cold server in one second, as its part of what all may send. */
+    #coldLimit({ id, service }: ListedServer): number {
+        const { directory, instanceCount, subset } = this.services;
         const perSecond = directory.findService(service)?.coldRequestsPerSecond ?? 0;
         if (perSecond <= 0) {
             return Number.POSITIVE_INFINITY;
         }
-        const whole = perSecond * settings().bounds.coldExcess + settings().bounds.coldSlack;
-        return Math.max(1, Math.floor(Math.min(whole, perSecond) / this.services.instanceCount()));
+        const share = Math.floor(perSecond / instanceCount());
+        // With fewer requests than instances, only some of the instances send to the server at all.
+        return share >= 1 ? share : subset.isAmong(id, Math.max(1, Math.floor(perSecond))) ? 1 : 0;
     }
 }
--- a/packages/gateway/server_load.ts
+++ b/packages/gateway/server_load.ts
@@ -55,15 +55,16 @@
     /**
      * Sums what all instances have under way.
      *
+     * @param freshness Part of the peers' requests and prefills that counts, since those may have ended. Default: 1.
      * @returns The sums.
      */
-    total(): PeerServerLoad {
+    total(freshness = 1): PeerServerLoad {
         const peers = this.#sumOfPeers();
         const { failures, successes } = this.outcomes;
         return {
-            active: peers.active + this.active,
+            active: peers.active * freshness + this.active,
             reservedTokens: peers.reservedTokens + this.reservedTokens,
-            prefillTokens: peers.prefillTokens + this.prefillTokens,
+            prefillTokens: peers.prefillTokens * freshness + this.prefillTokens,
             failures: peers.failures + failures,
             successes: peers.successes + successes,
         };
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -15,6 +15,7 @@
 import { longestSilence } from "./longest_silence.ts";
 import type { PassOutcome } from "./pass_outcome.ts";
 import type { PassProgress } from "./pass_progress.ts";
+import type { PrefillFailure } from "./prefill_failure.ts";
 import type { PrefillStage } from "./prefill_stage.ts";
 import type { Prefilled } from "./prefilled.ts";
 import { relayEvents } from "./relay_events.ts";
@@ -157,6 +158,9 @@
                 });
                 return { kind: "not-run", message: "The request was given up" };
             }
+            if (prefilled.isErr() && prefilled.error.sent && !this.services.retries.take(request.service.name)) {
+                return { kind: "not-run", message: `${prefilled.error.message}; too many requests are being retried` };
+            }
             const { engines, headers } = this.services;
             const extra = [...resume, headers.reservation, grant.reservation];
             if (prefilled.isOk()) {
@@ -190,12 +194,12 @@
         grant: DecodeGrant,
         progress: PassProgress,
         resume: string[],
-    ): Promise<Result<Prefilled, string>> {
+    ): Promise<Result<Prefilled, PrefillFailure>> {
         if (progress.refused) {
             return ok(progress.refused.prefilled);
         }
         if (progress.direct || this.prefill.isDirectFaster(request, grant.server)) {
-            return err("The prompt is computed by the decode engine");
+            return err({ message: "The prompt is computed by the decode engine", sent: false });
         }
         return await this.prefill.run(request, grant.server, resume, progress.prefilled);
     }
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -83,6 +83,16 @@
         return this.#peers().length + 1;
     }
 
+    /** Names of the other instances. */
+    get names(): string[] {
+        return this.#peers().map(({ peer }) => peer.name);
+    }
+
+    /** Time in milliseconds between two reports of one instance while its load changes. */
+    get reportPeriod(): number {
+        return Math.max(PERIOD_MILLISECONDS, this.#peers().length / REPORTS_PER_SECOND * MILLISECONDS_PER_SECOND);
+    }
+
     /**
      * Tells whether this instance is one of those that read the store.
      *
