Fewer calls to the store while a large fleet starts

Before instances know their peers each of them takes itself for a reader and watches the store at each change, and all of them try to take the leadership at once, three calls each.

Change: in the first 2.5 s of a process the pause between watches grows with the number of instances; a vacant leadership is asked for after a random pause of up to 15 ms for each instance, by when most have learned of the one that has it.

--- a/packages/coordination/leadership.ts
+++ b/packages/coordination/leadership.ts
@@ -6,6 +6,8 @@
 /** Part of the lease, counted from before its renewal was sent, in which the leader may act. */
 const ACTING_SHARE = 0.75;
 const POLL_MILLISECONDS = 500;
+/** Time in milliseconds by which one instance more spreads the attempts of all to take the leadership. */
+const SPREAD_MILLISECONDS = 15;
 
 /**
  * Elects one instance through the store. The leader's fencing number is the revision at which it took the leadership;
@@ -76,13 +78,22 @@
             await sleep(this.options.leaseMilliseconds * RENEWAL_SHARE, signal);
             return;
         }
-        if (this.options.replica.revision > 0 && !this.options.replica.get(this.options.key)) {
-            await this.#acquire();
+        if (this.#isVacant()) {
+            // The one that is first is known to the others before most of them have asked.
+            await sleep(Math.random() * SPREAD_MILLISECONDS * this.options.instanceCount(), signal);
+            if (this.#isVacant() && !signal.aborted) {
+                await this.#acquire();
+            }
         }
         // Instances that start together must not ask in the same moment again.
         await sleep(POLL_MILLISECONDS * (0.5 + Math.random()), signal);
     }
 
+    #isVacant(): boolean {
+        const { replica, key } = this.options;
+        return replica.revision > 0 && !replica.get(key);
+    }
+
     async #acquire(): Promise<void> {
         const { store, key, self, leaseMilliseconds, clock, logger } = this.options;
         const sentAt = clock.now();
--- a/packages/coordination/leadership_options.ts
+++ b/packages/coordination/leadership_options.ts
@@ -11,6 +11,8 @@
     self: string;
     /** Time in milliseconds after which a leader that does not renew its lease has lost the leadership. */
     leaseMilliseconds: number;
+    /** Number of instances that may lead, this one included. */
+    instanceCount(): number;
     store: CoordinationStore;
     replica: ItemReplica;
     clock: SuspensionAwareClock;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -167,6 +167,7 @@
         this.#follower = new ReplicaFollower(this.#replica, this.#store, {
             prefix: this.adapter.itemPrefix,
             isReader: () => this.#mesh.isReader(),
+            instanceCount: () => this.#instanceCount(),
             onRead: news => this.#mesh.publish(news),
             clock: this.#clock,
             logger: this.#logger,
@@ -180,6 +181,7 @@
             key: STAGE_LEADER_KEY,
             self: this.settings.name,
             leaseMilliseconds: this.settings.bounds.leaseMilliseconds,
+            instanceCount: () => this.#instanceCount(),
             store: this.#store,
             replica: this.#replica,
             clock: this.#clock,
--- a/packages/replica/replica_follower.ts
+++ b/packages/replica/replica_follower.ts
@@ -9,6 +9,11 @@
 const WATCH_AFTER_CHANGES_MILLISECONDS = 300;
 /** Time in milliseconds between changes and the next watch, so that changes that come together cost one call. */
 const GATHER_MILLISECONDS = 60;
+/** First time in milliseconds of a process in which all instances read, since they do not know their peers. */
+const FIRST_MILLISECONDS = 2_500;
+/** Time in milliseconds between changes and the next watch in that time, for each instance; bounded below. */
+const FIRST_GATHER_MILLISECONDS_EACH = 8;
+const LONGEST_GATHER_MILLISECONDS = 600;
 /** Age in milliseconds of the copy above which the store is read although peers are to do so. */
 const LATE_MILLISECONDS = 1_500;
 /** Time in milliseconds for which an instance goes on reading after its peers' news were late. */
@@ -31,6 +36,7 @@
  */
 export class ReplicaFollower {
     readonly #task: RepeatingTask;
+    readonly #startedAt: number;
     #needsSnapshot = true;
     #retryMilliseconds = 0;
     #connected = false;
@@ -49,6 +55,7 @@
         private readonly source: ItemSource,
         private readonly options: ReplicaFollowerOptions,
     ) {
+        this.#startedAt = options.clock.now();
         this.#task = new RepeatingTask(0, signal => this.#step(signal), error => {
             this.#fail(String(error));
         });
@@ -116,7 +123,7 @@
     async #watch(signal: AbortSignal): Promise<void> {
         const wait = this.#changed ? WATCH_AFTER_CHANGES_MILLISECONDS : WATCH_MILLISECONDS;
         if (this.#changed) {
-            await sleep(GATHER_MILLISECONDS, signal);
+            await sleep(this.#gatherTime(), signal);
         }
         const readAt = this.options.clock.now();
         const after = this.replica.revision;
@@ -142,6 +149,14 @@
         }
     }
 
+    /** Time in milliseconds to wait for more changes before the next watch. */
+    #gatherTime(): number {
+        const { clock, instanceCount } = this.options;
+        const settled = clock.now() - this.#startedAt >= FIRST_MILLISECONDS;
+        const spread = settled ? 0 : instanceCount() * FIRST_GATHER_MILLISECONDS_EACH;
+        return Math.min(LONGEST_GATHER_MILLISECONDS, Math.max(GATHER_MILLISECONDS, spread));
+    }
+
     #succeed(): void {
         this.#retryMilliseconds = 0;
         if (!this.#connected) {
--- a/packages/replica/replica_follower_options.ts
+++ b/packages/replica/replica_follower_options.ts
@@ -11,6 +11,8 @@
     clock: SuspensionAwareClock;
     /** Whether the store is to be read by this instance, as no peer does so in its place. */
     isReader(): boolean;
+    /** Number of instances known, this one included. */
+    instanceCount(): number;
     /** Receives what was read, to be passed on to peers. */
     onRead(news: ReplicaNews): void;
     logger: Logger;
