Fewer calls of instances that the store turns away or whose confirmations are late

An instance that is turned away asks to register every 0.7 s, and one whose confirmation was late once watches the store by itself for 5 s. Ruled out: renewals of leases (a tenth of the price), the two readers.

Change: the pause between attempts to register doubles up to 2.5 s; an instance goes on reading for 2.5 s, after which silent readers are no longer taken for such.

--- a/packages/peers/registration.ts
+++ b/packages/peers/registration.ts
@@ -5,7 +5,8 @@
 /** Time in milliseconds after which an instance that no longer renews its lease is removed. */
 const LEASE_MILLISECONDS = 10_000;
 const RENEWAL_MILLISECONDS = 3_000;
-const RETRY_MILLISECONDS = 700;
+const FIRST_RETRY_MILLISECONDS = 700;
+const LONGEST_RETRY_MILLISECONDS = 2_500;
 
 /**
  * Keeps an item in the store for as long as this process lives.
@@ -19,6 +20,7 @@
 export class Registration {
     readonly #task: RepeatingTask;
     #lease: number | undefined;
+    #retryMilliseconds = FIRST_RETRY_MILLISECONDS;
 
     /**
      * @param store The store.
@@ -51,7 +53,10 @@
 
     async #step(signal: AbortSignal): Promise<void> {
         const kept = this.#lease === undefined ? await this.#register() : await this.#renew(this.#lease);
-        await sleep(kept ? RENEWAL_MILLISECONDS : RETRY_MILLISECONDS, signal);
+        this.#retryMilliseconds = kept
+            ? FIRST_RETRY_MILLISECONDS
+            : Math.min(LONGEST_RETRY_MILLISECONDS, this.#retryMilliseconds * 2);
+        await sleep(kept ? RENEWAL_MILLISECONDS : this.#retryMilliseconds, signal);
     }
 
     async #register(): Promise<boolean> {
--- a/packages/replica/replica_follower.ts
+++ b/packages/replica/replica_follower.ts
@@ -17,7 +17,7 @@
 /** Age in milliseconds of the copy above which the store is read although peers are to do so. */
 const LATE_MILLISECONDS = 1_500;
 /** Time in milliseconds for which an instance goes on reading after its peers' news were late. */
-const TAKEOVER_MILLISECONDS = 5_000;
+const TAKEOVER_MILLISECONDS = 2_500;
 /** Time in milliseconds after which it is checked again whether the store is to be read. */
 const IDLE_MILLISECONDS = 100;
 const FIRST_RETRY_MILLISECONDS = 100;
