A prefill engine that has left for good is replaced

Ruled out: the leader's changes (it was there from 18.8 s on), limits (no 429).

Change: the tolerance holds for engines too many only; a lack is mended once it has lasted 5 s. stage_plan_test.ts has the case, red before.

--- a/packages/gateway/stage_plan.ts
+++ b/packages/gateway/stage_plan.ts
@@ -12,7 +12,7 @@
 const SUSTAINED_MILLISECONDS = 5_000;
 /** Time in milliseconds for which a change must be wanted while there is no load, since engines register one by one. */
 const SETTLED_MILLISECONDS = 1_500;
-/** Engines by which a stage may differ from its part under load; a change costs an engine for seconds. */
+/** Engines beyond their part that go on computing prompts under load; a change costs an engine for seconds. */
 const TOLERATED_ENGINES = 0.7;
 
 /** How the engines of a service are divided, and their load. */
@@ -60,13 +60,12 @@
 
 function wantedChange({ engines, prefillers, prefillTokens, decodeFill }: StageDivision): EngineStage | undefined {
     const share = PREFILL_SHARE * engines;
+    const usual = Math.min(engines - 1, Math.max(1, Math.round(share)));
     if (decodeFill < IDLE_FILL) {
-        const usual = Math.min(engines - 1, Math.max(1, Math.round(share)));
         return prefillers === usual ? undefined : prefillers > usual ? "decode" : "prefill";
     }
     const crowded = prefillTokens / Math.max(1, prefillers) > CROWDED_TOKENS && decodeFill < BUSY_FILL;
-    const lacking = prefillers < Math.max(1, share - TOLERATED_ENGINES);
-    if (engines > 1 && (lacking || crowded)) {
+    if (prefillers < usual || crowded && prefillers < engines - 1) {
         return "prefill";
     }
     return prefillers > Math.max(1, share + TOLERATED_ENGINES) && decodeFill > BUSY_FILL ? "decode" : undefined;
--- a/packages/gateway/stage_plan_test.ts
+++ b/packages/gateway/stage_plan_test.ts
@@ -39,6 +39,8 @@
 test("a division that stays far from what is needed is changed", () => {
     expect(play(8_000, () => ({ engines: 13, prefillers: 5, ...BUSY }))).toContain("decode");
     expect(play(8_000, () => ({ engines: 8, prefillers: 0, ...BUSY }))).toContain("prefill");
+    // One of two prefill engines has left for good.
+    expect(play(8_000, () => ({ engines: 7, prefillers: 1, ...BUSY }))).toContain("prefill");
     expect(play(8_000, () => ({ engines: 1, prefillers: 0, ...BUSY }))).toEqual([]);
     // Prompts wait although decode memory is free.
     expect(play(8_000, () => ({ engines: 8, prefillers: 2, prefillTokens: 40_000, decodeFill: 0.3 })))
