--- a/packages/coordination/coordination_store.ts
+++ b/packages/coordination/coordination_store.ts
@@ -8,6 +8,8 @@
 export interface CoordinationStore extends ItemSource {
     /** Writes all items or none. */
     write(writes: ConditionalWrite[]): Promise<Result<WriteOutcome, StoreFailure>>;
+    /** Removes an item unless it has changed since the revision. */
+    remove(key: string, revision: number): Promise<Result<WriteOutcome, StoreFailure>>;
     /** Creates a lease with a lifetime in milliseconds, which begins when the call reaches the store. */
     createLease(lifetimeMilliseconds: number): Promise<Result<number, StoreFailure>>;
     /** Renews a lease; false if it has expired or was revoked. */
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -182,7 +182,7 @@
         });
         let best: RegisteredServer | undefined;
         let highestPreference = 0;
-        for (const server of this.context.serverSubset.narrow(eligible, engines.length)) {
+        for (const server of this.context.serverSubset.narrow(eligible, engines)) {
             const load = serverLoads.get(server.id);
             const free = (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
             const preference = free / (1 + FAILURE_PENALTY * load.failureRate);
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -9,7 +9,7 @@
 import { parseAddress } from "../instances/mod.ts";
 import { createLogger, type Logger } from "../logs/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
-import { type Peer, PeerMesh, type PeerReport } from "../peers/mod.ts";
+import { type CellState, type Peer, PeerMesh, type PeerReport } from "../peers/mod.ts";
 import { ItemReplica, ReplicaFollower } from "../replica/mod.ts";
 import { CrashRegistry } from "./crash_registry.ts";
 import { DirectoryUpdater } from "./directory_updater.ts";
@@ -111,10 +111,16 @@
             slack: bounds.quotaSlack,
             firstStart: settings.firstStart,
             instanceCount,
+            isInOtherCell: name => this.#peerMesh.isInOtherCell(name),
             clock: this.#clock,
         });
         this.#peerMesh = new PeerMesh({
-            self: { name: settings.name, incarnation: this.#incarnation, address: settings.instancesAddress },
+            self: {
+                name: settings.name,
+                incarnation: this.#incarnation,
+                address: settings.instancesAddress,
+                failureDomain: settings.failureDomain,
+            },
             seedAddresses: settings.seedAddresses,
             store: this.#store,
             replica: this.#replica,
@@ -124,7 +130,10 @@
             readsStore: () => this.#replicaFollower?.connected ?? false,
             onNewerRevision: revision => this.#replicaFollower?.catchUpTo(revision),
             createReport: force => this.#createReport(force),
+            usageWindowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
             onReport: report => this.#applyReport(report),
+            createCellState: () => this.#createCellState(),
+            onFleetState: state => this.#applyFleetState(state),
         });
         const context: GatewayContext = {
             settings: () => this.settings,
@@ -137,7 +146,7 @@
             instanceCount,
             reportPeriodMilliseconds: () => this.#peerMesh.reportPeriodMilliseconds,
             peerLoadWeight: () => this.#peerLoadWeight(),
-            serverSubset: new ServerSubset(settings.name, () => this.#peerLoadWeight(), () => this.#peerMesh.peerNames),
+            serverSubset: new ServerSubset(settings.name, () => this.#peerMesh.cell, () => this.#peerMesh.peerNames),
             directoryUpdater: this.#directoryUpdater,
             crashRegistry: this.#crashRegistry,
             clock: this.#clock,
@@ -332,6 +341,24 @@
         report.crashes.forEach(([fingerprint, server]) => this.#crashRegistry.recordPeerCrash(fingerprint, server));
         this.#rateLimiter.recordPeerReport(report.name, report.incarnation, report);
     }
+
+    /** Creates the state of this instance's cell for the other cells. */
+    #createCellState(): CellState {
+        return {
+            usage: this.#rateLimiter.summarise(this.#peerMesh.cell?.members.length ?? 1),
+            stageLoads: this.#stageBalancer?.cellLoads() ?? {},
+            changing: this.#stageBalancer?.changing() ?? [],
+            gone: this.#serverLoads.gone(),
+            crashes: this.#crashRegistry.recent(),
+        };
+    }
+
+    #applyFleetState(state: CellState): void {
+        [...state.changing, ...state.gone].forEach(id => this.#serverLoads.avoid(id, AVOIDED_MILLISECONDS));
+        state.crashes.forEach(([fingerprint, server]) => this.#crashRegistry.recordPeerCrash(fingerprint, server));
+        this.#rateLimiter.recordCellUsage(state.usage);
+        this.#stageBalancer?.recordOtherCells(state.stageLoads);
+    }
 }
 
 async function listen(server: Server, address: string): Promise<void> {
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -144,7 +144,7 @@
         const eligible = engines.filter(server =>
             serverLoads.get(server.id).avoidedUntil <= now && !tried.has(server.id) && this.#chooser.admits(server)
         );
-        for (const server of this.context.serverSubset.narrow(eligible, engines.length)) {
+        for (const server of this.context.serverSubset.narrow(eligible, engines)) {
             const load = serverLoads.get(server.id);
             const transferCost = !target || server.failureDomain === target.failureDomain
                 ? 0
--- a/packages/gateway/rate_limiter.ts
+++ b/packages/gateway/rate_limiter.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import type { OrganisationProfile } from "../directory/mod.ts";
+import type { UsageSummary } from "../peers/mod.ts";
 import { SlidingWindowCounter } from "./_sliding_window_counter.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
@@ -9,6 +10,12 @@
 
 /** Age in milliseconds above which a peer's report counts as stale. */
 const REPORT_LIFETIME_MILLISECONDS = 1_500;
+/** Time in milliseconds allowed for the way of a peer's report, in which the peer may have admitted more. */
+const REPORT_TRANSIT_MILLISECONDS = 50;
+/** The same for the usage of other cells, which passes their primary and this cell's. */
+const CELL_TRANSIT_MILLISECONDS = 3 * REPORT_TRANSIT_MILLISECONDS;
+/** Time in milliseconds for which an instance that has fallen silent may have gone on after its last report. */
+const UNREPORTED_MILLISECONDS = 500;
 /** Fractions of the permitted excess that are used; the rest covers what peers admit until their reports arrive. */
 const USED_EXCESS_FRACTION = 0.7;
 const USED_SLACK_FRACTION = 0.7;
@@ -27,6 +34,12 @@
     at: number;
 }
 
+/** Last known usage by instances that no longer report. */
+interface SilentUsage {
+    instances: number;
+    spent: number;
+}
+
 /** Last reported usage of a process that has ended. */
 interface EndedProcessUsage {
     instance: string;
@@ -36,8 +49,8 @@
 }
 
 /**
- * Enforces the rate limits of organisations across all instances. Each instance counts its own charges and those that
- * its peers report. A peer without a recent report is assumed to use at least an equal share of the limit, so that the
+ * Enforces the rate limits of organisations across all instances. Each instance counts its own charges, those that the
+ * members of its cell report, and the sums of the other cells. A peer without a recent report is assumed to use at least an equal share of the limit, so that the
  * sides of a network partition together admit no more than the limit. The usage of a process counts until it has left
  * the window, even if the process has ended: its peers remember it and report it to processes that started later.
  *
@@ -53,6 +66,8 @@
     readonly #requestedUnits = new Map<string, SlidingWindowCounter>();
     readonly #peerReports = new Map<string, PeerUsage>();
     readonly #endedProcesses = new Map<string, EndedProcessUsage>();
+    /** Usage by the other cells, and the time at which it was received. */
+    #cellUsage: { usage: UsageSummary[]; at: number; } = { usage: [], at: 0 };
     readonly #startedAt: number;
 
     /**
@@ -93,12 +108,59 @@
         this.#peerReports.set(name, { incarnation, spending, asked, assumedShare, at: now });
         this.#endedProcesses.delete(`${name}/${incarnation}`);
         if (previous && previous.incarnation !== incarnation) {
-            this.#recordEnded(name, previous.incarnation, previous.spending, previous.at);
+            // The former process may have gone on for a time after its last report.
+            const spent = { ...previous.spending };
+            addUnits(spent, previous.asked, admittedWithin(1, UNREPORTED_MILLISECONDS));
+            this.#recordEnded(name, previous.incarnation, spent, previous.at);
         }
-        for (const [process, [age, spent]] of Object.entries(report.ended)) {
+        for (const [process, [age, units]] of Object.entries(report.ended)) {
             const separator = process.lastIndexOf("/");
-            this.#recordEnded(process.slice(0, separator), process.slice(separator + 1), spent, now - age);
+            this.#recordEnded(process.slice(0, separator), process.slice(separator + 1), units, now - age);
+        }
+    }
+
+    /**
+     * Replaces the usage by the instances of other cells.
+     *
+     * @param usage Their usage; parts whose instances do not report are marked as missing.
+     */
+    recordCellUsage(usage: UsageSummary[]): void {
+        this.#cellUsage = { usage, at: this.options.clock.now() };
+    }
+
+    /**
+     * Sums up the usage by this instance's cell for other cells.
+     *
+     * @param cellInstances Number of instances in the cell, this one included.
+     * @returns The usage by instances that report, and that by those that do not.
+     */
+    summarise(cellInstances: number): UsageSummary[] {
+        const now = this.options.clock.now();
+        this.#removeExpired(now);
+        const live = createSummary(1, sumWindows(this.#usageWindows, now), sumWindows(this.#requestedUnits, now));
+        live.assumedShare = this.#assumedShare(now);
+        const missing = createSummary(0, {}, {});
+        missing.missing = true;
+        const restarted = new Set<string>();
+        for (const { instance, spending } of this.#endedProcesses.values()) {
+            restarted.add(instance);
+            addUnits(live.spending, spending, 1);
+        }
+        for (const [name, { spending, asked, assumedShare, at }] of this.#cellReports()) {
+            if (now - at > REPORT_LIFETIME_MILLISECONDS) {
+                addUnits(missing.spending, spending, 1);
+                addUnits(missing.asked, asked, 1);
+                continue;
+            }
+            live.instances++;
+            live.assumedShare += restarted.has(name) ? 0 : assumedShare;
+            addUnits(live.spending, spending, 1);
+            addUnits(live.spending, asked, admittedWithin(1, now - at + REPORT_TRANSIT_MILLISECONDS));
+            addUnits(live.asked, asked, 1);
         }
+        missing.instances = Math.max(0, cellInstances - live.instances);
+        const hasMissing = missing.instances > 0 || Object.keys(missing.spending).length > 0;
+        return hasMissing ? [live, missing] : [live];
     }
 
     /**
@@ -118,8 +180,11 @@
         const window = getWindow(this.#usageWindows, organisation.name, windowMilliseconds);
         getWindow(this.#requestedUnits, organisation.name, DEMAND_WINDOW_MILLISECONDS).add(cost, now);
         const limit = organisation.ratePerSecond * windowMilliseconds / MILLISECONDS_PER_SECOND + organisation.burst;
-        const allowed = limit * (1 + excess * USED_EXCESS_FRACTION) + slack * USED_SLACK_FRACTION;
-        const spent = window.sum(now) + this.#usageOfOthers(organisation.name, limit, now);
+        const others = this.#usageOfOthers(organisation.name, limit, now);
+        // The parts of a partitioned fleet, and an instance that has just started, each use only their part of the excess.
+        const heardFraction = 1 - others.missing / this.options.instanceCount();
+        const allowed = limit + (limit * excess * USED_EXCESS_FRACTION + slack * USED_SLACK_FRACTION) * heardFraction;
+        const spent = window.sum(now) + others.spent;
         if (spent + cost > allowed) {
             return err({
                 status: 429,
@@ -134,8 +199,11 @@
         return ok({ refund: window.add(cost, now) });
     }
 
-    /** Usage in the window by peers and by ended processes, including earlier processes of this instance. */
-    #usageOfOthers(organisation: string, limit: number, now: number): number {
+    /**
+     * Usage in the window by peers and by ended processes, including earlier processes of this instance, and the number of
+     * peers without a recent report.
+     */
+    #usageOfOthers(organisation: string, limit: number, now: number): { spent: number; missing: number; } {
         this.#removeExpired(now);
         const share = limit / this.options.instanceCount();
         const instancesWithEndedProcess = new Set<string>();
@@ -144,26 +212,39 @@
             instancesWithEndedProcess.add(instance);
             spent += spending[organisation] ?? 0;
         }
-        const staleUsages: number[] = [];
-        let reportingPeerCount = 0;
-        for (const [name, { spending, asked, assumedShare, at }] of this.#peerReports) {
+        const silent: SilentUsage[] = [];
+        let reporting = 0;
+        for (const [name, { spending, asked, assumedShare, at }] of this.#cellReports()) {
             const reported = spending[organisation] ?? 0;
+            const requested = asked[organisation] ?? 0;
             if (now - at > REPORT_LIFETIME_MILLISECONDS) {
-                staleUsages.push(reported);
+                silent.push({ instances: 1, spent: reported + admittedWithin(requested, UNREPORTED_MILLISECONDS) });
                 continue;
             }
-            reportingPeerCount++;
-            // The peer may have admitted everything that was requested since its report.
-            const admittedSince = (asked[organisation] ?? 0) * (now - at) / DEMAND_WINDOW_MILLISECONDS;
+            reporting++;
+            const admittedSince = admittedWithin(requested, now - at + REPORT_TRANSIT_MILLISECONDS);
             spent += reported + admittedSince + (instancesWithEndedProcess.has(name) ? 0 : share * assumedShare);
         }
-        const missingPeerCount = Math.max(0, this.options.instanceCount() - 1 - reportingPeerCount);
-        // Peers without a recent report beyond the expected number have ended; their usage still counts.
-        staleUsages.sort((left, right) => right - left);
-        for (let index = 0; index < Math.max(missingPeerCount, staleUsages.length); index++) {
-            spent += Math.max(staleUsages[index] ?? 0, index < missingPeerCount ? share : 0);
+        const receivedBefore = now - this.#cellUsage.at;
+        for (const { instances, spending, asked, assumedShare, age, missing } of this.#cellUsage.usage) {
+            const reported = spending[organisation] ?? 0;
+            const requested = asked[organisation] ?? 0;
+            if (missing || age + receivedBefore > REPORT_LIFETIME_MILLISECONDS) {
+                silent.push({ instances, spent: reported + admittedWithin(requested, UNREPORTED_MILLISECONDS) });
+                continue;
+            }
+            reporting += instances;
+            const admittedSince = admittedWithin(requested, age + receivedBefore + CELL_TRANSIT_MILLISECONDS);
+            spent += reported + admittedSince + share * assumedShare;
         }
-        return spent + share * this.#assumedShare(now);
+        const missing = Math.max(0, this.options.instanceCount() - 1 - reporting);
+        const ownFormerUsage = share * this.#assumedShare(now);
+        return { spent: spent + computeSilentUsage(silent, missing, share) + ownFormerUsage, missing };
+    }
+
+    /** Last reports of the peers whose usage does not arrive in the sum of another cell. */
+    #cellReports(): [string, PeerUsage][] {
+        return [...this.#peerReports].filter(([name]) => !this.options.isInOtherCell(name));
     }
 
     /**
@@ -198,6 +279,9 @@
 
     #removeExpired(now: number): void {
         const oldest = now - this.options.windowMilliseconds;
+        if (this.#cellUsage.at < oldest) {
+            this.#cellUsage = { usage: [], at: now };
+        }
         for (const map of [this.#peerReports, this.#endedProcesses]) {
             for (const [key, { at }] of map) {
                 if (at < oldest) {
@@ -208,6 +292,40 @@
     }
 }
 
+/** Units that an instance may have admitted in a time of which no report has come: everything that was requested. */
+function admittedWithin(requestedPerWindow: number, milliseconds: number): number {
+    return requestedPerWindow * milliseconds / DEMAND_WINDOW_MILLISECONDS;
+}
+
+/**
+ * Usage by instances without a recent report: the last known one, and an equal share at least for each instance that is
+ * missing. Those beyond the missing ones have ended; their usage still counts.
+ */
+function computeSilentUsage(silent: SilentUsage[], missing: number, share: number): number {
+    let unassigned = missing;
+    let spent = 0;
+    for (const { instances, spent: known } of silent.sort((left, right) => right.spent - left.spent)) {
+        const assigned = Math.min(instances, unassigned);
+        unassigned -= assigned;
+        spent += Math.max(known, assigned * share);
+    }
+    return spent + unassigned * share;
+}
+
+function createSummary(
+    instances: number,
+    spending: Record<string, number>,
+    asked: Record<string, number>,
+): UsageSummary {
+    return { instances, spending, asked, assumedShare: 0, age: 0, missing: false };
+}
+
+function addUnits(sums: Record<string, number>, units: Record<string, number>, factor: number): void {
+    for (const [organisation, amount] of Object.entries(units)) {
+        sums[organisation] = Math.round((sums[organisation] ?? 0) + amount * factor);
+    }
+}
+
 function getWindow(
     windows: Map<string, SlidingWindowCounter>,
     organisation: string,
--- a/packages/gateway/rate_limiter_options.ts
+++ b/packages/gateway/rate_limiter_options.ts
@@ -12,6 +12,8 @@
     slack: number;
     /** Number of instances that share the limits, including this one. */
     instanceCount: () => number;
+    /** Whether the usage by an instance arrives in the sum of another cell. */
+    isInOtherCell: (name: string) => boolean;
     /** Whether the whole fleet starts for the first time, so that there is no earlier usage. */
     firstStart: boolean;
     clock: SuspensionAwareClock;
--- a/packages/gateway/rate_limiter_test.ts
+++ b/packages/gateway/rate_limiter_test.ts
@@ -32,6 +32,7 @@
             slack: 0,
             firstStart: first,
             instanceCount: () => count,
+            isInOtherCell: () => false,
             clock,
         });
     const limiters = Array.from({ length: count }, (_, index) => create(index, firstStart));
@@ -182,6 +183,7 @@
             slack: 140_000,
             firstStart: true,
             instanceCount: () => count,
+            isInOtherCell: () => false,
             clock,
         }));
     const random = new RandomSource(5);
--- a/packages/gateway/server_chooser.ts
+++ b/packages/gateway/server_chooser.ts
@@ -39,7 +39,7 @@
         const untried = servers.filter(server => !tried.has(server.id) && this.admits(server));
         const healthy = untried.filter(({ id }) => serverLoads.get(id).avoidedUntil <= now);
         const peerLoadWeight = this.context.peerLoadWeight();
-        for (const server of this.context.serverSubset.narrow(healthy.length > 0 ? healthy : untried, servers.length)) {
+        for (const server of this.context.serverSubset.narrow(healthy.length > 0 ? healthy : untried, servers)) {
             const load = serverLoads.get(server.id);
             const expected = load.averageResponseMilliseconds ?? (Number.isFinite(fastest) ? fastest : 1);
             const waiting = (load.total(peerLoadWeight).active + 1) / Math.max(1, server.slots);
--- a/packages/gateway/server_subset.ts
+++ b/packages/gateway/server_subset.ts
@@ -1,33 +1,37 @@
 import { createHash } from "node:crypto";
 import type { RegisteredServer } from "../directory/mod.ts";
+import type { Cell } from "../peers/mod.ts";
 
 /** Smallest number of servers to choose from. */
 const MINIMUM_SERVERS = 2;
+/** Number of cached slices: one for each service and stage, and for each set of registered servers. */
+const MAXIMUM_CACHED_SLICES = 16;
 /** Number of cached ranks; the largest fleets have about 4,400 servers. */
 const MAXIMUM_CACHED_RANKS = 8_192;
 
 /**
- * Selects the subset of servers that an instance chooses from, by rendezvous hashing. In a large fleet the reports of
- * peers arrive late, so that all instances would choose the same least loaded server. Each instance therefore prefers
- * its own subset, which also keeps its connections in use, and uses other servers when none of the subset is eligible.
+ * Selects the servers that the instances of a cell choose from. Only members of one cell report their loads to each
+ * other, so the servers are divided among the cells in proportion to their instances, those of the same failure domain
+ * first. Other servers are used, at random, while none of the cell's own is eligible.
  *
  * @example
  * ```ts
- * const subset = new ServerSubset("instance-1", () => 0.25, () => ["instance-2"]);
- * subset.narrow(eligible, 40); // ten of them
+ * const subset = new ServerSubset("instance-1", () => undefined, () => ["instance-2"]);
+ * subset.narrow(eligible, all); // all eligible ones, as there is only one cell
  * ```
  */
 export class ServerSubset {
     readonly #ranks = new Map<string, number>();
+    readonly #slices = new Map<string, ReadonlySet<string>>();
 
     /**
      * @param self Name of this instance.
-     * @param fraction Returns the fraction of the servers to choose from, up to 1.
+     * @param cell Returns the cell of this instance; undefined while it is not known.
      * @param peers Returns the names of the other instances.
      */
     constructor(
         private readonly self: string,
-        private readonly fraction: () => number,
+        private readonly cell: () => Pick<Cell, "start" | "end"> | undefined,
         private readonly peers: () => string[],
     ) {}
 
@@ -35,19 +39,22 @@
      * Reduces eligible servers to those that this instance prefers.
      *
      * @param eligible Servers that may be used now.
-     * @param total Number of all servers, including those that are not eligible.
-     * @returns The preferred eligible servers.
+     * @param all All servers that the cells divide, including those that are not eligible.
+     * @returns The preferred eligible servers; a few others if none of the preferred ones is eligible.
      */
-    narrow(eligible: RegisteredServer[], total: number): RegisteredServer[] {
-        const size = Math.max(MINIMUM_SERVERS, Math.ceil(total * this.fraction()));
-        if (eligible.length <= size) {
+    narrow(eligible: RegisteredServer[], all: RegisteredServer[]): RegisteredServer[] {
+        const { start, end } = this.cell() ?? { start: 0, end: 1 };
+        if (eligible.length <= 1 || end - start >= 1) {
             return eligible;
         }
-        return eligible
-            .map(server => ({ server, rank: this.#rank(this.self, server.id) }))
-            .sort((left, right) => left.rank - right.rank)
-            .slice(0, size)
-            .map(({ server }) => server);
+        const preferred = this.#slice(all, start, end);
+        const own = eligible.filter(({ id }) => preferred.has(id));
+        if (own.length > 0) {
+            return own;
+        }
+        // The loads of these are not known. A random choice spreads the requests of all cells over them.
+        const first = Math.floor(Math.random() * eligible.length);
+        return eligible.slice(first, first + 1);
     }
 
     /**
@@ -63,6 +70,28 @@
         return this.peers().filter(peer => this.#rank(peer, server) < own).length < count;
     }
 
+    /** Ids of the part of the servers, ordered by failure domain and hash, that belongs to a part of the fleet. */
+    #slice(all: RegisteredServer[], start: number, end: number): ReadonlySet<string> {
+        const key = [start, end, ...all.map(({ id }) => id)].join("\n");
+        let slice = this.#slices.get(key);
+        if (!slice) {
+            const ordered = [...all].sort((left, right) =>
+                left.failureDomain.localeCompare(right.failureDomain)
+                || this.#rank("", left.id) - this.#rank("", right.id)
+            );
+            const first = Math.floor(start * ordered.length);
+            const length = Math.min(ordered.length, Math.max(MINIMUM_SERVERS, Math.ceil(end * ordered.length) - first));
+            slice = new Set(
+                [...ordered, ...ordered].slice(first, first + length).map(({ id }) => id),
+            );
+            if (this.#slices.size >= MAXIMUM_CACHED_SLICES) {
+                this.#slices.clear();
+            }
+            this.#slices.set(key, slice);
+        }
+        return slice;
+    }
+
     #rank(instance: string, server: string): number {
         const key = `${instance}\n${server}`;
         let rank = this.#ranks.get(key);
--- a/packages/gateway/stage_balancer.ts
+++ b/packages/gateway/stage_balancer.ts
@@ -11,6 +11,8 @@
 const ORDER_PAUSE_MILLISECONDS = 8_000;
 /** Time in milliseconds from the end of a change until the new stage is registered and known to all instances. */
 const REGISTRATION_MILLISECONDS = 3_000;
+/** Age in milliseconds above which the loads of other cells no longer count. */
+const OTHER_CELLS_LIFETIME_MILLISECONDS = 3_000;
 /** Weight of the newest sample in the moving averages of the load. */
 const SAMPLE_WEIGHT = 0.08;
 
@@ -40,6 +42,9 @@
     readonly #task: PeriodicTask;
     readonly #loads = new Map<string, ServiceLoad>();
     readonly #changing = new Map<string, { stage: EngineStage; until: number; }>();
+    /** Unfinished prompt tokens and reserved tokens that instances of other cells cause, by service. */
+    #otherCells: Record<string, [number, number]> = {};
+    #otherCellsAt = Number.NEGATIVE_INFINITY;
 
     /**
      * @param context Shared objects of the gateway.
@@ -72,6 +77,35 @@
         return [...this.#changing.keys()];
     }
 
+    /**
+     * Sums up the load that the members of this instance's cell cause.
+     *
+     * @returns Unfinished prompt tokens and reserved tokens by service.
+     */
+    cellLoads(): Record<string, [number, number]> {
+        const { directory, serverLoads } = this.context;
+        const loads: Record<string, [number, number]> = {};
+        for (const { name, engine } of directory.configuration?.services ?? []) {
+            if (engine) {
+                const totals = directory.usableServers(name).map(({ id }) => serverLoads.get(id).total());
+                const sum = (field: "prefillTokens" | "reservedTokens") =>
+                    totals.reduce((tokens, total) => tokens + total[field], 0);
+                loads[name] = [sum("prefillTokens"), sum("reservedTokens")];
+            }
+        }
+        return loads;
+    }
+
+    /**
+     * Records the load that the members of other cells cause.
+     *
+     * @param loads Unfinished prompt tokens and reserved tokens by service.
+     */
+    recordOtherCells(loads: Record<string, [number, number]>): void {
+        this.#otherCells = loads;
+        this.#otherCellsAt = this.context.clock.now();
+    }
+
     /**
      * Stops giving orders.
      *
@@ -97,9 +131,9 @@
     }
 
     #sample(service: string, servers: RegisteredServer[], memoryTokens: number): ServiceLoad {
-        const { serverLoads } = this.context;
-        let prefillTokens = 0;
-        let reservedTokens = 0;
+        const { serverLoads, clock } = this.context;
+        const isFresh = clock.now() - this.#otherCellsAt < OTHER_CELLS_LIFETIME_MILLISECONDS;
+        let [prefillTokens, reservedTokens] = (isFresh ? this.#otherCells[service] : undefined) ?? [0, 0];
         let decodeEngines = 0;
         for (const server of servers) {
             const total = serverLoads.get(server.id).total();
--- /dev/null
+++ b/packages/peers/cell_state_schema.ts
@@ -0,0 +1,17 @@
+import * as z from "zod";
+import { usageSummarySchema } from "./usage_summary_schema.ts";
+
+const MAXIMUM_ENTRIES = 1_024;
+
+/** Schema of what the instances of one or more cells report together. */
+export const cellStateSchema = z.object({
+    usage: z.array(usageSummarySchema).max(MAXIMUM_ENTRIES),
+    /** By model service: prompt tokens of unfinished prefills, and reserved tokens. */
+    stageLoads: z.record(z.string(), z.tuple([z.number(), z.number()])),
+    /** Engines that are changing their stage by an order. */
+    changing: z.array(z.string()).max(MAXIMUM_ENTRIES),
+    /** Servers at whose addresses other servers respond. */
+    gone: z.array(z.string()).max(MAXIMUM_ENTRIES),
+    /** Pairs of a request's fingerprint and a server that crashed while the request ran on it. */
+    crashes: z.array(z.tuple([z.string(), z.string()])).max(MAXIMUM_ENTRIES),
+});
--- a/packages/peers/peer.ts
+++ b/packages/peers/peer.ts
@@ -5,4 +5,6 @@
     incarnation: string;
     /** Address at which other instances reach it. */
     address: string;
+    /** Failure domain that it runs in. */
+    failureDomain: string;
 }
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -2,10 +2,16 @@
 import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
 import { InstancePool, InstanceServer } from "../instances/mod.ts";
 import type { ItemChange, ReplicaUpdate } from "../replica/mod.ts";
+import type { Cell } from "./cell.ts";
+import { CellExchange } from "./cell_exchange.ts";
+import type { CellState } from "./cell_state.ts";
 import type { KnownPeer } from "./known_peer.ts";
+import { MemberList } from "./member_list.ts";
 import type { Peer } from "./peer.ts";
 import type { PeerMeshOptions } from "./peer_mesh_options.ts";
+import type { PeerReport } from "./peer_report.ts";
 import { peerReportSchema } from "./peer_report_schema.ts";
+import { peerSchema } from "./peer_schema.ts";
 import { Registration } from "./registration.ts";
 import { ReplicaExchange } from "./replica_exchange.ts";
 
@@ -14,7 +20,7 @@
 const KEY_PREFIX = "laburnumslip/instances/";
 /** Period of the report and probe tasks; also the shortest time between two reports. */
 const TASK_PERIOD_MILLISECONDS = 50;
-/** Maximum reports that one instance sends in a second; with more peers, each of them gets fewer. */
+/** Maximum reports that one instance sends in a second; in a larger cell, each member gets fewer. */
 const REPORTS_PER_SECOND = 90;
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Time after which a report is sent even if nothing has changed. */
@@ -24,14 +30,14 @@
 /** Maximum probes that one instance sends in a second. */
 const PROBES_PER_SECOND = 12;
 const PROBE_TIMEOUT_MILLISECONDS = 1_000;
-/** Time for which a peer that is not registered in the store is kept after its last report. */
-const UNREGISTERED_PEER_MILLISECONDS = 6_000;
-
-const peerSchema = z.object({ name: z.string(), incarnation: z.string(), address: z.string() });
+/** Age in milliseconds of a report above which it is left out of the state of the cell. */
+const REPORT_LIFETIME_MILLISECONDS = 1_500;
+/** Pause in milliseconds between two searches for members of the cell that have ended. */
+const REMOVAL_PERIOD_MILLISECONDS = 1_000;
 
 /**
- * Connects this instance to the others: finds them through the store, sends them reports on this instance, and
- * exchanges replicas of the store with them.
+ * Connects this instance to the others: finds them through the store, sends reports on this instance to the members of
+ * its cell, exchanges sums with the other cells and replicas of the store with its reader group.
  *
  * @example
  * ```ts
@@ -43,14 +49,17 @@
 export class PeerMesh {
     readonly #server: InstanceServer;
     readonly #pool: InstancePool;
-    readonly #registeredPeers = new Map<string, Peer>();
-    readonly #reportedPeers = new Map<string, KnownPeer>();
+    readonly #members: MemberList;
     readonly #exchange: ReplicaExchange;
+    readonly #cells: CellExchange;
+    /** Last reports of the members of the cell, with their times. */
+    readonly #reports = new Map<string, { report: PeerReport; at: number; }>();
     #registration: Registration | undefined;
     #reportTask: PeriodicTask | undefined;
     #forcedReportAt = 0;
     #lastReportSentAt = 0;
     #probeTask: PeriodicTask | undefined;
+    #removalTask: PeriodicTask | undefined;
     #probesDue = 0;
     #nextProbe = 0;
     #closed = false;
@@ -60,12 +69,13 @@
      */
     constructor(private readonly options: PeerMeshOptions) {
         const { self, metrics, logger, replica } = options;
+        this.#members = new MemberList(self);
         this.#server = new InstanceServer(self, SECRET, { metrics, logger, compress: false });
         this.#pool = new InstancePool(self, SECRET, metrics, this.#server, { compress: false });
         this.#server.handle("peers.report", peerReportSchema, async report => {
-            const { name, incarnation, address, readsStore } = report;
-            const peer = { name, incarnation, address };
-            this.#reportedPeers.set(name, { peer, lastReportAt: monotonicMilliseconds(), readsStore });
+            const { name, incarnation, address, failureDomain, readsStore } = report;
+            this.#members.recordReport({ name, incarnation, address, failureDomain }, readsStore);
+            this.#reports.set(name, { report, at: monotonicMilliseconds() });
             options.onReport(report);
         });
         this.#server.handle("peers.probe", z.object({}), async () => ({}));
@@ -73,24 +83,50 @@
             ...options,
             pool: this.#pool,
             server: this.#server,
-            peers: () => this.#peers(),
+            members: this.#members,
+        });
+        this.#cells = new CellExchange({
+            ...options,
+            pool: this.#pool,
+            server: this.#server,
+            members: this.#members,
+            createState: () => this.#createCellState(),
+            onState: state => options.onFleetState(state),
         });
+        metrics.gauge("fleet_instances", () => this.instanceCount);
+        metrics.gauge("fleet_cell_instances", () => this.#mates().length + 1);
         replica.onChange(change => this.#applyRegistration(change));
     }
 
     /** Number of instances, this one included. */
     get instanceCount(): number {
-        return this.#peers().length + 1;
+        return this.#members.peers().length + 1;
     }
 
     /** Names of the other instances. */
     get peerNames(): string[] {
-        return this.#peers().map(({ peer }) => peer.name);
+        return this.#members.peers().map(({ peer }) => peer.name);
+    }
+
+    /** Cell of this instance, whose members prefer the same servers. */
+    get cell(): Cell | undefined {
+        return this.#members.partition.cellOf(this.options.self.name);
+    }
+
+    /**
+     * Returns whether a peer is a member of another cell.
+     *
+     * @param name Name of the peer.
+     * @returns Whether it is; false for a peer that is no longer a member of the fleet.
+     */
+    isInOtherCell(name: string): boolean {
+        const cell = this.#members.partition.cellOf(name);
+        return cell !== undefined && cell !== this.cell;
     }
 
-    /** Time in milliseconds between two reports to one peer while the load changes. */
+    /** Time in milliseconds between two reports to one member of the cell while the load changes. */
     get reportPeriodMilliseconds(): number {
-        return Math.max(TASK_PERIOD_MILLISECONDS, this.#peers().length / REPORTS_PER_SECOND * MILLISECONDS_PER_SECOND);
+        return Math.max(TASK_PERIOD_MILLISECONDS, this.#mates().length / REPORTS_PER_SECOND * MILLISECONDS_PER_SECOND);
     }
 
     /**
@@ -103,7 +139,7 @@
     }
 
     /**
-     * Forwards an update from the store to all peers, if this instance is a reader.
+     * Forwards an update from the store to the reader group, if this instance is a reader.
      *
      * @param update Result of a read of the store.
      */
@@ -123,8 +159,12 @@
         await this.#server.listen(address);
         this.#registration = new Registration(store, KEY_PREFIX + self.name, JSON.stringify(self), logger);
         const onError = (error: unknown) => logger.error("peer task failed", { error: String(error) });
-        this.#reportTask = new PeriodicTask(TASK_PERIOD_MILLISECONDS, async () => this.#sendReport(), onError);
+        this.#reportTask = new PeriodicTask(TASK_PERIOD_MILLISECONDS, async () => {
+            this.#sendReport();
+            this.#cells.step();
+        }, onError);
         this.#probeTask = new PeriodicTask(TASK_PERIOD_MILLISECONDS, async () => this.#sendProbes(), onError);
+        this.#removalTask = new PeriodicTask(REMOVAL_PERIOD_MILLISECONDS, () => this.#removeEndedMates(), onError);
         this.#exchange.start();
     }
 
@@ -142,28 +182,55 @@
             this.#registration?.close(),
             this.#reportTask?.close(),
             this.#probeTask?.close(),
+            this.#removalTask?.close(),
             this.#exchange.close(),
         ]);
         this.#pool.close();
         await this.#server.close();
     }
 
-    #peers(): KnownPeer[] {
-        const oldestReportAt = monotonicMilliseconds() - UNREGISTERED_PEER_MILLISECONDS;
-        const peers = new Map<string, KnownPeer>();
-        for (const [name, peer] of this.#registeredPeers) {
-            peers.set(name, { peer, lastReportAt: Number.NEGATIVE_INFINITY, readsStore: false });
-        }
-        for (const [name, knownPeer] of this.#reportedPeers) {
-            if (knownPeer.lastReportAt < oldestReportAt) {
-                this.#reportedPeers.delete(name);
+    /** The other members of the cell. */
+    #mates(): KnownPeer[] {
+        const { name } = this.options.self;
+        const names = this.#members.partition.cellOf(name)?.members ?? [];
+        return names.flatMap(mate => this.#members.find(mate) ?? []);
+    }
+
+    #createCellState(): CellState {
+        const state = this.options.createCellState();
+        const oldest = monotonicMilliseconds() - REPORT_LIFETIME_MILLISECONDS;
+        for (const [name, { report, at }] of this.#reports) {
+            if (at < oldest) {
+                this.#reports.delete(name);
+                continue;
             }
-            else {
-                peers.set(name, knownPeer);
+            state.changing.push(...report.changing);
+            state.gone.push(...report.gone);
+        }
+        return state;
+    }
+
+    /** Removes the registrations of members of the cell that have ended; their leases would keep them for longer. */
+    async #removeEndedMates(): Promise<void> {
+        if (!this.#cells.isPrimary || !this.options.readsStore()) {
+            return;
+        }
+        const { store, replica, logger } = this.options;
+        for (const peer of this.#members.silentMates()) {
+            const key = KEY_PREFIX + peer.name;
+            const revision = replica.get(key)?.revision;
+            const response = await this.#pool.call(peer, "peers.probe", {}, PROBE_TIMEOUT_MILLISECONDS);
+            if (response.isOk() || revision === undefined) {
+                continue;
             }
+            const removed = await store.remove(key, revision);
+            logger.info("registration of a silent instance removed", {
+                peer: peer.name,
+                incarnation: peer.incarnation,
+                cause: response.error.message,
+                outcome: removed.isOk() ? removed.value.kind : removed.error.message,
+            });
         }
-        peers.delete(this.options.self.name);
-        return [...peers.values()];
     }
 
     #applyRegistration(change: ItemChange): void {
@@ -174,19 +241,18 @@
         const name = key.slice(KEY_PREFIX.length);
         const { logger } = this.options;
         if (change.kind === "removed") {
-            this.#registeredPeers.delete(name);
+            this.#members.unregister(name);
             logger.info("instance unregistered", { peer: name, revision: change.revision });
+            if (name === this.options.self.name && !this.#closed) {
+                this.#registration?.renew();
+            }
             return;
         }
         try {
             const peer = peerSchema.parse(JSON.parse(change.item.value ?? ""));
-            this.#registeredPeers.set(name, peer);
+            this.#members.register(peer);
             const { incarnation, address } = peer;
             logger.info("instance registered", { peer: name, incarnation, address, revision: change.item.revision });
-            const reported = this.#reportedPeers.get(name);
-            if (reported && reported.peer.incarnation !== peer.incarnation) {
-                this.#reportedPeers.delete(name);
-            }
         }
         catch (error) {
             logger.warn("cannot parse registered instance", { key, error: String(error) });
@@ -195,7 +261,7 @@
 
     #sendReport(): void {
         const now = monotonicMilliseconds();
-        const peers = this.#peers();
+        const peers = this.#mates();
         // Timers fire slightly late, so the comparison allows for half a task period.
         if (
             now - this.#lastReportSentAt
@@ -216,22 +282,25 @@
 
     /** Probes peers in turn, so that a connection that no longer delivers data is detected. */
     #sendProbes(): void {
-        const peers = this.#peers();
+        const peers = [...this.#mates().map(({ peer }) => peer), ...this.#cells.targets()];
         const probesPerSecond = Math.min(
             PROBES_PER_SECOND,
             peers.length * MILLISECONDS_PER_SECOND / MINIMUM_PROBE_PERIOD_MILLISECONDS,
         );
         this.#probesDue += probesPerSecond * TASK_PERIOD_MILLISECONDS / MILLISECONDS_PER_SECOND;
         for (; this.#probesDue >= 1; this.#probesDue--) {
-            const knownPeer = peers[this.#nextProbe++ % Math.max(1, peers.length)];
-            if (knownPeer) {
-                void this.#probePeer(knownPeer.peer);
+            const peer = peers[this.#nextProbe++ % Math.max(1, peers.length)];
+            if (peer) {
+                void this.#probePeer(peer);
             }
         }
     }
 
     async #probePeer(peer: Peer): Promise<void> {
         const response = await this.#pool.call(peer, "peers.probe", {}, PROBE_TIMEOUT_MILLISECONDS);
+        if (response.isErr()) {
+            this.#members.suspect(peer.name);
+        }
         if (response.isErr() && response.error.kind === "timeout") {
             this.options.logger.warn("peer does not answer", { peer: peer.name });
             this.options.metrics.increment("peer_timeouts_total");
--- a/packages/peers/peer_mesh_options.ts
+++ b/packages/peers/peer_mesh_options.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { ItemReplica } from "../replica/mod.ts";
+import type { CellState } from "./cell_state.ts";
 import type { Peer } from "./peer.ts";
 import type { PeerReport } from "./peer_report.ts";
 
@@ -22,6 +23,12 @@
     readsStore(): boolean;
     /** Called when a peer has a newer revision whose changes have not arrived. */
     onNewerRevision(revision: number): void;
-    /** Called for each report of a peer. */
+    /** Window of the rate limits in milliseconds. */
+    usageWindowMilliseconds: number;
+    /** Called for each report of a member of the cell. */
     onReport(report: PeerReport): void;
+    /** Creates the state of this instance's cell, from what its members have reported. */
+    createCellState(): CellState;
+    /** Called with the state of all other cells together. */
+    onFleetState(state: CellState): void;
 }
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -1,10 +1,8 @@
 import * as z from "zod";
+import { peerSchema } from "./peer_schema.ts";
 
 /** Schema of an instance's report on itself to its peers. */
-export const peerReportSchema = z.object({
-    name: z.string().max(128),
-    incarnation: z.string().max(64),
-    address: z.string().max(64),
+export const peerReportSchema = peerSchema.extend({
     /** Whether the instance's last read of the store succeeded. */
     readsStore: z.boolean(),
     /** By server: requests, reserved tokens and prefill tokens in progress, recent failures and recent successes. */
--- /dev/null
+++ b/packages/peers/peer_schema.ts
@@ -0,0 +1,9 @@
+import * as z from "zod";
+
+/** Schema of an instance's identity in registrations and messages. */
+export const peerSchema = z.object({
+    name: z.string().max(128),
+    incarnation: z.string().max(64),
+    address: z.string().max(64),
+    failureDomain: z.string().max(128).default(""),
+});
--- a/packages/peers/registration.ts
+++ b/packages/peers/registration.ts
@@ -2,9 +2,12 @@
 import type { CoordinationStore } from "../coordination/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 
-/** Time after which the item of an instance that no longer renews its lease is removed. */
-const LEASE_MILLISECONDS = 10_000;
-const RENEWAL_MILLISECONDS = 3_000;
+/**
+ * Time after which the item of an instance that no longer renews its lease is removed. It is long, since each renewal is
+ * a call to the store; peers remove the item of an instance that has ended sooner.
+ */
+const LEASE_MILLISECONDS = 60_000;
+const RENEWAL_MILLISECONDS = 20_000;
 const MINIMUM_RETRY_MILLISECONDS = 700;
 const MAXIMUM_RETRY_MILLISECONDS = 2_500;
 
@@ -21,6 +24,7 @@
     readonly #task: PeriodicTask;
     #lease: number | undefined;
     #retryMilliseconds = MINIMUM_RETRY_MILLISECONDS;
+    #wake = new AbortController();
 
     /**
      * @param store The store.
@@ -51,12 +55,22 @@
         }
     }
 
+    /** Writes the item again, since it was removed although this process still runs. */
+    renew(): void {
+        this.#lease = undefined;
+        this.#wake.abort();
+    }
+
     async #step(signal: AbortSignal): Promise<void> {
         const renewed = this.#lease === undefined ? await this.#register() : await this.#renew(this.#lease);
         this.#retryMilliseconds = renewed
             ? MINIMUM_RETRY_MILLISECONDS
             : Math.min(MAXIMUM_RETRY_MILLISECONDS, this.#retryMilliseconds * 2);
-        await sleep(renewed ? RENEWAL_MILLISECONDS : this.#retryMilliseconds, signal);
+        // A removal that was noticed meanwhile is followed by a new registration at once.
+        const wake = this.#wake;
+        this.#wake = wake.signal.aborted ? new AbortController() : wake;
+        const pause = renewed ? RENEWAL_MILLISECONDS : this.#retryMilliseconds;
+        await sleep(wake.signal.aborted ? 0 : pause, AbortSignal.any([signal, this.#wake.signal]));
     }
 
     async #register(): Promise<boolean> {
--- a/packages/peers/replica_exchange.ts
+++ b/packages/peers/replica_exchange.ts
@@ -3,11 +3,14 @@
 import { instanceId } from "../instances/mod.ts";
 import { selectMembers } from "../membership/mod.ts";
 import type { ItemChange, ItemSnapshot, ReplicaUpdate } from "../replica/mod.ts";
+import type { KnownPeer } from "./known_peer.ts";
 import type { Peer } from "./peer.ts";
 import type { ReplicaExchangeOptions } from "./replica_exchange_options.ts";
 
 /** Number of instances that read the store; two, so that updates continue when one of them fails. */
 const READER_COUNT = 2;
+/** The same for each of several reader groups; while its reader is replaced, each of its instances may read itself. */
+const READER_COUNT_PER_GROUP = 1;
 const READER_GROUP = "store-readers";
 /** Age of a peer's last report above which the peer does not count as a reader. */
 const MAXIMUM_READER_REPORT_AGE_MILLISECONDS = 1_300;
@@ -36,12 +39,15 @@
     revision: number;
     /** Time in milliseconds since the peer's replica was last confirmed. */
     age: number;
+    /** Whether the peer's last read of the store succeeded. */
+    readsStore: boolean;
     snapshot?: ItemSnapshot;
 }
 
 /**
- * Divides the reading of the store among the instances: two of them read it, send its changes to all others and respond
- * to pulls with the age of their replicas. An instance that the store refuses pulls snapshots from its peers.
+ * Divides the reading of the store among the instances of a reader group: few of them read it, send its changes to the
+ * others and respond to pulls with the age of their replicas. An instance that the store refuses pulls snapshots from
+ * its peers.
  *
  * @example
  * ```ts
@@ -93,7 +99,7 @@
     }
 
     /**
-     * Sends an update from the store to all peers, if this instance is a reader.
+     * Sends an update from the store to the peers of the reader group, if this instance is a reader.
      *
      * @param update Result of a read of the store.
      */
@@ -101,22 +107,35 @@
         if (!this.isReader()) {
             return;
         }
-        const peers = this.options.peers();
+        const peers = this.#groupPeers();
         const size = JSON.stringify(update.changes ?? []).length * peers.length;
         const message = size > PUSH_BUDGET_BYTES ? { ...update, changes: undefined } : update;
         this.options.pool.broadcast(peers.map(({ peer }) => peer), "replica.changes", message);
     }
 
+    /** The other instances of the reader group. */
+    #groupPeers(): KnownPeer[] {
+        const { self, members } = this.options;
+        return members.partition.readerGroupOf(self.name).flatMap(name => members.find(name) ?? []);
+    }
+
     #readers(): string[] {
-        const { self, peers, readsStore } = this.options;
-        const oldestReportAt = monotonicMilliseconds() - MAXIMUM_READER_REPORT_AGE_MILLISECONDS;
-        const candidates = peers()
-            .filter(peer => peer.readsStore && peer.lastReportAt > oldestReportAt)
+        const { self, members, readsStore } = this.options;
+        const { partition } = members;
+        const cell = new Set(partition.cellOf(self.name)?.members);
+        const candidates = this.#groupPeers()
+            .filter(({ peer: { name }, readsStore: reads }) =>
+                // Only the members of the cell report regularly; others are relied on until a pull from them fails.
+                cell.has(name)
+                    ? reads && members.hasReportedWithin(name, MAXIMUM_READER_REPORT_AGE_MILLISECONDS)
+                    : !members.isSuspected(name)
+            )
             .map(({ peer }) => instanceId(peer));
         if (readsStore()) {
             candidates.push(instanceId(self));
         }
-        return selectMembers(candidates, READER_GROUP, Math.min(READER_COUNT, candidates.length));
+        const count = partition.hasOneReaderGroup ? READER_COUNT : READER_COUNT_PER_GROUP;
+        return selectMembers(candidates, READER_GROUP, Math.min(count, candidates.length));
     }
 
     #applyUpdate(update: z.infer<typeof updateSchema>): void {
@@ -130,7 +149,7 @@
     }
 
     #step(): void {
-        const { clock, replica, peers } = this.options;
+        const { clock, replica } = this.options;
         this.#logReaderChange();
         if (clock.now() - replica.confirmedAt >= STALE_REPLICA_MILLISECONDS) {
             this.#pullFromAnyPeer();
@@ -138,7 +157,7 @@
         }
         const period = Math.min(
             MAXIMUM_PULL_PERIOD_MILLISECONDS,
-            peers().length / PULLS_PER_SECOND * MILLISECONDS_PER_SECOND,
+            this.#groupPeers().length / PULLS_PER_SECOND * MILLISECONDS_PER_SECOND,
         );
         if (monotonicMilliseconds() - this.#lastPullAt < period - PULL_PERIOD_MILLISECONDS / 2) {
             return;
@@ -146,7 +165,7 @@
         this.#lastPullAt = monotonicMilliseconds();
         const readers = new Set(this.#readers());
         if (!readers.has(instanceId(this.options.self))) {
-            peers().filter(({ peer }) => readers.has(instanceId(peer))).forEach(({ peer }) =>
+            this.#groupPeers().filter(({ peer }) => readers.has(instanceId(peer))).forEach(({ peer }) =>
                 void this.#pullFrom(peer)
             );
         }
@@ -162,7 +181,7 @@
     }
 
     #pullFromAnyPeer(): void {
-        const peers = this.options.peers();
+        const peers = this.options.members.peers();
         const pullIndex = this.#pullCount++;
         const knownPeer = peers[pullIndex % Math.max(1, peers.length)];
         if (knownPeer) {
@@ -181,11 +200,14 @@
             return;
         }
         this.#pendingPulls.add(peer.name);
-        const { clock, pool, replica, readsStore } = this.options;
+        const { clock, pool, members, replica, readsStore } = this.options;
         const requestedAt = clock.now();
         const params = { revision: replica.revision, full: !readsStore() || replica.revision === 0 };
         const response = await pool.call<PullResponse>(peer, "replica.pull", params, PULL_TIMEOUT_MILLISECONDS);
         this.#pendingPulls.delete(peer.name);
+        if (response.isErr() || !response.value.readsStore) {
+            members.suspect(peer.name);
+        }
         if (response.isOk()) {
             this.#applyPullResponse(response.value, requestedAt, peer.name);
         }
@@ -216,10 +238,15 @@
     }
 
     #respondToPull(revision: number, full: boolean): PullResponse {
-        const { clock, replica } = this.options;
+        const { clock, replica, readsStore } = this.options;
         // JSON cannot encode the infinite age of a replica that was never confirmed.
         const age = Math.min(1e9, clock.now() - replica.confirmedAt);
         const includesSnapshot = full && replica.revision > revision;
-        return { revision: replica.revision, age, ...includesSnapshot ? { snapshot: replica.snapshot() } : {} };
+        return {
+            revision: replica.revision,
+            age,
+            readsStore: readsStore(),
+            ...includesSnapshot ? { snapshot: replica.snapshot() } : {},
+        };
     }
 }
--- a/packages/peers/replica_exchange_options.ts
+++ b/packages/peers/replica_exchange_options.ts
@@ -3,7 +3,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { ItemReplica } from "../replica/mod.ts";
-import type { KnownPeer } from "./known_peer.ts";
+import type { MemberList } from "./member_list.ts";
 import type { Peer } from "./peer.ts";
 
 /** Dependencies of {@linkcode ReplicaExchange}. */
@@ -11,14 +11,13 @@
     self: Peer;
     pool: InstancePool;
     server: InstanceServer;
+    members: MemberList;
     /** Addresses of instances to pull from before any peer is known. */
     seedAddresses: string[];
     replica: ItemReplica;
     clock: SuspensionAwareClock;
     metrics: Metrics;
     logger: Logger;
-    /** Returns the other instances. */
-    peers(): KnownPeer[];
     /** Whether this instance's last read of the store succeeded. */
     readsStore(): boolean;
     /** Called when a peer has a newer revision whose changes have not arrived. */
