--- a/packages/backends/backend_connection_pool.ts
+++ b/packages/backends/backend_connection_pool.ts
@@ -39,6 +39,7 @@
             const outgoing = startRequest({ ...createRequestOptions(request), agent });
             let connected = false;
             let settled = false;
+            let received: IncomingMessage | undefined;
             const abort = () => fail("aborted", "The request was given up");
             const connectTimer = setTimeout(() => {
                 if (!connected) {
@@ -63,9 +64,15 @@
             onConnected(outgoing, () => {
                 connected = true;
             });
-            outgoing.on("error", error => fail(connected ? "reset" : "unreachable", error.message));
+            outgoing.on("error", error => {
+                // Bytes after the end of a complete response close its connection; the response itself is sound.
+                if (!received?.complete) {
+                    fail(connected ? "reset" : "unreachable", error.message);
+                }
+            });
             outgoing.on("close", () => request.signal?.removeEventListener("abort", abort));
             outgoing.on("response", response => {
+                received = response;
                 const backendResponse = toBackendResponse(response, outgoing);
                 const mismatched = request.correlation !== undefined
                     && backendResponse.headers[request.correlation.header] !== request.correlation.value;
--- /dev/null
+++ b/packages/backends/untrusted_response_test.ts
@@ -0,0 +1,119 @@
+import { createServer, type Server, type Socket } from "node:net";
+import { afterEach, expect, test } from "vitest";
+import { sleep } from "../clocks/mod.ts";
+import { BackendConnectionPool } from "./backend_connection_pool.ts";
+import { readResponseBody } from "./read_response_body.ts";
+
+const MAXIMUM_BODY_BYTES = 65_536;
+/** Bytes that may be held in memory while a response without an end arrives. */
+const MAXIMUM_MEMORY_BYTES = 48 * 1_024 * 1_024;
+const RESPONSE_TIMEOUT_MILLISECONDS = 1_500;
+
+let server: Server | undefined;
+const pool = new BackendConnectionPool();
+const sockets = new Set<Socket>();
+
+afterEach(async () => {
+    sockets.forEach(socket => socket.destroy());
+    sockets.clear();
+    await new Promise<void>(resolve => server?.close(() => resolve()) ?? resolve());
+});
+
+/** Starts a server that passes each request it receives, with its number, to a function. */
+async function listen(respond: (socket: Socket, request: number) => void): Promise<string> {
+    let requests = 0;
+    const started = createServer(socket => {
+        sockets.add(socket);
+        socket.on("error", () => {});
+        socket.on("close", () => sockets.delete(socket));
+        socket.on("data", () => respond(socket, ++requests));
+    });
+    server = started;
+    await new Promise<void>(resolve => started.listen(0, "127.0.0.1", resolve));
+    const address = started.address();
+    return `127.0.0.1:${typeof address === "object" ? address?.port : 0}`;
+}
+
+async function call(
+    address: string,
+    id: string,
+): Promise<{ status: number; body: string | undefined; fault?: string; }> {
+    const response = await pool.send({
+        address,
+        method: "GET",
+        path: "/",
+        headers: ["Host", address],
+        timeoutMilliseconds: RESPONSE_TIMEOUT_MILLISECONDS,
+        correlation: { header: "x-id", value: id },
+    });
+    if (response.isErr()) {
+        return { status: 0, body: undefined, fault: response.error.kind };
+    }
+    const body = await readResponseBody(response.value, RESPONSE_TIMEOUT_MILLISECONDS, MAXIMUM_BODY_BYTES);
+    return { status: response.value.status, body: body?.toString("utf8") };
+}
+
+function answer(id: string): string {
+    return `HTTP/1.1 200 OK\r\nX-Id: ${id}\r\nContent-Length: ${id.length}\r\n\r\n${id}`;
+}
+
+test("a second copy of a response that arrives on an idle connection is not the next response", async () => {
+    const address = await listen((socket, request) => {
+        socket.write(answer(String(request)));
+        setTimeout(() => request === 1 && socket.write(answer("1")), 50);
+    });
+    expect(await call(address, "1")).toMatchObject({ status: 200, body: "1" });
+    await sleep(150);
+    // The connection is in an unknown state and must not be used again.
+    expect(await call(address, "2")).toMatchObject({ status: 200, body: "2" });
+});
+
+test("a second copy that arrives in place of the next response is not delivered", async () => {
+    const address = await listen(socket => socket.write(answer("1")));
+    expect(await call(address, "1")).toMatchObject({ status: 200, body: "1" });
+    expect(await call(address, "2")).toMatchObject({ status: 0, fault: "crossed" });
+    await expect.poll(() => sockets.size, { timeout: 2_000 }).toBe(0);
+});
+
+/** Writes a fragment again and again until the connection is closed. */
+function writeForever(socket: Socket, fragment: string): void {
+    const chunk = fragment.repeat(Math.max(1, Math.floor(16_384 / fragment.length)));
+    const write = () => {
+        while (!socket.destroyed && socket.write(chunk)) {
+            // Writes until the socket's buffer is full.
+        }
+    };
+    socket.on("drain", () => setImmediate(write));
+    write();
+}
+
+test.each([
+    ["a status line", "HTTP/1.1 200 ", "O"],
+    ["headers", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n"],
+    ["one header", "HTTP/1.1 200 OK\r\nX-A: ", "b"],
+    ["a chunk extension", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n5;", "a"],
+    ["trailers", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-A: b\r\n"],
+    ["chunks", "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n"],
+    ["a body without a length", "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\n", "a"],
+    ["interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"],
+])(
+    "%s without an end fails in time, takes little memory, and closes the connection",
+    async (_name, start, fragment) => {
+        const address = await listen(socket => {
+            socket.write(start);
+            writeForever(socket, fragment);
+        });
+        const before = process.memoryUsage().rss;
+        const response = await call(address, "1");
+        expect(response.body).toBeUndefined();
+        expect(process.memoryUsage().rss - before).toBeLessThan(MAXIMUM_MEMORY_BYTES);
+        await expect.poll(() => sockets.size, { timeout: 2_000 }).toBe(0);
+    },
+);
+
+test("bytes beyond the length of a body close the connection", async () => {
+    const address = await listen((socket, request) => socket.write(`${answer(String(request))}excess`));
+    expect(await call(address, "1")).toMatchObject({ status: 200, body: "1" });
+    await expect.poll(() => sockets.size, { timeout: 2_000 }).toBe(0);
+    expect(await call(address, "2")).toMatchObject({ status: 200, body: "2" });
+});
--- a/packages/directory/traffic_route.ts
+++ b/packages/directory/traffic_route.ts
@@ -17,6 +17,8 @@
     timeoutMilliseconds: number;
     /** Target latency in milliseconds; a later response is worth less. */
     targetLatencyMilliseconds: number;
+    /** Longest pause in milliseconds between two events of a stream that is still on time; 0 if there is no such limit. */
+    targetGapMilliseconds: number;
     /** Largest number of backend servers that may run one request. */
     maximumServers: number;
     /** Priority; 0 is served first. */
--- a/packages/gateway/crash_registry.ts
+++ b/packages/gateway/crash_registry.ts
@@ -127,9 +127,14 @@
 
     #record(crash: Crash): void {
         const crashes = this.#crashes.get(crash.fingerprint) ?? [];
-        if (crashes.some(({ server }) => server === crash.server)) {
+        const known = crashes.find(({ server }) => server === crash.server);
+        if (known && crash.at - known.at < CRASH_LIFETIME_MILLISECONDS) {
             return;
         }
+        if (known) {
+            // The server has crashed once more after the first crash has ceased to count.
+            crashes.splice(crashes.indexOf(known), 1);
+        }
         crashes.push(crash);
         this.#crashes.delete(crash.fingerprint);
         this.#crashes.set(crash.fingerprint, crashes);
--- a/packages/gateway/event_splitter.ts
+++ b/packages/gateway/event_splitter.ts
@@ -1,4 +1,6 @@
 const NEWLINE = 0x0a;
+/** Largest event in bytes; an engine that sends more without ending the event has failed. */
+const MAXIMUM_EVENT_BYTES = 1_024 * 1_024;
 
 /** One event of a stream. */
 interface StreamEvent {
@@ -25,6 +27,11 @@
         return this.#buffered.length;
     }
 
+    /** Whether the incomplete event is larger than any event may be. */
+    get isTooLarge(): boolean {
+        return this.#buffered.length > MAXIMUM_EVENT_BYTES;
+    }
+
     /**
      * Adds received bytes.
      *
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -28,6 +28,8 @@
 const DRAIN_STEP_MILLISECONDS = 25;
 /** Time in milliseconds before the process is killed at which the remaining requests are aborted. */
 const ABORT_MARGIN_MILLISECONDS = 700;
+/** Time in milliseconds allowed for the refusals of requests that are aborted at the end of a shutdown. */
+const LAST_ANSWERS_MILLISECONDS = 200;
 /** Time in milliseconds allowed for the last calls to the store and to peers. */
 const LAST_CALLS_MILLISECONDS = 300;
 /** Time in milliseconds that a server is avoided after a peer reported it as terminated or changing its stage. */
@@ -229,6 +231,11 @@
         }
         this.#server.stopAccepting();
         this.#logger.info("shut down", { requestsCut: this.#server.active });
+        this.#server.abortActive();
+        for (let waited = 0; this.#server.active > 0 && waited < LAST_ANSWERS_MILLISECONDS;) {
+            await sleep(DRAIN_STEP_MILLISECONDS);
+            waited += DRAIN_STEP_MILLISECONDS;
+        }
         this.#server.close();
         await Promise.race([Promise.all([leadershipGivenUp, this.#peerMesh.close()]), sleep(LAST_CALLS_MILLISECONDS)]);
     }
@@ -320,7 +327,10 @@
         }
         const usage = this.#rateLimiter.report();
         const readsStore = this.#replicaFollower?.connected ?? false;
-        const serialised = JSON.stringify([loads, usage.spending, readsStore]);
+        const changing = this.#stageBalancer?.changing() ?? [];
+        const gone = this.#serverLoads.gone();
+        const crashes = this.#crashRegistry.recent();
+        const serialised = JSON.stringify([loads, usage.spending, readsStore, changing, gone, crashes]);
         if (!force && serialised === this.#lastReport) {
             return undefined;
         }
@@ -328,9 +338,9 @@
         return {
             readsStore,
             loads,
-            changing: this.#stageBalancer?.changing() ?? [],
-            gone: this.#serverLoads.gone(),
-            crashes: this.#crashRegistry.recent(),
+            changing,
+            gone,
+            crashes,
             ...usage,
         };
     }
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -1,6 +1,5 @@
 import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import type { Socket } from "node:net";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { parseAddress } from "../instances/mod.ts";
 import { AdmissionCheck } from "./admission_check.ts";
@@ -40,7 +39,8 @@
     readonly #decodeQueue: DecodeQueue;
     readonly #plainForwarder: PlainForwarder;
     readonly #streamForwarder: StreamForwarder;
-    readonly #sockets = new Map<Socket, { busy: boolean; }>();
+    /** Aborts each request that has not been answered. */
+    readonly #aborts = new Set<AbortController>();
     #active = 0;
     #keepAliveDisabled = false;
 
@@ -68,10 +68,6 @@
             requireHostHeader: false,
         });
         this.#server.on("request", (request, response) => this.#handle(request, response));
-        this.#server.on("connection", (socket: Socket) => {
-            this.#sockets.set(socket, { busy: false });
-            socket.on("close", () => this.#sockets.delete(socket));
-        });
         context.directory.onChange(() => this.#applyConfiguredTimeouts());
         context.metrics.gauge("gateway_requests_active", () => this.#active);
         context.metrics.gauge("decode_queue_length", () => this.#decodeQueue.length);
@@ -82,11 +78,6 @@
         return this.#active;
     }
 
-    /** Number of open connections from callers. */
-    get connections(): number {
-        return this.#sockets.size;
-    }
-
     /**
      * Opens the port.
      *
@@ -125,6 +116,11 @@
         this.#server.closeIdleConnections();
     }
 
+    /** Ends the active requests; those without a response so far get a refusal. */
+    abortActive(): void {
+        this.#aborts.forEach(abort => abort.abort("shutting-down"));
+    }
+
     /** Closes every connection. */
     close(): void {
         this.#server.close();
@@ -167,7 +163,9 @@
     async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
         const receivedAt = monotonicMilliseconds();
         const abort = new AbortController();
+        this.#aborts.add(abort);
         response.on("close", () => {
+            this.#aborts.delete(abort);
             if (!response.writableFinished) {
                 abort.abort("caller-gone");
             }
--- a/packages/gateway/relay_events.ts
+++ b/packages/gateway/relay_events.ts
@@ -68,7 +68,12 @@
             if (finished) {
                 return;
             }
-            for (const event of splitter.push(chunk)) {
+            const events = splitter.push(chunk);
+            if (splitter.isTooLarge) {
+                finish({ kind: "broken", message: "An event has no end" });
+                return;
+            }
+            for (const event of events) {
                 const expected = progress.lastEventId === undefined ? event.id : progress.lastEventId + 1;
                 if (event.id === undefined || (progress.lastEventId !== undefined && event.id !== expected)) {
                     finish({ kind: "broken", message: `Event ${event.id} came in place of ${expected}` });
@@ -82,8 +87,11 @@
                 }
                 response.write(event.bytes);
             }
-            clearTimeout(idleTimer);
-            idleTimer = setTimeout(onIdle, idleTimeout);
+            // Only a whole event shows that the engine makes progress.
+            if (events.length > 0) {
+                clearTimeout(idleTimer);
+                idleTimer = setTimeout(onIdle, idleTimeout);
+            }
         });
         backendResponse.body.on("close", () => {
             const complete = isResponseComplete(backendResponse) && splitter.pendingBytes === 0 && response.headersSent;
--- a/packages/gateway/server_load.ts
+++ b/packages/gateway/server_load.ts
@@ -11,7 +11,8 @@
 const CREDITED_SUCCESSES = 2;
 /** Age in milliseconds above which a peer's report is no longer counted. */
 const PEER_REPORT_LIFETIME_MILLISECONDS = 1_500;
-const MAXIMUM_SEND_TIMES = 64;
+/** Time in milliseconds for which the time of a send is kept. */
+const SEND_TIME_LIFETIME_MILLISECONDS = 1_000;
 
 /** Load and health of one backend server, including what peers report of it. */
 export class ServerLoad {
@@ -94,16 +95,17 @@
 
     /** Records that a request was sent. */
     recordSend(): void {
-        this.#sentAt.push(monotonicMilliseconds());
-        if (this.#sentAt.length > MAXIMUM_SEND_TIMES) {
+        const now = monotonicMilliseconds();
+        this.#sentAt.push(now);
+        while ((this.#sentAt[0] ?? now) < now - SEND_TIME_LIFETIME_MILLISECONDS) {
             this.#sentAt.shift();
         }
     }
 
     /**
-     * Counts the requests sent since a time, among a limited number of the latest ones.
+     * Counts the requests sent since a time.
      *
-     * @param time Monotonic time in milliseconds.
+     * @param time Monotonic time in milliseconds, at most one second ago.
      * @returns The number of requests.
      */
     countSendsSince(time: number): number {
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -23,6 +23,8 @@
 /** Largest number of passes of one request through prefill and decode. */
 const MAXIMUM_PASSES = 4;
 const AVOID_MILLISECONDS = 800;
+/** Speed in prompt tokens per millisecond below which a decode engine that computes a prompt itself counts as failed. */
+const SLOWEST_LOCAL_TOKENS_PER_MILLISECOND = 5;
 /** Time in milliseconds that an engine is avoided after it refused a request, since it changes its stage or drains. */
 const REFUSED_AVOID_MILLISECONDS = 1_500;
 /** Time in milliseconds allowed for the body of an error response. */
@@ -30,6 +32,17 @@
 const MAXIMUM_RESPONSE_BYTES = 1_024 * 1_024;
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
+/** A run of a request at the decode engine that holds its reservation. */
+interface DecodeRun {
+    request: GatewayRequest;
+    reservation: DecodeReservation;
+    /** Alternating names and values. */
+    extraHeaders: string[];
+    progress: PassProgress;
+    /** Prompt tokens that the decode engine computes itself. */
+    localPrefillTokens: number;
+}
+
 /**
  * Forwards model requests: reserves memory at a decode engine, has the prompt computed by a prefill engine, and relays
  * the events of the decode engine.
@@ -94,7 +107,8 @@
                 return "may-have-run";
             }
             if (outcome.kind === "key-withdrawn") {
-                refusal = failed("configuration-stale", "not-run", outcome.message);
+                // An earlier pass may have run, which its refusal says.
+                refusal = progress.runs > 0 ? refusal : failed("configuration-stale", "not-run", outcome.message);
                 break;
             }
             if (outcome.kind !== "handle-lost") {
@@ -165,6 +179,10 @@
             if (prefilled.isErr() && prefilled.error.sent && !this.context.retryBudget.trySpend(request.service.name)) {
                 return { kind: "not-run", message: `${prefilled.error.message}; too many requests are being retried` };
             }
+            const obstacle = this.#findObstacle(request, reservation);
+            if (obstacle) {
+                return this.#applyOutcome(obstacle, prefilled.unwrapOr(undefined), reservation, progress);
+            }
             const { engineProtocol, headers } = this.context;
             const extraHeaders = [...resumeHeaders, headers.reservation, reservation.reservationId];
             if (prefilled.isOk()) {
@@ -182,9 +200,8 @@
                 localPrefillEnded = true;
             };
             let localPrefillEnded = false;
-            const outcome = await this.#decode(request, reservation, extraHeaders, progress, endLocalPrefill).finally(
-                endLocalPrefill,
-            );
+            const run = { request, reservation, extraHeaders, progress, localPrefillTokens };
+            const outcome = await this.#decode(run, endLocalPrefill).finally(endLocalPrefill);
             return this.#applyOutcome(outcome, prefilled.unwrapOr(undefined), reservation, progress);
         }
         finally {
@@ -257,22 +274,22 @@
         return { kind: "handle-lost", message: outcome.message };
     }
 
-    async #decode(
-        request: GatewayRequest,
-        reservation: DecodeReservation,
-        extraHeaders: string[],
-        progress: PassProgress,
-        onFirstEvent: () => void,
-    ): Promise<PassOutcome> {
-        const { headers, connectionPool, serverLoads, metrics } = this.context;
-        const { server } = reservation;
-        const load = serverLoads.get(server.id);
-        if (!this.context.directory.isUsable(server)) {
+    /** Finds out whether the request may no longer be sent to its decode engine. */
+    #findObstacle(request: GatewayRequest, reservation: DecodeReservation): PassOutcome | undefined {
+        if (!this.context.directory.isUsable(reservation.server)) {
             return { kind: "not-run", message: "The decode engine is leaving" };
         }
         if (request.key !== undefined && !this.context.directoryUpdater.canAcceptKey(request.key)) {
             return { kind: "key-withdrawn", message: "The key cannot be confirmed" };
         }
+        return undefined;
+    }
+
+    async #decode(run: DecodeRun, onFirstEvent: () => void): Promise<PassOutcome> {
+        const { request, reservation, extraHeaders, progress, localPrefillTokens } = run;
+        const { headers, connectionPool, serverLoads, metrics } = this.context;
+        const { server } = reservation;
+        const load = serverLoads.get(server.id);
         load.recordSend();
         const response = await connectionPool.send({
             address: server.address,
@@ -281,7 +298,7 @@
             headers: [...withoutHeaders(backendHeaders(request, server, headers), extraHeaders), ...extraHeaders],
             body: request.body.length > 0 ? request.body : undefined,
             timeoutMilliseconds: Math.min(
-                engineIdleTimeout(request, progress),
+                engineIdleTimeout(request, progress) + localPrefillTokens / SLOWEST_LOCAL_TOKENS_PER_MILLISECOND,
                 request.deadline - monotonicMilliseconds(),
             ),
             signal: request.signal,
--- a/packages/instances/instance_client.ts
+++ b/packages/instances/instance_client.ts
@@ -34,6 +34,8 @@
  */
 export class InstanceClient {
     #connection: Promise<Result<Connection, CallFailure>> | undefined;
+    /** Socket of the latest connection; an earlier one may report its end after that was opened. */
+    #socket: Socket | undefined;
     #closed = false;
     readonly #trafficCounters: TrafficCounters;
 
@@ -123,8 +125,10 @@
             return err(new CallFailure("unreachable", "not-run", "The connection is closed"));
         }
         this.#connection ??= this.#open();
-        const connection = await this.#connection;
-        if (connection.isErr()) {
+        const opening = this.#connection;
+        const connection = await opening;
+        // Another call may have opened a newer connection meanwhile.
+        if (connection.isErr() && this.#connection === opening) {
             this.#connection = undefined;
         }
         return connection;
@@ -133,6 +137,7 @@
     async #open(): Promise<Result<Connection, CallFailure>> {
         const { host, port } = parseAddress(this.address);
         const socket = connect({ host, port, noDelay: true });
+        this.#socket = socket;
         const connected = await waitForConnect(socket);
         if (connected.isErr()) {
             socket.destroy();
@@ -191,7 +196,9 @@
             });
             socket.on("close", () => {
                 clearTimeout(timer);
-                this.#connection = undefined;
+                if (this.#socket === socket) {
+                    this.#connection = undefined;
+                }
                 connection?.rpc.rejectAllPendingRequests("Connection closed");
                 resolve(err(new CallFailure("unreachable", "not-run", "Connection closed during the handshake")));
             });
--- a/packages/instances/instance_server.ts
+++ b/packages/instances/instance_server.ts
@@ -185,16 +185,20 @@
     #respond(socket: Socket, request: JSONRPCRequest, bytes: number, context: CallContext): void {
         const kind = this.#rpc.hasMethod(request.method) ? request.method : "unknown";
         this.#trafficCounters.received(kind, bytes);
-        this.#rpc.receive(request, context).then(
-            response => {
-                if (response && !socket.destroyed) {
-                    const frame = encodeFrame(response, this.#compress);
-                    this.#trafficCounters.sent(kind, frame.length);
-                    socket.write(frame);
-                }
-            },
-            error => this.#logger.error("call failed", { kind, error: String(error) }),
-        );
+        this.#call(socket, request, kind, context).catch((error: unknown) => {
+            // The caller must not wait for a response that cannot be encoded.
+            this.#logger.error("call failed", { kind, error: String(error) });
+            socket.destroy();
+        });
+    }
+
+    async #call(socket: Socket, request: JSONRPCRequest, kind: string, context: CallContext): Promise<void> {
+        const response = await this.#rpc.receive(request, context);
+        if (response && !socket.destroyed) {
+            const frame = encodeFrame(response, this.#compress);
+            this.#trafficCounters.sent(kind, frame.length);
+            socket.write(frame);
+        }
     }
 }
 
--- a/packages/instances/instances_test.ts
+++ b/packages/instances/instances_test.ts
@@ -31,6 +31,7 @@
         maximumFrameBytes: 10_000,
     });
     server.handle("echo", z.object({ text: z.string() }), async ({ text }) => ({ text }));
+    server.handle("long", z.object({}), async () => "x".repeat(17 * 1_024 * 1_024));
     server.handle("operators.secret", z.object({}), async () => ({}), "operator");
     await server.listen(`127.0.0.1:${port}`);
     cleanups.push(() => server.close());
@@ -138,3 +139,25 @@
     const noResponse = await createClient(`127.0.0.1:${silentPort}`).call("echo", { text: "x" });
     expect(noResponse._unsafeUnwrapErr()).toMatchObject({ kind: "unreachable", provesTermination: false });
 });
+
+test("a response too long for a frame fails its call at once and leaves the server running", async () => {
+    const server = await startServer();
+    const client = createClient(server);
+    const started = performance.now();
+    const result = await client.call("long", {}, 5_000);
+    expect(result._unsafeUnwrapErr().kind).toBe("error");
+    expect(performance.now() - started).toBeLessThan(5_000);
+    expect((await client.call("echo", { text: "after" })).isOk()).toBe(true);
+});
+
+test("calls made while the connection is replaced do not lose the newer connection", async () => {
+    const address = await startServer();
+    const client = createClient(address);
+    await client.call("echo", { text: "1" });
+    // The response ends the connection; the calls after it open a new one before the former one has reported its end.
+    const ended = client.call("long", {});
+    const calls = Array.from({ length: 5 }, (_, index) => client.call("echo", { text: String(index) }));
+    await Promise.all([ended, ...calls]);
+    const later = await Promise.all(Array.from({ length: 5 }, () => client.call("echo", { text: "later" })));
+    expect(later.filter(result => result.isOk()).length).toBe(5);
+});
