--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -6,8 +6,6 @@
 
 /** Limits that all instances keep together; the platform's documentation defines each of them. */
 const bounds = z.object({
-    /** Time within which a draining server must have received its last new request. */
-    drainMilliseconds: milliseconds.default(2_000),
     /** Time from the shutdown signal until the process is killed. */
     graceSeconds: z.number().min(0).max(3_600).default(8),
     /** Time within which a revoked API key must stop working. */
@@ -24,10 +22,6 @@
     quotaExcess: ratio.default(0),
     /** Units by which an organisation's limit may be exceeded in addition. */
     quotaSlack: z.number().min(0).default(0),
-    /** Factor for the requests per second that a cold server accepts. */
-    coldExcess: ratio.default(1),
-    /** Requests per second that a cold server may get in addition. */
-    coldSlack: z.number().min(0).default(0),
     /** Shortest time between the orders of two leaders to the same server. */
     leaseMilliseconds: milliseconds.default(3_000),
     /** Whether engines refuse orders with an outdated fencing token. */
--- a/packages/limits/organisation_limiter.ts
+++ b/packages/limits/organisation_limiter.ts
@@ -70,7 +70,7 @@
     ): Promise<Result<Charge, Refusal>> {
         const limits = this.configuration.document.organisations[organisation];
         if (!limits) {
-            return err(new Refusal(403, "key-unknown", "not-run", "The organisation no longer exists"));
+            return err(organisationRemoved());
         }
         const share = computeLimitShare(limits);
         if (amount > share.burstTokens * SHARES_PER_ORGANISATION) {
@@ -131,6 +131,9 @@
             if (charge) {
                 return ok(charge);
             }
+            if (!this.configuration.document.organisations[organisation]) {
+                return err(organisationRemoved());
+            }
             const wait = this.#expectedWait(organisation, amount);
             if (monotonicMilliseconds() + wait > deadline || signal?.aborted) {
                 return err(this.#createRefusal(organisation, wait));
@@ -282,3 +285,7 @@
     const retryAfterSeconds = Math.max(1, Math.ceil(waitMilliseconds / 1_000));
     return new Refusal(429, "rate-limited", "not-run", message, { retryAfterSeconds });
 }
+
+function organisationRemoved(): Refusal {
+    return new Refusal(403, "key-unknown", "not-run", "The organisation no longer exists");
+}
--- a/packages/replica/replica_follower.ts
+++ b/packages/replica/replica_follower.ts
@@ -22,6 +22,8 @@
 const READ_CHECK_MILLISECONDS = 100;
 const MINIMUM_RETRY_MILLISECONDS = 100;
 const MAXIMUM_RETRY_MILLISECONDS = 800;
+/** The same while peers confirm the replica, so that an instance that the store rejects does not press it for nothing. */
+const MAXIMUM_CONFIRMED_RETRY_MILLISECONDS = 3_000;
 
 /**
  * Keeps a replica up to date from the store: takes a snapshot, then watches for changes after its revision. While peers
@@ -86,8 +88,13 @@
     }
 
     async #step(signal: AbortSignal): Promise<void> {
-        if (this.#retryMilliseconds > 0) {
-            await sleep(this.#retryMilliseconds, signal);
+        for (let waited = 0; waited < this.#retryMilliseconds && !signal.aborted; waited += READ_CHECK_MILLISECONDS) {
+            // Peers that no longer confirm the replica end a long pause.
+            const age = this.options.clock.now() - this.replica.confirmedAt;
+            if (waited >= MAXIMUM_RETRY_MILLISECONDS && age >= STALE_REPLICA_MILLISECONDS) {
+                break;
+            }
+            await sleep(Math.min(READ_CHECK_MILLISECONDS, this.#retryMilliseconds - waited), signal);
         }
         if (!this.#mustRead()) {
             this.#wake = new AbortController();
@@ -171,9 +178,13 @@
         // A watch that failed may have missed changes, so the next call takes a snapshot.
         this.#needsSnapshot = true;
         this.options.metrics.increment("store_follow_failures_total");
+        const age = this.options.clock.now() - this.replica.confirmedAt;
+        const longest = age < STALE_REPLICA_MILLISECONDS
+            ? MAXIMUM_CONFIRMED_RETRY_MILLISECONDS
+            : MAXIMUM_RETRY_MILLISECONDS;
         this.#retryMilliseconds = this.#retryMilliseconds === 0
             ? MINIMUM_RETRY_MILLISECONDS
-            : Math.min(MAXIMUM_RETRY_MILLISECONDS, this.#retryMilliseconds * 2);
+            : Math.min(longest, this.#retryMilliseconds * 2);
         if (this.#connected) {
             this.#connected = false;
             this.options.logger.warn("store lost", { revision: this.replica.revision, error: message });
