--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -178,7 +178,6 @@
         this.#replicaFollower = new ReplicaFollower(this.#replica, this.#store, {
             prefix: this.adapter.itemPrefix,
             isReader: () => this.#peerMesh.isReader(),
-            instanceCount: () => this.#instanceCount(),
             onRead: update => this.#peerMesh.publish(update),
             clock: this.#clock,
             logger: this.#logger,
--- a/packages/replica/replica_follower.ts
+++ b/packages/replica/replica_follower.ts
@@ -11,9 +11,8 @@
 const MINIMUM_BATCH_DELAY_MILLISECONDS = 60;
 /** Time after the start in which every instance reads the store, since it does not know its peers yet. */
 const STARTUP_MILLISECONDS = 2_500;
-/** Delay between watches during startup per known instance, within the minimum and maximum delay. */
-const STARTUP_BATCH_DELAY_MILLISECONDS_PER_INSTANCE = 8;
-const MAXIMUM_BATCH_DELAY_MILLISECONDS = 600;
+/** The same during startup, when all instances of a fleet that starts register and each of them still reads the store. */
+const STARTUP_BATCH_DELAY_MILLISECONDS = 600;
 /** Age of the replica above which the store is read although peers should read it. */
 const STALE_REPLICA_MILLISECONDS = 1_500;
 /** Time for which an instance keeps reading the store after its peers' updates were late. */
@@ -160,10 +159,8 @@
 
     /** Returns the delay in milliseconds before the next watch. */
     #batchDelay(): number {
-        const { clock, instanceCount } = this.options;
-        const startupEnded = clock.now() - this.#startedAt >= STARTUP_MILLISECONDS;
-        const startupDelay = startupEnded ? 0 : instanceCount() * STARTUP_BATCH_DELAY_MILLISECONDS_PER_INSTANCE;
-        return Math.min(MAXIMUM_BATCH_DELAY_MILLISECONDS, Math.max(MINIMUM_BATCH_DELAY_MILLISECONDS, startupDelay));
+        const startupEnded = this.options.clock.now() - this.#startedAt >= STARTUP_MILLISECONDS;
+        return startupEnded ? MINIMUM_BATCH_DELAY_MILLISECONDS : STARTUP_BATCH_DELAY_MILLISECONDS;
     }
 
     #succeed(): void {
--- a/packages/replica/replica_follower_options.ts
+++ b/packages/replica/replica_follower_options.ts
@@ -11,8 +11,6 @@
     clock: SuspensionAwareClock;
     /** Whether this instance must read the store itself rather than rely on peers. */
     isReader(): boolean;
-    /** Number of known instances, this one included. */
-    instanceCount(): number;
     /** Receives the result of each read, to be forwarded to peers. */
     onRead(update: ReplicaUpdate): void;
     logger: Logger;
--- a/packages/replica/replica_follower_test.ts
+++ b/packages/replica/replica_follower_test.ts
@@ -30,7 +30,6 @@
         prefix: "",
         clock,
         isReader: () => false,
-        instanceCount: () => 24,
         onRead: () => {},
         logger: createLogger("test", new PassThrough().resume()),
         metrics: new Metrics(),
