--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -148,7 +148,12 @@
             instanceCount,
             reportPeriodMilliseconds: () => this.#peerMesh.reportPeriodMilliseconds,
             peerLoadWeight: () => this.#peerLoadWeight(),
-            serverSubset: new ServerSubset(settings.name, () => this.#peerMesh.cell, () => this.#peerMesh.peerNames),
+            serverSubset: new ServerSubset(
+                settings.name,
+                () => this.#peerMesh.cell,
+                () => this.#peerLoadWeight(),
+                () => this.#peerMesh.peerNames,
+            ),
             directoryUpdater: this.#directoryUpdater,
             crashRegistry: this.#crashRegistry,
             clock: this.#clock,
--- a/packages/gateway/server_subset.ts
+++ b/packages/gateway/server_subset.ts
@@ -16,7 +16,7 @@
  *
  * @example
  * ```ts
- * const subset = new ServerSubset("instance-1", () => undefined, () => ["instance-2"]);
+ * const subset = new ServerSubset("instance-1", () => undefined, () => 1, () => ["instance-2"]);
  * subset.narrow(eligible, all); // all eligible ones, as there is only one cell
  * ```
  */
@@ -27,11 +27,13 @@
     /**
      * @param self Name of this instance.
      * @param cell Returns the cell of this instance; undefined while it is not known.
+     * @param fraction Returns the fraction of the servers to choose from in a fleet of one cell, up to 1.
      * @param peers Returns the names of the other instances.
      */
     constructor(
         private readonly self: string,
         private readonly cell: () => Pick<Cell, "start" | "end"> | undefined,
+        private readonly fraction: () => number,
         private readonly peers: () => string[],
     ) {}
 
@@ -44,9 +46,12 @@
      */
     narrow(eligible: RegisteredServer[], all: RegisteredServer[]): RegisteredServer[] {
         const { start, end } = this.cell() ?? { start: 0, end: 1 };
-        if (eligible.length <= 1 || end - start >= 1) {
+        if (eligible.length <= 1) {
             return eligible;
         }
+        if (end - start >= 1) {
+            return this.#narrowUndivided(eligible, all.length);
+        }
         const preferred = this.#slice(all, start, end);
         const own = eligible.filter(({ id }) => preferred.has(id));
         if (own.length > 0) {
@@ -70,6 +75,22 @@
         return this.peers().filter(peer => this.#rank(peer, server) < own).length < count;
     }
 
+    /**
+     * In a fleet of one cell whose reports are late, each instance prefers servers of its own, since all would choose the
+     * one that was least loaded at the last report.
+     */
+    #narrowUndivided(eligible: RegisteredServer[], total: number): RegisteredServer[] {
+        const size = Math.max(MINIMUM_SERVERS, Math.ceil(total * this.fraction()));
+        if (eligible.length <= size) {
+            return eligible;
+        }
+        return eligible
+            .map(server => ({ server, rank: this.#rank(this.self, server.id) }))
+            .sort((left, right) => left.rank - right.rank)
+            .slice(0, size)
+            .map(({ server }) => server);
+    }
+
     /** Ids of the part of the servers, ordered by failure domain and hash, that belongs to a part of the fleet. */
     #slice(all: RegisteredServer[], start: number, end: number): ReadonlySet<string> {
         const key = [start, end, ...all.map(({ id }) => id)].join("\n");
--- a/packages/peers/fleet_partition.ts
+++ b/packages/peers/fleet_partition.ts
@@ -2,7 +2,9 @@
 import type { Cell } from "./cell.ts";
 import type { FleetMember } from "./fleet_member.ts";
 
-/** Largest number of instances in a cell; with more, reports between its members would arrive late. */
+/** Largest fleet that is one cell; its reports reach each member within 250 ms. */
+const MAXIMUM_UNDIVIDED_INSTANCES = 23;
+/** Largest number of instances in each of several cells. */
 const MAXIMUM_CELL_INSTANCES = 16;
 /** Number of instances below which neighbouring failure domains share their cells. */
 const MINIMUM_BLOCK_INSTANCES = 8;
@@ -35,7 +37,9 @@
             for (const group of splitEvenly(block.members, MAXIMUM_READER_GROUP_INSTANCES)) {
                 group.forEach(name => this.#readerGroupByName.set(name, group));
             }
-            for (const [index, names] of splitEvenly(block.members, MAXIMUM_CELL_INSTANCES).entries()) {
+            const isUndivided = members.length <= MAXIMUM_UNDIVIDED_INSTANCES;
+            const maximum = isUndivided ? MAXIMUM_UNDIVIDED_INSTANCES : MAXIMUM_CELL_INSTANCES;
+            for (const [index, names] of splitEvenly(block.members, maximum).entries()) {
                 const start = position / members.length;
                 position += names.length;
                 const cell = { id: `${block.id}#${index}`, members: names, start, end: position / members.length };
@@ -79,7 +83,7 @@
 }
 
 function createBlocks(members: readonly FleetMember[]): Block[] {
-    if (members.length <= MAXIMUM_CELL_INSTANCES) {
+    if (members.length <= MAXIMUM_UNDIVIDED_INSTANCES) {
         return members.length === 0 ? [] : [{ id: "all", members: sortByHash(members.map(({ name }) => name)) }];
     }
     const namesByDomain = new Map<string, string[]>();
