--- /dev/null
+++ b/packages/gateway/fleet_reporter.ts
@@ -0,0 +1,117 @@
+import type { CellState, Peer, PeerReport } from "../peers/mod.ts";
+import type { CrashRegistry } from "./crash_registry.ts";
+import type { RateLimiter } from "./rate_limiter.ts";
+import type { ServerLoadTracker } from "./server_load_tracker.ts";
+import type { StageBalancer } from "./stage_balancer.ts";
+
+/** Time in milliseconds that a server is avoided after a peer reported it as terminated or changing its stage. */
+const AVOIDED_MILLISECONDS = 700;
+/** Recent failures, weighted by age, above which a server without requests is still reported to peers. */
+const REPORTED_FAILURES = 0.1;
+
+/** Dependencies of {@linkcode FleetReporter}. */
+interface FleetReporterOptions {
+    serverLoads: ServerLoadTracker;
+    rateLimiter: RateLimiter;
+    crashRegistry: CrashRegistry;
+    /** Undefined before the instance has started. */
+    stageBalancer(): StageBalancer | undefined;
+    /** Whether the last read of the store succeeded. */
+    readsStore(): boolean;
+}
+
+/**
+ * Creates what this instance reports to others, and applies what they report to its loads, limits and crashes.
+ *
+ * @example
+ * ```ts
+ * const reporter = new FleetReporter(options);
+ * const report = reporter.createReport(true);
+ * ```
+ */
+export class FleetReporter {
+    #lastReport = "";
+
+    /**
+     * @param options Dependencies of the reporter.
+     */
+    constructor(private readonly options: FleetReporterOptions) {}
+
+    /**
+     * Creates the report for the members of the cell.
+     *
+     * @param force Whether a report is created although nothing has changed.
+     * @returns The report; undefined if it has not changed since the last one.
+     */
+    createReport(force: boolean): Omit<PeerReport, keyof Peer> | undefined {
+        const { serverLoads, rateLimiter, crashRegistry, stageBalancer, readsStore } = this.options;
+        const loads: PeerReport["loads"] = {};
+        for (const [id, load] of serverLoads.entries()) {
+            const { failures, successes } = load.outcomes;
+            if (load.active > 0 || load.reservedTokens > 0 || failures > REPORTED_FAILURES) {
+                const { active, reservedTokens, prefillTokens } = load;
+                loads[id] = [active, reservedTokens, prefillTokens, Number(failures.toFixed(1)), Math.round(successes)];
+            }
+        }
+        const usage = rateLimiter.report();
+        const state = {
+            readsStore: readsStore(),
+            loads,
+            changing: stageBalancer()?.changing() ?? [],
+            gone: serverLoads.gone(),
+            crashes: crashRegistry.recent(),
+        };
+        const serialised = JSON.stringify([state, usage.spending]);
+        if (!force && serialised === this.#lastReport) {
+            return undefined;
+        }
+        this.#lastReport = serialised;
+        return { ...state, ...usage };
+    }
+
+    /**
+     * Applies the report of a member of the cell.
+     *
+     * @param report The report.
+     */
+    applyReport(report: PeerReport): void {
+        const { serverLoads, rateLimiter } = this.options;
+        serverLoads.setPeerLoads(report.name, report.loads);
+        this.#applyServerStates(report);
+        rateLimiter.recordPeerReport(report.name, report.incarnation, report);
+    }
+
+    /**
+     * Creates the state of this instance's cell for the other cells.
+     *
+     * @param cellInstances Number of instances in the cell, this one included.
+     * @returns The state, from what its members have reported.
+     */
+    createCellState(cellInstances: number): CellState {
+        const { serverLoads, rateLimiter, crashRegistry, stageBalancer } = this.options;
+        return {
+            usage: rateLimiter.summarise(cellInstances),
+            stageLoads: stageBalancer()?.cellLoads() ?? {},
+            changing: stageBalancer()?.changing() ?? [],
+            gone: serverLoads.gone(),
+            crashes: crashRegistry.recent(),
+        };
+    }
+
+    /**
+     * Applies the state of all other cells.
+     *
+     * @param state The state.
+     */
+    applyFleetState(state: CellState): void {
+        this.#applyServerStates(state);
+        this.options.rateLimiter.recordCellUsage(state.usage);
+        this.options.stageBalancer()?.recordOtherCells(state.stageLoads);
+    }
+
+    #applyServerStates({ changing, gone, crashes }: Pick<CellState, "changing" | "gone" | "crashes">): void {
+        const { serverLoads, crashRegistry } = this.options;
+        [...changing, ...gone].forEach(id => serverLoads.avoid(id, AVOIDED_MILLISECONDS));
+        crashes.forEach(([fingerprint, server]) => crashRegistry.recordPeerCrash(fingerprint, server));
+    }
+}
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -1,18 +1,18 @@
 import { randomBytes } from "node:crypto";
-import { once } from "node:events";
 import { createServer, type Server } from "node:http";
 import type { Writable } from "node:stream";
 import { BackendConnectionPool } from "../backends/mod.ts";
 import { monotonicMilliseconds, sleep, SuspensionAwareClock } from "../clocks/mod.ts";
 import { type CoordinationStore, Leadership } from "../coordination/mod.ts";
 import { Directory } from "../directory/mod.ts";
-import { parseAddress } from "../instances/mod.ts";
 import { createLogger, type Logger } from "../logs/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
-import { type CellState, type Peer, PeerMesh, type PeerReport } from "../peers/mod.ts";
+import { PeerMesh } from "../peers/mod.ts";
 import { ItemReplica, ReplicaFollower } from "../replica/mod.ts";
+import { listen } from "./_listen.ts";
 import { CrashRegistry } from "./crash_registry.ts";
 import { DirectoryUpdater } from "./directory_updater.ts";
+import { FleetReporter } from "./fleet_reporter.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { GatewayServer } from "./gateway_server.ts";
@@ -32,14 +32,10 @@
 const LAST_ANSWERS_MILLISECONDS = 200;
 /** Time in milliseconds allowed for the last calls to the store and to peers. */
 const LAST_CALLS_MILLISECONDS = 300;
-/** Time in milliseconds that a server is avoided after a peer reported it as terminated or changing its stage. */
-const AVOIDED_MILLISECONDS = 700;
 /** Fraction of the retry slack that is used; the rest covers callers' own retries while an instance restarts. */
 const USED_RETRY_SLACK_FRACTION = 0.8;
 /** Longest report period in milliseconds at which peers' loads count in full; about the time of one prefill. */
 const FULL_WEIGHT_REPORT_MILLISECONDS = 100;
-/** Recent failures, weighted by age, above which a server without requests is still reported to peers. */
-const REPORTED_FAILURES = 0.1;
 /** Store key of the item that names the leader, which orders engines to change their stage. */
 const STAGE_LEADER_KEY = "laburnumslip/stage-leader";
 const MILLISECONDS_PER_SECOND = 1_000;
@@ -74,7 +70,6 @@
     readonly #context: GatewayContext;
     #leadership: Leadership | undefined;
     #stageBalancer: StageBalancer | undefined;
-    #lastReport = "";
     #replicaFollower: ReplicaFollower | undefined;
     #shuttingDown = false;
 
@@ -116,6 +111,13 @@
             isInOtherCell: name => this.#peerMesh.isInOtherCell(name),
             clock: this.#clock,
         });
+        const reporter = new FleetReporter({
+            serverLoads: this.#serverLoads,
+            rateLimiter: this.#rateLimiter,
+            crashRegistry: this.#crashRegistry,
+            stageBalancer: () => this.#stageBalancer,
+            readsStore: () => this.#replicaFollower?.connected ?? false,
+        });
         this.#peerMesh = new PeerMesh({
             self: {
                 name: settings.name,
@@ -131,11 +133,11 @@
             logger: this.#logger,
             readsStore: () => this.#replicaFollower?.connected ?? false,
             onNewerRevision: revision => this.#replicaFollower?.catchUpTo(revision),
-            createReport: force => this.#createReport(force),
+            createReport: force => reporter.createReport(force),
             usageWindowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
-            onReport: report => this.#applyReport(report),
-            createCellState: () => this.#createCellState(),
-            onFleetState: state => this.#applyFleetState(state),
+            onReport: report => reporter.applyReport(report),
+            createCellState: () => reporter.createCellState(this.#peerMesh.cell?.members.length ?? 1),
+            onFleetState: state => reporter.applyFleetState(state),
         });
         const context: GatewayContext = {
             settings: () => this.settings,
@@ -318,65 +320,4 @@
     #instanceCount(): number {
         return this.#peerMesh.instanceCount;
     }
-
-    /** Creates the report for peers; undefined if it has not changed since the last one. */
-    #createReport(force: boolean): Omit<PeerReport, keyof Peer> | undefined {
-        const loads: PeerReport["loads"] = {};
-        for (const [id, load] of this.#serverLoads.entries()) {
-            const { failures, successes } = load.outcomes;
-            if (load.active > 0 || load.reservedTokens > 0 || failures > REPORTED_FAILURES) {
-                const { active, reservedTokens, prefillTokens } = load;
-                loads[id] = [active, reservedTokens, prefillTokens, Number(failures.toFixed(1)), Math.round(successes)];
-            }
-        }
-        const usage = this.#rateLimiter.report();
-        const readsStore = this.#replicaFollower?.connected ?? false;
-        const changing = this.#stageBalancer?.changing() ?? [];
-        const gone = this.#serverLoads.gone();
-        const crashes = this.#crashRegistry.recent();
-        const serialised = JSON.stringify([loads, usage.spending, readsStore, changing, gone, crashes]);
-        if (!force && serialised === this.#lastReport) {
-            return undefined;
-        }
-        this.#lastReport = serialised;
-        return {
-            readsStore,
-            loads,
-            changing,
-            gone,
-            crashes,
-            ...usage,
-        };
-    }
-
-    #applyReport(report: PeerReport): void {
-        this.#serverLoads.setPeerLoads(report.name, report.loads);
-        [...report.changing, ...report.gone].forEach(id => this.#serverLoads.avoid(id, AVOIDED_MILLISECONDS));
-        report.crashes.forEach(([fingerprint, server]) => this.#crashRegistry.recordPeerCrash(fingerprint, server));
-        this.#rateLimiter.recordPeerReport(report.name, report.incarnation, report);
-    }
-
-    /** Creates the state of this instance's cell for the other cells. */
-    #createCellState(): CellState {
-        return {
-            usage: this.#rateLimiter.summarise(this.#peerMesh.cell?.members.length ?? 1),
-            stageLoads: this.#stageBalancer?.cellLoads() ?? {},
-            changing: this.#stageBalancer?.changing() ?? [],
-            gone: this.#serverLoads.gone(),
-            crashes: this.#crashRegistry.recent(),
-        };
-    }
-
-    #applyFleetState(state: CellState): void {
-        [...state.changing, ...state.gone].forEach(id => this.#serverLoads.avoid(id, AVOIDED_MILLISECONDS));
-        state.crashes.forEach(([fingerprint, server]) => this.#crashRegistry.recordPeerCrash(fingerprint, server));
-        this.#rateLimiter.recordCellUsage(state.usage);
-        this.#stageBalancer?.recordOtherCells(state.stageLoads);
-    }
-}
-
-async function listen(server: Server, address: string): Promise<void> {
-    const { host, port } = parseAddress(address);
-    server.listen(port, host);
-    await once(server, "listening");
 }
--- a/packages/gateway/rate_limiter.ts
+++ b/packages/gateway/rate_limiter.ts
@@ -1,7 +1,9 @@
 import { err, ok, type Result } from "neverthrow";
-import type { OrganisationProfile } from "../directory/mod.ts";
 import type { UsageSummary } from "../peers/mod.ts";
-import { SlidingWindowCounter } from "./_sliding_window_counter.ts";
+import { addUnits } from "./_add_units.ts";
+import { computeRequestCost } from "./_compute_request_cost.ts";
+import { computeSilentUsage } from "./_compute_silent_usage.ts";
+import { UsageWindows } from "./_usage_windows.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { RateLimitCharge } from "./rate_limit_charge.ts";
@@ -34,12 +36,6 @@
     at: number;
 }
 
-/** Last known usage by instances that no longer report. */
-interface SilentUsage {
-    instances: number;
-    spent: number;
-}
-
 /** Last reported usage of a process that has ended. */
 interface EndedProcessUsage {
     instance: string;
@@ -62,8 +58,8 @@
  * ```
  */
 export class RateLimiter {
-    readonly #usageWindows = new Map<string, SlidingWindowCounter>();
-    readonly #requestedUnits = new Map<string, SlidingWindowCounter>();
+    readonly #usageWindows: UsageWindows;
+    readonly #requestedUnits = new UsageWindows(DEMAND_WINDOW_MILLISECONDS);
     readonly #peerReports = new Map<string, PeerUsage>();
     readonly #endedProcesses = new Map<string, EndedProcessUsage>();
     /** Usage by the other cells, and the time at which it was received. */
@@ -75,6 +71,7 @@
      */
     constructor(private readonly options: RateLimiterOptions) {
         this.#startedAt = options.clock.now();
+        this.#usageWindows = new UsageWindows(options.windowMilliseconds);
     }
 
     /**
@@ -85,8 +82,8 @@
     report(): SpendingReport {
         const now = this.options.clock.now();
         this.#removeExpired(now);
-        const spending = sumWindows(this.#usageWindows, now);
-        const requested = sumWindows(this.#requestedUnits, now);
+        const spending = this.#usageWindows.sums(now);
+        const requested = this.#requestedUnits.sums(now);
         const ended: SpendingReport["ended"] = {};
         for (const [process, { spending: spent, at }] of this.#endedProcesses) {
             ended[process] = [Math.round(now - at), spent];
@@ -137,7 +134,7 @@
     summarise(cellInstances: number): UsageSummary[] {
         const now = this.options.clock.now();
         this.#removeExpired(now);
-        const live = createSummary(1, sumWindows(this.#usageWindows, now), sumWindows(this.#requestedUnits, now));
+        const live = createSummary(1, this.#usageWindows.sums(now), this.#requestedUnits.sums(now));
         live.assumedShare = this.#assumedShare(now);
         const missing = createSummary(0, {}, {});
         missing.missing = true;
@@ -175,16 +172,15 @@
             return ok({ refund: () => {} });
         }
         const now = this.options.clock.now();
-        const cost = computeCost(organisation, request);
+        const cost = computeRequestCost(organisation, request);
         const { excess, slack, windowMilliseconds } = this.options;
-        const window = getWindow(this.#usageWindows, organisation.name, windowMilliseconds);
-        getWindow(this.#requestedUnits, organisation.name, DEMAND_WINDOW_MILLISECONDS).add(cost, now);
+        this.#requestedUnits.add(organisation.name, cost, now);
         const limit = organisation.ratePerSecond * windowMilliseconds / MILLISECONDS_PER_SECOND + organisation.burst;
         const others = this.#usageOfOthers(organisation.name, limit, now);
         // The parts of a partitioned fleet, and an instance that has just started, each use only their part of the excess.
         const heardFraction = 1 - others.missing / this.options.instanceCount();
         const allowed = limit + (limit * excess * USED_EXCESS_FRACTION + slack * USED_SLACK_FRACTION) * heardFraction;
-        const spent = window.sum(now) + others.spent;
+        const spent = this.#usageWindows.sum(organisation.name, now) + others.spent;
         if (spent + cost > allowed) {
             return err({
                 status: 429,
@@ -196,7 +192,7 @@
                 retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
             });
         }
-        return ok({ refund: window.add(cost, now) });
+        return ok({ refund: this.#usageWindows.add(organisation.name, cost, now) });
     }
 
     /**
@@ -212,7 +208,7 @@
             instancesWithEndedProcess.add(instance);
             spent += spending[organisation] ?? 0;
         }
-        const silent: SilentUsage[] = [];
+        const silent: { instances: number; spent: number; }[] = [];
         let reporting = 0;
         for (const [name, { spending, asked, assumedShare, at }] of this.#cellReports()) {
             const reported = spending[organisation] ?? 0;
@@ -297,21 +293,6 @@
     return requestedPerWindow * milliseconds / DEMAND_WINDOW_MILLISECONDS;
 }
 
-/**
- * Usage by instances without a recent report: the last known one, and an equal share at least for each instance that is
- * missing. Those beyond the missing ones have ended; their usage still counts.
- */
-function computeSilentUsage(silent: SilentUsage[], missing: number, share: number): number {
-    let unassigned = missing;
-    let spent = 0;
-    for (const { instances, spent: known } of silent.sort((left, right) => right.spent - left.spent)) {
-        const assigned = Math.min(instances, unassigned);
-        unassigned -= assigned;
-        spent += Math.max(known, assigned * share);
-    }
-    return spent + unassigned * share;
-}
-
 function createSummary(
     instances: number,
     spending: Record<string, number>,
@@ -319,38 +300,3 @@
 ): UsageSummary {
     return { instances, spending, asked, assumedShare: 0, age: 0, missing: false };
 }
-
-function addUnits(sums: Record<string, number>, units: Record<string, number>, factor: number): void {
-    for (const [organisation, amount] of Object.entries(units)) {
-        sums[organisation] = Math.round((sums[organisation] ?? 0) + amount * factor);
-    }
-}
-
-function getWindow(
-    windows: Map<string, SlidingWindowCounter>,
-    organisation: string,
-    milliseconds: number,
-): SlidingWindowCounter {
-    const window = windows.get(organisation) ?? new SlidingWindowCounter(milliseconds);
-    windows.set(organisation, window);
-    return window;
-}
-
-function sumWindows(windows: Map<string, SlidingWindowCounter>, now: number): Record<string, number> {
-    const sums: Record<string, number> = {};
-    for (const [organisation, window] of windows) {
-        const sum = window.sum(now);
-        if (sum > 0) {
-            sums[organisation] = Math.round(sum);
-        }
-    }
-    return sums;
-}
-
-function computeCost(organisation: OrganisationProfile, request: GatewayRequest): number {
-    if (!organisation.countsTokens) {
-        return 1;
-    }
-    const tokens = request.promptTokens + request.outputTokens;
-    return tokens > 0 ? tokens : organisation.defaultRequestTokens;
-}
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -4,6 +4,7 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
 import type { Verdict } from "../verdicts/mod.ts";
+import { withoutHeaders } from "./_without_headers.ts";
 import { backendHeaders } from "./backend_headers.ts";
 import type { DecodeQueue } from "./decode_queue.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
@@ -360,12 +361,6 @@
     }
 }
 
-/** Removes the headers that are replaced. */
-function withoutHeaders(headers: string[], replaced: string[]): string[] {
-    const names = new Set(replaced.filter((_, index) => index % 2 === 0).map(name => name.toLowerCase()));
-    return headers.filter((_, index) => !names.has((headers[index - index % 2] ?? "").toLowerCase()));
-}
-
 function failed(
     reason: GatewayRefusal["reason"],
     verdict: GatewayRefusal["verdict"],
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -5,6 +5,7 @@
 import type { Cell } from "./cell.ts";
 import { CellExchange } from "./cell_exchange.ts";
 import type { CellState } from "./cell_state.ts";
+import { EndedMateRemoval } from "./ended_mate_removal.ts";
 import type { KnownPeer } from "./known_peer.ts";
 import { MemberList } from "./member_list.ts";
 import type { Peer } from "./peer.ts";
@@ -32,8 +33,6 @@
 const PROBE_TIMEOUT_MILLISECONDS = 1_000;
 /** Age in milliseconds of a report above which it is left out of the state of the cell. */
 const REPORT_LIFETIME_MILLISECONDS = 1_500;
-/** Pause in milliseconds between two searches for members of the cell that have ended. */
-const REMOVAL_PERIOD_MILLISECONDS = 1_000;
 
 /**
  * Connects this instance to the others: finds them through the store, sends reports on this instance to the members of
@@ -59,7 +58,7 @@
     #forcedReportAt = 0;
     #lastReportSentAt = 0;
     #probeTask: PeriodicTask | undefined;
-    #removalTask: PeriodicTask | undefined;
+    #removal: EndedMateRemoval | undefined;
     #probesDue = 0;
     #nextProbe = 0;
     #closed = false;
@@ -164,7 +163,13 @@
             this.#cells.step();
         }, onError);
         this.#probeTask = new PeriodicTask(TASK_PERIOD_MILLISECONDS, async () => this.#sendProbes(), onError);
-        this.#removalTask = new PeriodicTask(REMOVAL_PERIOD_MILLISECONDS, () => this.#removeEndedMates(), onError);
+        this.#removal = new EndedMateRemoval({
+            ...this.options,
+            keyPrefix: KEY_PREFIX,
+            members: this.#members,
+            pool: this.#pool,
+            isResponsible: () => this.#cells.isPrimary && this.options.readsStore(),
+        });
         this.#exchange.start();
     }
 
@@ -182,7 +187,7 @@
             this.#registration?.close(),
             this.#reportTask?.close(),
             this.#probeTask?.close(),
-            this.#removalTask?.close(),
+            this.#removal?.close(),
             this.#exchange.close(),
         ]);
         this.#pool.close();
@@ -210,29 +215,6 @@
         return state;
     }
 
-    /** Removes the registrations of members of the cell that have ended; their leases would keep them for longer. */
-    async #removeEndedMates(): Promise<void> {
-        if (!this.#cells.isPrimary || !this.options.readsStore()) {
-            return;
-        }
-        const { store, replica, logger } = this.options;
-        for (const peer of this.#members.silentMates()) {
-            const key = KEY_PREFIX + peer.name;
-            const revision = replica.get(key)?.revision;
-            const response = await this.#pool.call(peer, "peers.probe", {}, PROBE_TIMEOUT_MILLISECONDS);
-            if (response.isOk() || revision === undefined) {
-                continue;
-            }
-            const removed = await store.remove(key, revision);
-            logger.info("registration of a silent instance removed", {
-                peer: peer.name,
-                incarnation: peer.incarnation,
-                cause: response.error.message,
-                outcome: removed.isOk() ? removed.value.kind : removed.error.message,
-            });
-        }
-    }
-
     #applyRegistration(change: ItemChange): void {
         const key = change.kind === "written" ? change.item.key : change.key;
         if (!key.startsWith(KEY_PREFIX)) {
