--- a/packages/gateway/rate_limiter.ts
+++ b/packages/gateway/rate_limiter.ts
@@ -3,6 +3,7 @@
 import { addUnits } from "./_add_units.ts";
 import { computeRequestCost } from "./_compute_request_cost.ts";
 import { computeSilentUsage } from "./_compute_silent_usage.ts";
+import { createUsageSummary } from "./_create_usage_summary.ts";
 import { UsageWindows } from "./_usage_windows.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
@@ -82,13 +83,16 @@
     report(): SpendingReport {
         const now = this.options.clock.now();
         this.#removeExpired(now);
-        const spending = this.#usageWindows.sums(now);
-        const requested = this.#requestedUnits.sums(now);
         const ended: SpendingReport["ended"] = {};
         for (const [process, { spending: spent, at }] of this.#endedProcesses) {
             ended[process] = [Math.round(now - at), spent];
         }
-        return { spending, asked: requested, assumedShare: Number(this.#assumedShare(now).toFixed(2)), ended };
+        return {
+            spending: this.#usageWindows.sums(now),
+            asked: this.#requestedUnits.sums(now),
+            assumedShare: Number(this.#assumedShare(now).toFixed(2)),
+            ended,
+        };
     }
 
     /**
@@ -134,10 +138,9 @@
     summarise(cellInstances: number): UsageSummary[] {
         const now = this.options.clock.now();
         this.#removeExpired(now);
-        const live = createSummary(1, this.#usageWindows.sums(now), this.#requestedUnits.sums(now));
+        const live = createUsageSummary(1, this.#usageWindows.sums(now), this.#requestedUnits.sums(now));
         live.assumedShare = this.#assumedShare(now);
-        const missing = createSummary(0, {}, {});
-        missing.missing = true;
+        const missing = { ...createUsageSummary(0, {}, {}), missing: true };
         const restarted = new Set<string>();
         for (const { instance, spending } of this.#endedProcesses.values()) {
             restarted.add(instance);
@@ -292,11 +295,3 @@
 function admittedWithin(requestedPerWindow: number, milliseconds: number): number {
     return requestedPerWindow * milliseconds / DEMAND_WINDOW_MILLISECONDS;
 }
-
-function createSummary(
-    instances: number,
-    spending: Record<string, number>,
-    asked: Record<string, number>,
-): UsageSummary {
-    return { instances, spending, asked, assumedShare: 0, age: 0, missing: false };
-}
