--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -1,15 +1,10 @@
 import { err, ok, type Result } from "neverthrow";
-import type { BackendResponse } from "../backends/mod.ts";
-import { readResponseBody } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
-import { filterRawHeaders } from "../headers/mod.ts";
 import type { Verdict } from "../verdicts/mod.ts";
-import { withoutHeaders } from "./_without_headers.ts";
-import { backendHeaders } from "./backend_headers.ts";
+import { DecodePass } from "./decode_pass.ts";
 import type { DecodeQueue } from "./decode_queue.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
 import type { EngineClient } from "./engine_client.ts";
-import { engineIdleTimeout } from "./engine_idle_timeout.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
@@ -18,31 +13,13 @@
 import type { PrefillDispatcher } from "./prefill_dispatcher.ts";
 import type { PrefillFailure } from "./prefill_failure.ts";
 import type { PrefillResult } from "./prefill_result.ts";
-import { relayEvents } from "./relay_events.ts";
 import { sendRefusal } from "./send_refusal.ts";
 
 /** Largest number of passes of one request through prefill and decode. */
 const MAXIMUM_PASSES = 4;
 const AVOID_MILLISECONDS = 800;
-/** Speed in prompt tokens per millisecond below which a decode engine that computes a prompt itself counts as failed. */
-const SLOWEST_LOCAL_TOKENS_PER_MILLISECOND = 5;
 /** Time in milliseconds that an engine is avoided after it refused a request, since it changes its stage or drains. */
 const REFUSED_AVOID_MILLISECONDS = 1_500;
-/** Time in milliseconds allowed for the body of an error response. */
-const ERROR_BODY_MILLISECONDS = 2_500;
-const MAXIMUM_RESPONSE_BYTES = 1_024 * 1_024;
-const NO_HEADERS: ReadonlySet<string> = new Set();
-
-/** A run of a request at the decode engine that holds its reservation. */
-interface DecodeRun {
-    request: GatewayRequest;
-    reservation: DecodeReservation;
-    /** Alternating names and values. */
-    extraHeaders: string[];
-    progress: PassProgress;
-    /** Prompt tokens that the decode engine computes itself. */
-    localPrefillTokens: number;
-}
 
 /**
  * Forwards model requests: reserves memory at a decode engine, has the prompt computed by a prefill engine, and relays
@@ -54,6 +31,8 @@
  * ```
  */
 export class StreamForwarder {
+    readonly #decodePass: DecodePass;
+
     /**
      * @param context Shared objects of the gateway.
      * @param queue Reserves memory at decode engines.
@@ -65,7 +44,9 @@
         private readonly queue: DecodeQueue,
         private readonly engineClient: EngineClient,
         private readonly prefillDispatcher: PrefillDispatcher,
-    ) {}
+    ) {
+        this.#decodePass = new DecodePass(context);
+    }
 
     /**
      * Forwards a request and sends the response to its caller.
@@ -202,7 +183,7 @@
             };
             let localPrefillEnded = false;
             const run = { request, reservation, extraHeaders, progress, localPrefillTokens };
-            const outcome = await this.#decode(run, endLocalPrefill).finally(endLocalPrefill);
+            const outcome = await this.#decodePass.run(run, endLocalPrefill).finally(endLocalPrefill);
             return this.#applyOutcome(outcome, prefilled.unwrapOr(undefined), reservation, progress);
         }
         finally {
@@ -285,80 +266,6 @@
         }
         return undefined;
     }
-
-    async #decode(run: DecodeRun, onFirstEvent: () => void): Promise<PassOutcome> {
-        const { request, reservation, extraHeaders, progress, localPrefillTokens } = run;
-        const { headers, connectionPool, serverLoads, metrics } = this.context;
-        const { server } = reservation;
-        const load = serverLoads.get(server.id);
-        load.recordSend();
-        const response = await connectionPool.send({
-            address: server.address,
-            method: request.method,
-            path: request.path,
-            headers: [...withoutHeaders(backendHeaders(request, server, headers), extraHeaders), ...extraHeaders],
-            body: request.body.length > 0 ? request.body : undefined,
-            timeoutMilliseconds: Math.min(
-                engineIdleTimeout(request, progress) + localPrefillTokens / SLOWEST_LOCAL_TOKENS_PER_MILLISECOND,
-                request.deadline - monotonicMilliseconds(),
-            ),
-            signal: request.signal,
-            correlation: { header: headers.requestId, value: request.id },
-        });
-        if (response.isErr()) {
-            metrics.increment("decodes_total", { result: response.error.kind });
-            if (response.error.verdict === "not-run") {
-                load.recordFailure();
-            }
-            if (response.error.kind !== "aborted") {
-                load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
-            }
-            return { kind: response.error.verdict, message: response.error.message };
-        }
-        const { status } = response.value;
-        metrics.increment("decodes_total", { result: String(status) });
-        if (status === 421 || response.value.headers[headers.notRun] !== undefined) {
-            await readResponseBody(response.value, ERROR_BODY_MILLISECONDS, MAXIMUM_RESPONSE_BYTES);
-            if (status === 421) {
-                serverLoads.markTerminated(server.id);
-                this.context.crashRegistry.recordServerEnd(server.id);
-                return { kind: "moved", message: "Another server answers at the engine's address" };
-            }
-            return { kind: "not-run", message: `The decode engine answered with status ${status}` };
-        }
-        if (status !== 200) {
-            return await this.#relayErrorResponse(request, response.value);
-        }
-        const signedUnencoded = response.value.headers[headers.signature] !== undefined
-            && response.value.headers["content-encoding"] === undefined;
-        if (!signedUnencoded) {
-            response.value.close();
-            return { kind: "may-have-run", message: "The engine's answer is not signed or is encoded" };
-        }
-        return await relayEvents(
-            { request, reservation, progress, onEvent: onFirstEvent },
-            response.value,
-            this.context,
-        );
-    }
-
-    async #relayErrorResponse(request: GatewayRequest, backendResponse: BackendResponse): Promise<PassOutcome> {
-        const body = await readResponseBody(backendResponse, ERROR_BODY_MILLISECONDS, MAXIMUM_RESPONSE_BYTES);
-        const { response } = request;
-        if (!body || response.headersSent || response.destroyed || request.route.resumable) {
-            return {
-                kind: "may-have-run",
-                message: `The decode engine answered with status ${backendResponse.status}`,
-            };
-        }
-        response.writeHead(backendResponse.status, [
-            ...filterRawHeaders(backendResponse.rawHeaders, NO_HEADERS),
-            "Content-Length",
-            String(body.length),
-        ]);
-        response.end(body);
-        return { kind: "relayed" };
-    }
 }
 
 function failed(
