Say in a line who ended a request without a complete answer

Callers saw requests that ended with neither an answer nor a refusal; the lines of the instance did not tell whether the caller, the server, a deadline, a shutdown or a timer of the HTTP server had ended them, and three ends left no line at all: a caller that closes in the middle of a body, bytes that are no request, and headers or bodies that do not arrive in time (the HTTP server answered 400, 408 or 431 by itself).

CallerConnections writes one line for each such end with the bytes read, what was sent, the events of a stream, the number of the request on its connection, and the configuration's version, revision and age, and counts them by who and why. Answers that are complete leave no line. The log line of a refusal now also says why the request was given up (caller, deadline or shutdown, which were one reason before), and a failure inside the router names its request. What callers get is unchanged: the same status lines are sent as by default.

--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -13,7 +13,7 @@
 
 /** Result of the check. */
 type Admission =
-    | { kind: "admitted"; request: Omit<GatewayRequest, "body">; }
+    | { kind: "admitted"; request: Omit<GatewayRequest, "body" | "exchange">; }
     | { kind: "refused"; refusal: GatewayRefusal; };
 
 /**
--- /dev/null
+++ b/packages/gateway/caller_connections.ts
@@ -0,0 +1,174 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
+import { monotonicMilliseconds } from "../clocks/mod.ts";
+import type { CallerExchange } from "./caller_exchange.ts";
+import type { EndedBy } from "./ended_by.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+import { headerOf } from "./header_of.ts";
+
+/** Status lines for requests that the HTTP parser or a timer rejects, by the code of the error. */
+const PARSER_RESPONSES: Record<string, string> = {
+    HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+    HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+    ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+const DEFAULT_PARSER_RESPONSE = "400 Bad Request";
+/** Codes of errors after which nothing can be sent to the caller. */
+const BROKEN_CONNECTION_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE", "ETIMEDOUT"]);
+
+/** A caller's connection. */
+interface CallerConnection {
+    /** Number of requests whose headers were received. */
+    requests: number;
+    /** Bytes received up to the end of the last whole request. */
+    wholeBytes: number;
+    /** Whether the rest of the body of an answered request has not arrived. */
+    bodyPending: boolean;
+    /** The request that has no complete answer yet. */
+    current: { exchange: CallerExchange; response: ServerResponse; } | undefined;
+    /** Whether the end of the connection has been reported. */
+    reported: boolean;
+    /** Status line of the answer to bytes that are no request or did not arrive in time. */
+    rejection: string | undefined;
+    /** Why the connection failed. */
+    end: { by: EndedBy; reason: string; } | undefined;
+}
+
+/**
+ * Watches the connections of callers. Each request or connection that ends before its answer is complete leaves one log
+ * line, which says who ended it, why, what had been read and what had been sent.
+ *
+ * @example
+ * ```ts
+ * const connections = new CallerConnections(context, server);
+ * const exchange = connections.begin(incoming, response);
+ * ```
+ */
+export class CallerConnections {
+    readonly #connections = new WeakMap<Socket, CallerConnection>();
+    #shuttingDown = false;
+
+    /**
+     * @param context Shared objects of the gateway.
+     * @param server The server for callers.
+     */
+    constructor(private readonly context: GatewayContext, server: Server) {
+        server.on("connection", (socket: Socket) => this.#watch(socket));
+        server.on("clientError", (error: Error, socket: Socket) => this.#reject(socket, error));
+    }
+
+    /**
+     * Begins the record of a request.
+     *
+     * @param incoming The request.
+     * @param response Its response.
+     * @returns The record, to be kept up to date while the request is served.
+     */
+    begin(incoming: IncomingMessage, response: ServerResponse): CallerExchange {
+        const exchange: CallerExchange = {
+            id: headerOf(incoming, this.context.headers.requestId) ?? "",
+            receivedAt: monotonicMilliseconds(),
+            bodyBytes: 0,
+            events: 0,
+            answered: false,
+            end: undefined,
+        };
+        const { socket } = incoming;
+        const connection = this.#connections.get(socket);
+        if (!connection) {
+            return exchange;
+        }
+        connection.requests++;
+        connection.current = { exchange, response };
+        const requestOfConnection = connection.requests;
+        const bytesWrittenBefore = socket.bytesWritten;
+        incoming.on("end", () => {
+            connection.wholeBytes = socket.bytesRead;
+            connection.bodyPending = false;
+        });
+        response.on("close", () => {
+            if (connection.current?.exchange === exchange) {
+                connection.current = undefined;
+            }
+            if (response.writableFinished || exchange.answered) {
+                connection.bodyPending = !incoming.complete;
+                return;
+            }
+            connection.reported = true;
+            this.#report("request ended without a complete answer", exchange.end ?? this.#endOf(connection), {
+                request: exchange.id,
+                requestOfConnection,
+                bodyBytesRead: exchange.bodyBytes,
+                bodyBytesDeclared: incoming.headers["content-length"] ?? incoming.headers["transfer-encoding"] ?? 0,
+                requestWhole: incoming.complete,
+                answer: connection.rejection ?? (response.headersSent ? "part" : "nothing"),
+                events: exchange.events,
+                bytesSent: socket.bytesWritten - bytesWrittenBefore,
+                afterMilliseconds: Math.round(monotonicMilliseconds() - exchange.receivedAt),
+            });
+        });
+        return exchange;
+    }
+
+    /** From now on, connections are closed because the instance shuts down. */
+    beginShutdown(): void {
+        this.#shuttingDown = true;
+    }
+
+    #watch(socket: Socket): void {
+        const openedAt = monotonicMilliseconds();
+        const connection: CallerConnection = {
+            requests: 0,
+            wholeBytes: 0,
+            bodyPending: false,
+            current: undefined,
+            reported: false,
+            rejection: undefined,
+            end: undefined,
+        };
+        this.#connections.set(socket, connection);
+        socket.on("close", () => {
+            const unreadBytes = socket.bytesRead - connection.wholeBytes;
+            if (connection.reported || connection.bodyPending || (unreadBytes === 0 && !connection.rejection)) {
+                return;
+            }
+            this.#report("connection ended without a whole request", this.#endOf(connection), {
+                requestsOfConnection: connection.requests,
+                bytesRead: unreadBytes,
+                answer: connection.rejection ?? "nothing",
+                afterMilliseconds: Math.round(monotonicMilliseconds() - openedAt),
+            });
+        });
+    }
+
+    /** Answers bytes that are no request, and requests that are not received in time, and closes their connection. */
+    #reject(socket: Socket, error: Error): void {
+        const connection = this.#connections.get(socket);
+        const code = "code" in error ? String(error.code) : error.name;
+        if (connection) {
+            connection.end ??= { by: code === "ERR_HTTP_REQUEST_TIMEOUT" ? "timer" : "caller", reason: code };
+        }
+        if (socket.writable && !BROKEN_CONNECTION_CODES.has(code) && !connection?.current?.response.headersSent) {
+            const statusLine = PARSER_RESPONSES[code] ?? DEFAULT_PARSER_RESPONSE;
+            if (connection) {
+                connection.rejection = statusLine;
+            }
+            socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+        }
+        socket.destroy();
+    }
+
+    #endOf(connection: CallerConnection): { by: EndedBy; reason: string; } {
+        return connection.end ?? { by: this.#shuttingDown ? "shutdown" : "caller", reason: "closed" };
+    }
+
+    #report(message: string, end: { by: EndedBy; reason: string; }, fields: Record<string, unknown>): void {
+        this.context.metrics.increment("gateway_incomplete_answers_total", { by: end.by, reason: end.reason });
+        this.context.logger.info(message, {
+            endedBy: end.by,
+            reason: end.reason,
+            ...fields,
+            ...this.context.directoryUpdater.logFields(),
+        });
+    }
+}
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -283,6 +283,11 @@
         return this.#peerMesh.instanceCount;
     }
 
+    /** Number of requests that are being read or answered. */
+    get activeRequests(): number {
+        return this.#server.active;
+    }
+
     /** Whether this instance is one of those that read the store for all instances. */
     get isStoreReader(): boolean {
         return this.#peerMesh.isReader();
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { OrganisationProfile, ServiceProfile, TrafficRoute } from "../directory/mod.ts";
+import type { CallerExchange } from "./caller_exchange.ts";
 
 /** An admitted request of a caller. */
 export interface GatewayRequest {
@@ -29,4 +30,6 @@
     /** Aborts when the caller disconnects or the deadline has passed. */
     signal: AbortSignal;
     response: ServerResponse;
+    /** What was received and sent so far. */
+    exchange: CallerExchange;
 }
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -3,11 +3,12 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { parseAddress } from "../instances/mod.ts";
 import { AdmissionCheck } from "./admission_check.ts";
+import { CallerConnections } from "./caller_connections.ts";
+import type { CallerExchange } from "./caller_exchange.ts";
 import { DecodeQueue } from "./decode_queue.ts";
 import { EngineClient } from "./engine_client.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
-import { headerOf } from "./header_of.ts";
 import { PlainForwarder } from "./plain_forwarder.ts";
 import { PrefillDispatcher } from "./prefill_dispatcher.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
@@ -35,6 +36,7 @@
  */
 export class GatewayServer {
     readonly #server: Server;
+    readonly #connections: CallerConnections;
     readonly #admission: AdmissionCheck;
     readonly #decodeQueue: DecodeQueue;
     readonly #plainForwarder: PlainForwarder;
@@ -67,6 +69,7 @@
             noDelay: true,
             requireHostHeader: false,
         });
+        this.#connections = new CallerConnections(context, this.#server);
         this.#server.on("request", (request, response) => this.#handle(request, response));
         context.directory.onChange(() => this.#applyConfiguredTimeouts());
         context.metrics.gauge("gateway_requests_active", () => this.#active);
@@ -123,6 +126,7 @@
 
     /** Closes every connection. */
     close(): void {
+        this.#connections.beginShutdown();
         this.#server.close();
         this.#server.closeAllConnections();
         this.#decodeQueue.close();
@@ -147,11 +151,12 @@
             this.#active--;
         });
         response.on("error", () => {});
-        this.#serve(incoming, response).catch((error: unknown) => {
+        const exchange = this.#connections.begin(incoming, response);
+        const { id, receivedAt } = exchange;
+        this.#serve(incoming, response, exchange).catch((error: unknown) => {
             const message = error instanceof Error ? error.stack ?? error.message : String(error);
-            const now = monotonicMilliseconds();
-            this.context.logger.error("request failed inside the router", { error: message });
-            sendRefusal({ id: "", receivedAt: now, callerDeadline: now, response }, {
+            this.context.logger.error("request failed inside the router", { request: id, error: message });
+            sendRefusal({ id, receivedAt, callerDeadline: receivedAt, response, exchange }, {
                 status: 500,
                 reason: "internal-error",
                 verdict: "may-have-run",
@@ -160,8 +165,8 @@
         });
     }
 
-    async #serve(incoming: IncomingMessage, response: ServerResponse): Promise<void> {
-        const receivedAt = monotonicMilliseconds();
+    async #serve(incoming: IncomingMessage, response: ServerResponse, exchange: CallerExchange): Promise<void> {
+        const { id, receivedAt } = exchange;
         const abort = new AbortController();
         this.#aborts.add(abort);
         response.on("close", () => {
@@ -171,8 +176,7 @@
             }
         });
         const admission = this.#admission.admit(incoming, response, receivedAt, abort.signal);
-        const id = headerOf(incoming, this.context.headers.requestId) ?? "";
-        const unreadRequest = { id, receivedAt, callerDeadline: receivedAt + 3_000, response };
+        const unreadRequest = { id, receivedAt, callerDeadline: receivedAt + 3_000, response, exchange };
         if (admission.kind === "refused") {
             // The body is not read, so the connection cannot be used for another request.
             response.shouldKeepAlive = response.shouldKeepAlive && !hasBody(incoming);
@@ -180,7 +184,7 @@
             incoming.resume();
             return;
         }
-        const body = await readRequestBody(incoming, this.#maximumBodyBytes());
+        const body = await readRequestBody(incoming, this.#maximumBodyBytes(), exchange);
         if (body.kind === "too-large") {
             response.shouldKeepAlive = false;
             const message = "The body is too large";
@@ -195,7 +199,7 @@
             response.destroy();
             return;
         }
-        const request: GatewayRequest = { ...admission.request, body: body.bytes };
+        const request: GatewayRequest = { ...admission.request, body: body.bytes, exchange };
         const timer = setTimeout(() => abort.abort("deadline"), request.deadline - monotonicMilliseconds());
         try {
             await this.#forward(request);
--- a/packages/gateway/read_request_body.ts
+++ b/packages/gateway/read_request_body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { CallerExchange } from "./caller_exchange.ts";
 
 /** The body of a request, or why it was not read. */
 type RequestBody = { kind: "read"; bytes: Buffer; } | { kind: "too-large"; } | { kind: "broken"; };
@@ -10,13 +11,18 @@
  *
  * @param incoming The request.
  * @param maximumBytes Largest accepted body.
+ * @param exchange Record of the request, in which the bytes read are counted.
  * @returns The body, or why it was not read.
  * @example
  * ```ts
- * const body = await readRequestBody(incoming, 1_048_576);
+ * const body = await readRequestBody(incoming, 1_048_576, exchange);
  * ```
  */
-export function readRequestBody(incoming: IncomingMessage, maximumBytes: number): Promise<RequestBody> {
+export function readRequestBody(
+    incoming: IncomingMessage,
+    maximumBytes: number,
+    exchange: CallerExchange,
+): Promise<RequestBody> {
     if (Number(incoming.headers["content-length"] ?? 0) > maximumBytes) {
         return Promise.resolve({ kind: "too-large" });
     }
@@ -25,6 +31,7 @@
         let length = 0;
         incoming.on("data", (chunk: Buffer) => {
             length += chunk.length;
+            exchange.bodyBytes = length;
             if (length > maximumBytes) {
                 incoming.pause();
                 resolve({ kind: "too-large" });
--- a/packages/gateway/relay_events.ts
+++ b/packages/gateway/relay_events.ts
@@ -86,6 +86,7 @@
                     response.writeHead(200, filterRawHeaders(backendResponse.rawHeaders, NO_HEADERS));
                 }
                 response.write(event.bytes);
+                request.exchange.events++;
             }
             // Only a whole event shows that the engine makes progress.
             if (events.length > 0) {
--- a/packages/gateway/relay_events_test.ts
+++ b/packages/gateway/relay_events_test.ts
@@ -38,6 +38,7 @@
     const request = {
         response,
         receivedAt: 0,
+        exchange: { events: 0 },
         signal: new AbortController().signal,
         route: { resumable: true, maximumServers: 3, targetGapMilliseconds },
     } as unknown as GatewayRequest;
--- a/packages/gateway/send_refusal.ts
+++ b/packages/gateway/send_refusal.ts
@@ -1,4 +1,7 @@
+import type { ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import type { CallerExchange } from "./caller_exchange.ts";
+import type { EndedBy } from "./ended_by.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 
@@ -12,7 +15,10 @@
     receivedAt: number;
     callerDeadline: number;
     route?: { name: string; };
-    response: import("node:http").ServerResponse;
+    response: ServerResponse;
+    exchange: CallerExchange;
+    /** Aborts with the reason if the request was given up. */
+    signal?: AbortSignal;
 }
 
 /**
@@ -38,10 +44,12 @@
         reason: refusal.reason,
         verdict: refusal.verdict,
         cause: refusal.message,
+        givenUp: request.signal?.aborted ? request.signal.reason : undefined,
         afterMilliseconds: Math.round(now - request.receivedAt),
         ...context.directoryUpdater.logFields(),
     });
     if (response.headersSent || response.destroyed) {
+        request.exchange.end ??= { by: endedBy(request, refusal), reason: refusal.reason };
         response.destroy();
         return;
     }
@@ -61,3 +69,17 @@
     response.writeHead(refusal.status, headers);
     response.end(body);
 }
+
+/** Tells who ended a request whose answer had begun. */
+function endedBy(request: RefusedRequest, refusal: GatewayRefusal): EndedBy {
+    switch (request.signal?.reason) {
+        case "caller-gone":
+            return "caller";
+        case "deadline":
+            return "deadline";
+        case "shutting-down":
+            return "shutdown";
+        default:
+            return refusal.reason === "backend-failed" ? "server" : "router";
+    }
+}
