Keep a refused request's connection open until its body has arrived

What callers saw: a request that is refused before its body has been read (404, 401 and 503 around changes of routes and keys, 503 of an instance that shuts down, 413, and the HTTP server's own 400, 408 and 431) could end without any answer. Cause: the response closed its connection at once; bytes of the request that arrive after that make the kernel reset the connection, and a caller that is still writing loses the answer (RFC 9112, 9.6). The larger the body and the slower the link, the likelier. Rejections of the HTTP server are sent with a length, and the connection is closed after the caller has closed it, or 2 s or 1 MB later. A rejection is no longer written where an earlier, whole request of the connection is still unanswered: the caller would take it for that request's answer.

--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -13,6 +13,9 @@
     ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
 const DEFAULT_PARSER_RESPONSE = "400 Bad Request";
+/** Bytes that are read, and time in milliseconds that passes, after such an answer before the connection is closed. */
+const MAXIMUM_DISCARDED_BYTES = 1_024 * 1_024;
+const CLOSE_DELAY_MILLISECONDS = 2_000;
 /** Codes of errors after which nothing can be sent to the caller. */
 const BROKEN_CONNECTION_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE", "ETIMEDOUT"]);
 
@@ -25,7 +28,7 @@
     /** Whether the rest of the body of an answered request has not arrived. */
     bodyPending: boolean;
     /** The request that has no complete answer yet. */
-    current: { exchange: CallerExchange; response: ServerResponse; } | undefined;
+    current: { exchange: CallerExchange; incoming: IncomingMessage; response: ServerResponse; } | undefined;
     /** Whether the end of the connection has been reported. */
     reported: boolean;
     /** Status line of the answer to bytes that are no request or did not arrive in time. */
@@ -79,7 +82,7 @@
             return exchange;
         }
         connection.requests++;
-        connection.current = { exchange, response };
+        connection.current = { exchange, incoming, response };
         const requestOfConnection = connection.requests;
         const bytesWrittenBefore = socket.bytesWritten;
         incoming.on("end", () => {
@@ -144,18 +147,22 @@
     /** Answers bytes that are no request, and requests that are not received in time, and closes their connection. */
     #reject(socket: Socket, error: Error): void {
         const connection = this.#connections.get(socket);
-        const code = "code" in error ? String(error.code) : error.name;
-        if (connection) {
-            connection.end ??= { by: code === "ERR_HTTP_REQUEST_TIMEOUT" ? "timer" : "caller", reason: code };
+        if (!connection || connection.rejection !== undefined) {
+            // The parser fails again for each further piece of a request that has been answered.
+            return;
         }
-        if (socket.writable && !BROKEN_CONNECTION_CODES.has(code) && !connection?.current?.response.headersSent) {
-            const statusLine = PARSER_RESPONSES[code] ?? DEFAULT_PARSER_RESPONSE;
-            if (connection) {
-                connection.rejection = statusLine;
-            }
-            socket.write(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+        const code = "code" in error ? String(error.code) : error.name;
+        connection.end ??= { by: code === "ERR_HTTP_REQUEST_TIMEOUT" ? "timer" : "caller", reason: code };
+        const { current } = connection;
+        // The answer to a whole request that came before on this connection must not be confused with this one.
+        const answerable = !current || (!current.incoming.complete && !current.response.headersSent);
+        if (!socket.writable || BROKEN_CONNECTION_CODES.has(code) || !answerable) {
+            socket.destroy();
+            return;
         }
-        socket.destroy();
+        connection.rejection = PARSER_RESPONSES[code] ?? DEFAULT_PARSER_RESPONSE;
+        socket.write(`HTTP/1.1 ${connection.rejection}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+        closeLater(socket);
     }
 
     #endOf(connection: CallerConnection): { by: EndedBy; reason: string; } {
@@ -172,3 +179,30 @@
         });
     }
 }
+
+/**
+ * Closes a connection once its caller has closed it, or after a while. Bytes that arrive after the close would reset the
+ * connection, and the caller could lose the answer.
+ */
+function closeLater(socket: Socket): void {
+    socket.removeAllListeners("data");
+    if (socket.readableEnded) {
+        socket.destroySoon();
+        return;
+    }
+    let discardedBytes = 0;
+    const close = () => {
+        clearTimeout(timer);
+        socket.removeAllListeners("data");
+        socket.destroySoon();
+    };
+    const timer = setTimeout(close, CLOSE_DELAY_MILLISECONDS);
+    socket.on("data", (chunk: Buffer) => {
+        discardedBytes += chunk.length;
+        if (discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+            close();
+        }
+    });
+    socket.on("end", close);
+    socket.on("close", () => clearTimeout(timer));
+}
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -178,10 +178,7 @@
         const admission = this.#admission.admit(incoming, response, receivedAt, abort.signal);
         const unreadRequest = { id, receivedAt, callerDeadline: receivedAt + 3_000, response, exchange };
         if (admission.kind === "refused") {
-            // The body is not read, so the connection cannot be used for another request.
-            response.shouldKeepAlive = response.shouldKeepAlive && !hasBody(incoming);
             sendRefusal(unreadRequest, admission.refusal, this.context);
-            incoming.resume();
             return;
         }
         const body = await readRequestBody(incoming, this.#maximumBodyBytes(), exchange);
@@ -238,8 +235,3 @@
         return this.context.directory.configuration?.limits.maximumBodyBytes ?? 0;
     }
 }
-
-function hasBody(incoming: IncomingMessage): boolean {
-    const length = incoming.headers["content-length"];
-    return incoming.headers["transfer-encoding"] !== undefined || (length !== undefined && length !== "0");
-}
--- a/packages/gateway/read_request_body.ts
+++ b/packages/gateway/read_request_body.ts
@@ -33,7 +33,7 @@
             length += chunk.length;
             exchange.bodyBytes = length;
             if (length > maximumBytes) {
-                incoming.pause();
+                chunks.length = 0;
                 resolve({ kind: "too-large" });
                 return;
             }
--- a/packages/gateway/send_refusal.ts
+++ b/packages/gateway/send_refusal.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
+import { endRefusal } from "./end_refusal.ts";
 import type { EndedBy } from "./ended_by.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
@@ -67,7 +68,7 @@
         headers["Retry-After"] = (delay / MILLISECONDS_PER_SECOND).toFixed(3);
     }
     response.writeHead(refusal.status, headers);
-    response.end(body);
+    endRefusal(response, body, request.exchange);
 }
 
 /** Tells who ended a request whose answer had begun. */
