--- /dev/null
+++ b/packages/gateway/drain_callers.ts
@@ -0,0 +1,51 @@
+import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import type { GatewayServer } from "./gateway_server.ts";
+
+/** Time in milliseconds after the shutdown signal during which the load balancer may still open connections. */
+const DRAIN_MILLISECONDS = 2_900;
+const DRAIN_STEP_MILLISECONDS = 25;
+/** Time in milliseconds allowed for the refusals of requests that are aborted at the end of a shutdown. */
+const LAST_ANSWERS_MILLISECONDS = 200;
+
+/**
+ * Lets the active requests of a server end while the load balancer notices that the instance is not ready, and aborts
+ * those that are left.
+ *
+ * @param server The server for callers.
+ * @param startedAt Monotonic time in milliseconds of the shutdown signal.
+ * @param abortAt Monotonic time in milliseconds at which the remaining requests are aborted.
+ * @param logger Logs how many requests are cut.
+ * @returns A promise that resolves once no request is active, or shortly after the abort.
+ * @example
+ * ```ts
+ * await drainCallers(server, startedAt, startedAt + 7_000, logger);
+ * ```
+ */
+export async function drainCallers(
+    server: GatewayServer,
+    startedAt: number,
+    abortAt: number,
+    logger: Logger,
+): Promise<void> {
+    while (monotonicMilliseconds() < abortAt) {
+        // Closes the connections of callers that are idle or whose last response began before the signal, so that they
+        // connect to another instance.
+        server.closeIdle();
+        await sleep(DRAIN_STEP_MILLISECONDS);
+        const drainPeriodOver = monotonicMilliseconds() - startedAt > DRAIN_MILLISECONDS;
+        if (drainPeriodOver && server.active === 0) {
+            break;
+        }
+        if (drainPeriodOver) {
+            server.refuseDeadlinesAfter(abortAt);
+        }
+    }
+    server.stopAccepting();
+    logger.info("shut down", { requestsCut: server.active });
+    server.abortActive();
+    for (let waited = 0; server.active > 0 && waited < LAST_ANSWERS_MILLISECONDS;) {
+        await sleep(DRAIN_STEP_MILLISECONDS);
+        waited += DRAIN_STEP_MILLISECONDS;
+    }
+}
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -9,9 +9,11 @@
 import { Metrics } from "../metrics/mod.ts";
 import { PeerMesh } from "../peers/mod.ts";
 import { ItemReplica, ReplicaFollower } from "../replica/mod.ts";
+import { computeRetryLimit } from "./_compute_retry_limit.ts";
 import { listen } from "./_listen.ts";
 import { CrashRegistry } from "./crash_registry.ts";
 import { DirectoryUpdater } from "./directory_updater.ts";
+import { drainCallers } from "./drain_callers.ts";
 import { FleetReporter } from "./fleet_reporter.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
 import type { GatewayContext } from "./gateway_context.ts";
@@ -23,17 +25,10 @@
 import { ServerSubset } from "./server_subset.ts";
 import { StageBalancer } from "./stage_balancer.ts";
 
-/** Time in milliseconds after the shutdown signal during which the load balancer may still open connections. */
-const DRAIN_MILLISECONDS = 2_900;
-const DRAIN_STEP_MILLISECONDS = 25;
 /** Time in milliseconds before the process is killed at which the remaining requests are aborted. */
 const ABORT_MARGIN_MILLISECONDS = 700;
-/** Time in milliseconds allowed for the refusals of requests that are aborted at the end of a shutdown. */
-const LAST_ANSWERS_MILLISECONDS = 200;
 /** Time in milliseconds allowed for the last calls to the store and to peers. */
 const LAST_CALLS_MILLISECONDS = 300;
-/** Fraction of the retry slack that is used; the rest covers callers' own retries while an instance restarts. */
-const USED_RETRY_SLACK_FRACTION = 0.8;
 /** Longest report period in milliseconds at which peers' loads count in full; about the time of one prefill. */
 const FULL_WEIGHT_REPORT_MILLISECONDS = 100;
 /** Store key of the item that names the leader, which orders engines to change their stage. */
@@ -146,7 +141,7 @@
             directory: this.#directory,
             serverLoads: this.#serverLoads,
             connectionPool: this.#connectionPool,
-            retryBudget: new RetryBudget(() => this.#retryBudgetLimit(), instanceCount),
+            retryBudget: new RetryBudget(() => computeRetryLimit(this.settings.bounds), instanceCount),
             instanceCount,
             reportPeriodMilliseconds: () => this.#peerMesh.reportPeriodMilliseconds,
             peerLoadWeight: () => this.#peerLoadWeight(),
@@ -222,26 +217,7 @@
         this.#server.disableKeepAlive();
         const leadershipGivenUp = this.#giveUpLeadership();
         this.#logger.info("shutting down", { requests: this.#server.active });
-        while (monotonicMilliseconds() < abortAt) {
-            // Closes the connections of callers that are idle or whose last response began before the signal, so that
-            // they connect to another instance.
-            this.#server.closeIdle();
-            await sleep(DRAIN_STEP_MILLISECONDS);
-            const drainPeriodOver = monotonicMilliseconds() - startedAt > DRAIN_MILLISECONDS;
-            if (drainPeriodOver && this.#server.active === 0) {
-                break;
-            }
-            if (drainPeriodOver) {
-                this.#server.refuseDeadlinesAfter(abortAt);
-            }
-        }
-        this.#server.stopAccepting();
-        this.#logger.info("shut down", { requestsCut: this.#server.active });
-        this.#server.abortActive();
-        for (let waited = 0; this.#server.active > 0 && waited < LAST_ANSWERS_MILLISECONDS;) {
-            await sleep(DRAIN_STEP_MILLISECONDS);
-            waited += DRAIN_STEP_MILLISECONDS;
-        }
+        await drainCallers(this.#server, startedAt, abortAt, this.#logger);
         this.#server.close();
         await Promise.race([Promise.all([leadershipGivenUp, this.#peerMesh.close()]), sleep(LAST_CALLS_MILLISECONDS)]);
     }
@@ -309,15 +285,6 @@
             && this.#directoryUpdater.canAcceptKeys();
     }
 
-    #retryBudgetLimit(): { ratio: number; slack: number; windowMilliseconds: number; } {
-        const { retryRatio, retrySlack, retryWindowSeconds } = this.settings.bounds;
-        return {
-            ratio: retryRatio,
-            slack: retrySlack * USED_RETRY_SLACK_FRACTION,
-            windowMilliseconds: retryWindowSeconds * MILLISECONDS_PER_SECOND,
-        };
-    }
-
     #peerLoadWeight(): number {
         return Math.min(1, FULL_WEIGHT_REPORT_MILLISECONDS / this.#peerMesh.reportPeriodMilliseconds);
     }
