Block parts of prompts that crash the engines which run them

What callers saw: requests of one kind crashed one engine after the other.

Cause: crashes were counted by the fingerprint of the whole request. Where only one part of the prompt is the same, no two requests are alike, and nothing adds up. An ended engine was noticed only by the expiry of its registration, unless another request happened to reach the address.

Change: a run that had delivered fewer than two events when its engine ended makes the parts of its prompt suspects, unless they were served lately at any instance. A part that was suspected in two crashes, the second of a run sent after the first crash, is blocked at all instances by the reports that they exchange; its requests are refused as not run. An engine whose connection broke before the second event is asked at once whether it still runs.

--- a/packages/backends/backend_connection_pool.ts
+++ b/packages/backends/backend_connection_pool.ts
@@ -32,7 +32,8 @@
     send(request: BackendRequest): Promise<Result<BackendResponse, BackendFault>> {
         return new Promise(resolve => {
             if (request.signal?.aborted) {
-                resolve(err({ kind: "aborted", verdict: "not-run", message: "The request was given up" }));
+                const message = "The request was given up";
+                resolve(err({ kind: "aborted", verdict: "not-run", message, portClosed: false }));
                 return;
             }
             const agent = this.#getAgent(request.address);
@@ -52,11 +53,11 @@
                 clearTimeout(connectTimer);
                 clearTimeout(responseTimer);
             };
-            const fail = (kind: BackendFault["kind"], message: string) => {
+            const fail = (kind: BackendFault["kind"], message: string, portClosed = false) => {
                 if (!settled) {
                     settle();
                     request.signal?.removeEventListener("abort", abort);
-                    resolve(err({ kind, verdict: connected ? "may-have-run" : "not-run", message }));
+                    resolve(err({ kind, verdict: connected ? "may-have-run" : "not-run", message, portClosed }));
                 }
                 outgoing.destroy();
             };
@@ -64,10 +65,10 @@
             onConnected(outgoing, () => {
                 connected = true;
             });
-            outgoing.on("error", error => {
+            outgoing.on("error", (error: NodeJS.ErrnoException) => {
                 // Bytes after the end of a complete response close its connection; the response itself is sound.
                 if (!received?.complete) {
-                    fail(connected ? "reset" : "unreachable", error.message);
+                    fail(connected ? "reset" : "unreachable", error.message, error.code === "ECONNREFUSED");
                 }
             });
             outgoing.on("close", () => request.signal?.removeEventListener("abort", abort));
--- a/packages/backends/backend_fault.ts
+++ b/packages/backends/backend_fault.ts
@@ -10,4 +10,6 @@
     /** Whether the request may have run. */
     verdict: Verdict;
     message: string;
+    /** Whether no process listens at the server's address. */
+    portClosed: boolean;
 }
--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { filterRawHeaders } from "../headers/mod.ts";
+import { parsePromptParts } from "../prompt_parts/mod.ts";
 import { chooseService } from "./choose_service.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
@@ -110,6 +111,8 @@
                 key,
                 promptTokens,
                 outputTokens,
+                promptParts: parsePromptParts(service.name, headerOf(incoming, headers.promptParts)),
+                isProbe: false,
                 priority: organisation?.priority ?? route.priority,
                 receivedAt,
                 callerDeadline,
--- a/packages/gateway/cell_usage_test.ts
+++ b/packages/gateway/cell_usage_test.ts
@@ -7,6 +7,7 @@
 import { CellExchange } from "../peers/cell_exchange.ts";
 import { MemberList } from "../peers/member_list.ts";
 import type { Peer } from "../peers/mod.ts";
+import { createEmptyReport } from "../prompt_parts/mod.ts";
 import { RandomSource } from "../randomness/mod.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import { RateLimiter } from "./rate_limiter.ts";
@@ -101,6 +102,7 @@
                 changing: [],
                 gone: [],
                 crashes: [],
+                promptParts: createEmptyReport(),
             }),
             onState: ({ usage }) => limiter.recordCellUsage(usage),
         });
--- a/packages/gateway/crash_registry.ts
+++ b/packages/gateway/crash_registry.ts
@@ -2,6 +2,7 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import type { CrashedRun } from "../prompt_parts/mod.ts";
 
 /** Number of crashed servers at which a request is blocked. */
 const MAXIMUM_CRASHED_SERVERS = 3;
@@ -21,12 +22,20 @@
     organisation: { name: string; } | undefined;
 }
 
+/** A run of a request: when it was sent to the server, and the parts of its prompt that may have crashed the server. */
+interface Run {
+    /** Monotonic time in milliseconds. */
+    sentAt: number;
+    parts: string[];
+}
+
 /** A crash of a server, confirmed or suspected, while a request ran on it. */
 interface Crash {
     fingerprint: string;
     server: string;
     /** Monotonic time in milliseconds. */
     at: number;
+    run?: Run | undefined;
 }
 
 /**
@@ -48,10 +57,12 @@
     /**
      * @param directory Registered servers; one that is removed or registers with a new start counts as crashed.
      * @param logger Logs blocked requests.
+     * @param onCrash Called for each run of this instance during which a server crashed.
      */
     constructor(
         private readonly directory: Directory,
         private readonly logger: Logger,
+        private readonly onCrash: (run: CrashedRun) => void = () => {},
     ) {
         directory.onChange(() => this.#confirmSuspects());
     }
@@ -61,9 +72,10 @@
      *
      * @param request The request.
      * @param server Id of the server.
+     * @param run The run of which no event was delivered; undefined if there were events.
      */
-    recordBrokenConnection(request: IdentifiableRequest, server: string): void {
-        this.#suspects.push({ fingerprint: computeFingerprint(request), server, at: monotonicMilliseconds() });
+    recordBrokenConnection(request: IdentifiableRequest, server: string, run?: Run): void {
+        this.#suspects.push({ fingerprint: computeFingerprint(request), server, at: monotonicMilliseconds(), run });
         if (this.#suspects.length > MAXIMUM_ENTRIES) {
             this.#suspects.shift();
         }
@@ -84,6 +96,10 @@
             else if (suspect.server === server) {
                 this.#suspects.splice(index, 1);
                 this.#record(suspect);
+                if (suspect.run) {
+                    const { sentAt, parts } = suspect.run;
+                    this.onCrash({ server, sentAt, endedAt: suspect.at, parts });
+                }
             }
         }
     }
--- /dev/null
+++ b/packages/gateway/create_crash_detection.ts
@@ -0,0 +1,44 @@
+import type { BackendConnectionPool } from "../backends/mod.ts";
+import type { Directory } from "../directory/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+import { PromptPartRegistry } from "../prompt_parts/mod.ts";
+import { CrashRegistry } from "./crash_registry.ts";
+import type { GatewayAdapter } from "./gateway_adapter.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+import { ServerEndProbe } from "./server_end_probe.ts";
+import type { ServerLoadTracker } from "./server_load_tracker.ts";
+
+/** Dependencies of the crash detection. */
+interface CrashDetectionOptions {
+    adapter: GatewayAdapter;
+    connectionPool: BackendConnectionPool;
+    directory: Directory;
+    serverLoads: ServerLoadTracker;
+    /** Returns whether this instance sends the probes of a blocked part of prompts. */
+    isResponsible(part: string): boolean;
+    metrics: Metrics;
+    logger: Logger;
+}
+
+/**
+ * Creates what finds requests, and parts of prompts, that crash servers.
+ *
+ * @param options Dependencies.
+ * @returns The objects, by their names in the gateway's context.
+ * @example
+ * ```ts
+ * const { crashRegistry, promptParts } = createCrashDetection(options);
+ * ```
+ */
+export function createCrashDetection(
+    options: CrashDetectionOptions,
+): Pick<GatewayContext, "crashRegistry" | "promptParts" | "serverEndProbe"> {
+    const { adapter, directory, isResponsible, metrics, logger } = options;
+    const promptParts = new PromptPartRegistry(logger, isResponsible);
+    metrics.gauge("prompt_parts_blocked", () => promptParts.blockedParts);
+    const crashRegistry = new CrashRegistry(directory, logger, run => promptParts.recordCrash(run));
+    const { headers, engineProtocol } = adapter;
+    const serverEndProbe = new ServerEndProbe({ ...options, crashRegistry, headers, engineProtocol });
+    return { crashRegistry, promptParts, serverEndProbe };
+}
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -1,4 +1,5 @@
 import type { CellState, Peer, PeerReport } from "../peers/mod.ts";
+import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
@@ -14,6 +15,7 @@
     serverLoads: ServerLoadTracker;
     rateLimiter: RateLimiter;
     crashRegistry: CrashRegistry;
+    promptParts: PromptPartRegistry;
     /** Undefined before the instance has started. */
     stageBalancer(): StageBalancer | undefined;
     /** Whether the last read of the store succeeded. */
@@ -44,7 +46,7 @@
      * @returns The report; undefined if it has not changed since the last one.
      */
     createReport(force: boolean): Omit<PeerReport, keyof Peer> | undefined {
-        const { serverLoads, rateLimiter, crashRegistry, stageBalancer, readsStore } = this.options;
+        const { serverLoads, rateLimiter, crashRegistry, promptParts, stageBalancer, readsStore } = this.options;
         const loads: PeerReport["loads"] = {};
         for (const [id, load] of serverLoads.entries()) {
             const { failures, successes } = load.outcomes;
@@ -61,12 +63,13 @@
             gone: serverLoads.gone(),
             crashes: crashRegistry.recent(),
         };
-        const serialised = JSON.stringify([state, usage.spending]);
+        // The ages in the report on prompt parts change all the time, so its version is compared.
+        const serialised = JSON.stringify([state, usage.spending, promptParts.version]);
         if (!force && serialised === this.#lastReport) {
             return undefined;
         }
         this.#lastReport = serialised;
-        return { ...state, ...usage };
+        return { ...state, ...usage, promptParts: promptParts.createReport() };
     }
 
     /**
@@ -88,13 +91,14 @@
      * @returns The state, from what its members have reported.
      */
     createCellState(cellInstances: number): CellState {
-        const { serverLoads, rateLimiter, crashRegistry, stageBalancer } = this.options;
+        const { serverLoads, rateLimiter, crashRegistry, promptParts, stageBalancer } = this.options;
         return {
             usage: rateLimiter.summarise(cellInstances),
             stageLoads: stageBalancer()?.cellLoads() ?? {},
             changing: stageBalancer()?.changing() ?? [],
             gone: serverLoads.gone(),
             crashes: crashRegistry.recent(),
+            promptParts: promptParts.createReport(),
         };
     }
 
@@ -109,9 +113,11 @@
         this.options.stageBalancer()?.recordOtherCells(state.stageLoads);
     }
 
-    #applyServerStates({ changing, gone, crashes }: Pick<CellState, "changing" | "gone" | "crashes">): void {
-        const { serverLoads, crashRegistry } = this.options;
+    #applyServerStates(state: Pick<CellState, "changing" | "gone" | "crashes" | "promptParts">): void {
+        const { changing, gone, crashes } = state;
+        const { serverLoads, crashRegistry, promptParts } = this.options;
         [...changing, ...gone].forEach(id => serverLoads.avoid(id, AVOIDED_MILLISECONDS));
         crashes.forEach(([fingerprint, server]) => crashRegistry.recordPeerCrash(fingerprint, server));
+        promptParts.applyReport(state.promptParts);
     }
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -11,7 +11,7 @@
 import { ItemReplica, ReplicaFollower } from "../replica/mod.ts";
 import { computeRetryLimit } from "./_compute_retry_limit.ts";
 import { listen } from "./_listen.ts";
-import { CrashRegistry } from "./crash_registry.ts";
+import { createCrashDetection } from "./create_crash_detection.ts";
 import { DirectoryUpdater } from "./directory_updater.ts";
 import { drainCallers } from "./drain_callers.ts";
 import { FleetReporter } from "./fleet_reporter.ts";
@@ -59,7 +59,6 @@
     readonly #incarnation = randomBytes(4).toString("hex");
     readonly #serverLoads: ServerLoadTracker;
     readonly #rateLimiter: RateLimiter;
-    readonly #crashRegistry: CrashRegistry;
     readonly #peerMesh: PeerMesh;
     readonly #directoryUpdater: DirectoryUpdater;
     readonly #context: GatewayContext;
@@ -95,7 +94,15 @@
             this.#connectionPool.retain(new Set([...this.#directory.servers.values()].map(({ address }) => address)));
         });
         this.#serverLoads = new ServerLoadTracker(this.#directory);
-        this.#crashRegistry = new CrashRegistry(this.#directory, this.#logger);
+        const crashDetection = createCrashDetection({
+            adapter,
+            connectionPool: this.#connectionPool,
+            directory: this.#directory,
+            serverLoads: this.#serverLoads,
+            isResponsible: part => this.#context.serverSubset.isTopRanked(part, 1),
+            metrics: this.#metrics,
+            logger: this.#logger,
+        });
         this.#rateLimiter = new RateLimiter({
             self: { name: settings.name, incarnation: this.#incarnation },
             windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
@@ -109,7 +116,7 @@
         const reporter = new FleetReporter({
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
-            crashRegistry: this.#crashRegistry,
+            ...crashDetection,
             stageBalancer: () => this.#stageBalancer,
             readsStore: () => this.#replicaFollower?.connected ?? false,
         });
@@ -152,7 +159,7 @@
                 () => this.#peerMesh.peerNames,
             ),
             directoryUpdater: this.#directoryUpdater,
-            crashRegistry: this.#crashRegistry,
+            ...crashDetection,
             clock: this.#clock,
             metrics: this.#metrics,
             logger: this.#logger,
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -3,12 +3,14 @@
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { DirectoryUpdater } from "./directory_updater.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
 import type { RetryBudget } from "./retry_budget.ts";
+import type { ServerEndProbe } from "./server_end_probe.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
 import type { ServerSubset } from "./server_subset.ts";
 
@@ -23,6 +25,10 @@
     connectionPool: BackendConnectionPool;
     retryBudget: RetryBudget;
     crashRegistry: CrashRegistry;
+    /** Parts of prompts that crash servers. */
+    promptParts: PromptPartRegistry;
+    /** Finds out whether a server whose connection broke has ended. */
+    serverEndProbe: ServerEndProbe;
     /** Number of instances that share the fleet's limits, at least 1. */
     instanceCount(): number;
     /** Time in milliseconds between two reports of a peer, and so about the age of peers' loads. */
--- a/packages/gateway/gateway_refusal_reason.ts
+++ b/packages/gateway/gateway_refusal_reason.ts
@@ -15,6 +15,7 @@
     | "backend-failed"
     | "retry-budget-spent"
     | "request-crashes-servers"
+    | "prompt-part-crashes-servers"
     | "deadline-passed"
     | "caller-gone"
     | "internal-error";
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -19,6 +19,10 @@
     key: string | undefined;
     promptTokens: number;
     outputTokens: number;
+    /** Parts of the prompt that other requests may share. */
+    promptParts: string[];
+    /** Whether the request runs once to find out whether a blocked part of its prompt still crashes servers. */
+    isProbe: boolean;
     /** Priority; 0 is served first. */
     priority: number;
     /** Monotonic time in milliseconds at which the request's headers were received. */
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -13,6 +13,7 @@
 import { PrefillDispatcher } from "./prefill_dispatcher.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import { readRequestBody } from "./read_request_body.ts";
+import { refuseBlockedPart } from "./refuse_blocked_part.ts";
 import { sendRefusal } from "./send_refusal.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
 
@@ -218,6 +219,12 @@
             }, this.context);
             return;
         }
+        const partAdmission = this.context.promptParts.admit(request.promptParts);
+        if (partAdmission === "blocked") {
+            sendRefusal(request, refuseBlockedPart(), this.context);
+            return;
+        }
+        request.isProbe = partAdmission === "probe";
         const charge = this.rateLimiter.charge(request);
         if (charge.isErr()) {
             sendRefusal(request, charge.error, this.context);
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -204,7 +204,9 @@
             if (response.isErr()) {
                 metrics.increment("prefills_total", { result: response.error.kind });
                 if (response.error.kind === "reset") {
-                    this.context.crashRegistry.recordBrokenConnection(request, server.id);
+                    const run = { sentAt: startedAt, parts: request.promptParts };
+                    this.context.crashRegistry.recordBrokenConnection(request, server.id, run);
+                    this.context.serverEndProbe.start(server);
                 }
                 if (response.error.kind !== "aborted") {
                     load.recordFailure();
--- a/packages/gateway/protocol_headers.ts
+++ b/packages/gateway/protocol_headers.ts
@@ -14,6 +14,8 @@
     signature: string;
     /** Number of prompt tokens and largest number of output tokens, separated by a comma. */
     tokenCounts: string;
+    /** Parts of the prompt in order, as comma-separated ids with their numbers of tokens. */
+    promptParts: string;
     /** Stage of the request; set only for a prefill. */
     stage: string;
     /** Address and handle of the prefill result to fetch. */
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { Verdict } from "../verdicts/mod.ts";
+import { CrashEvidence } from "./crash_evidence.ts";
 import { DecodePass } from "./decode_pass.ts";
 import type { DecodeQueue } from "./decode_queue.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
@@ -13,6 +14,7 @@
 import type { PrefillDispatcher } from "./prefill_dispatcher.ts";
 import type { PrefillFailure } from "./prefill_failure.ts";
 import type { PrefillResult } from "./prefill_result.ts";
+import { refuseBlockedPart } from "./refuse_blocked_part.ts";
 import { sendRefusal } from "./send_refusal.ts";
 
 /** Largest number of passes of one request through prefill and decode. */
@@ -65,6 +67,10 @@
         };
         let refusal: GatewayRefusal | undefined;
         for (let pass = 0; pass < MAXIMUM_PASSES && !request.signal.aborted; pass++) {
+            if (pass > 0 && this.context.promptParts.isBlocked(request.promptParts)) {
+                refusal = progress.runs > 0 ? refusal : refuseBlockedPart();
+                break;
+            }
             if (pass > 0 && !this.context.retryBudget.trySpend(request.service.name)) {
                 refusal ??= failed("retry-budget-spent", "not-run", "Too many requests are being retried");
                 break;
@@ -88,6 +94,10 @@
             if (outcome.kind === "completed" || outcome.kind === "relayed") {
                 return "may-have-run";
             }
+            if (outcome.kind === "part-blocked") {
+                refusal = progress.runs > 0 ? refusal : refuseBlockedPart();
+                break;
+            }
             if (outcome.kind === "key-withdrawn") {
                 // An earlier pass may have run, which its refusal says.
                 refusal = progress.runs > 0 ? refusal : failed("configuration-stale", "not-run", outcome.message);
@@ -100,7 +110,6 @@
                 if (!request.signal.aborted) {
                     this.context.serverLoads.get(reservation.value.server.id).recordFailure();
                 }
-                this.context.crashRegistry.recordBrokenConnection(request, reservation.value.server.id);
                 progress.runs++;
                 refusal = failed("backend-failed", "may-have-run", outcome.message);
                 const mayRepeat = request.route.resumable && progress.runs < request.route.maximumServers;
@@ -183,7 +192,13 @@
             };
             let localPrefillEnded = false;
             const run = { request, reservation, extraHeaders, progress, localPrefillTokens };
-            const outcome = await this.#decodePass.run(run, endLocalPrefill).finally(endLocalPrefill);
+            const evidence = new CrashEvidence(this.context, request, reservation.server, monotonicMilliseconds());
+            const recordEvent = () => {
+                endLocalPrefill();
+                evidence.recordEvent();
+            };
+            const outcome = await this.#decodePass.run(run, recordEvent).finally(endLocalPrefill);
+            evidence.recordOutcome(outcome);
             return this.#applyOutcome(outcome, prefilled.unwrapOr(undefined), reservation, progress);
         }
         finally {
@@ -225,7 +240,7 @@
         const { serverLoads } = this.context;
         const engine = reservation.server.id;
         const previouslyRefused = progress.refused;
-        if (outcome.kind === "key-withdrawn" && prefilled) {
+        if ((outcome.kind === "key-withdrawn" || outcome.kind === "part-blocked") && prefilled) {
             progress.refused = { prefillResult: prefilled, by: engine };
             return outcome;
         }
@@ -264,6 +279,9 @@
         if (request.key !== undefined && !this.context.directoryUpdater.canAcceptKey(request.key)) {
             return { kind: "key-withdrawn", message: "The key cannot be confirmed" };
         }
+        if (!request.isProbe && this.context.promptParts.isBlocked(request.promptParts)) {
+            return { kind: "part-blocked", message: "A part of the prompt crashes servers" };
+        }
         return undefined;
     }
 }
--- a/packages/peers/cell_state_schema.ts
+++ b/packages/peers/cell_state_schema.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import { createEmptyReport, promptPartReportSchema } from "../prompt_parts/mod.ts";
 import { usageSummarySchema } from "./usage_summary_schema.ts";
 
 const MAXIMUM_ENTRIES = 1_024;
@@ -14,4 +15,6 @@
     gone: z.array(z.string()).max(MAXIMUM_ENTRIES),
     /** Pairs of a request's fingerprint and a server that crashed while the request ran on it. */
     crashes: z.array(z.tuple([z.string(), z.string()])).max(MAXIMUM_ENTRIES),
+    /** Parts of prompts that crash servers. */
+    promptParts: promptPartReportSchema.default(createEmptyReport),
 });
--- a/packages/peers/cell_summaries.ts
+++ b/packages/peers/cell_summaries.ts
@@ -1,4 +1,5 @@
 import type { SuspensionAwareClock } from "../clocks/mod.ts";
+import { createEmptyReport, mergePromptPartReports } from "../prompt_parts/mod.ts";
 import type { CellState } from "./cell_state.ts";
 import type { CellSummary } from "./cell_summary.ts";
 import type { UsageSummary } from "./usage_summary.ts";
@@ -110,7 +111,14 @@
     merge(cells: readonly string[]): CellState {
         const now = this.clock.now();
         this.#removeExpired(now);
-        const merged: CellState = { usage: [], stageLoads: {}, changing: [], gone: [], crashes: [] };
+        const merged: CellState = {
+            usage: [],
+            stageLoads: {},
+            changing: [],
+            gone: [],
+            crashes: [],
+            promptParts: createEmptyReport(),
+        };
         let live: UsageSummary | undefined;
         for (const cell of cells) {
             const entry = this.#entries.get(cell);
@@ -130,6 +138,7 @@
             }
             if (isFresh) {
                 addState(merged, state);
+                mergePromptPartReports(merged.promptParts, state.promptParts, now - entry.at);
             }
         }
         for (const { summary, at } of this.#replaced) {
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import { createEmptyReport, promptPartReportSchema } from "../prompt_parts/mod.ts";
 import { peerSchema } from "./peer_schema.ts";
 
 /** Schema of an instance's report on itself to its peers. */
@@ -13,6 +14,8 @@
     gone: z.array(z.string()).max(1_024),
     /** Pairs of a request's fingerprint and a server that crashed while the request ran on it. */
     crashes: z.array(z.tuple([z.string(), z.string()])).max(1_024),
+    /** Parts of prompts that crash servers. */
+    promptParts: promptPartReportSchema.default(createEmptyReport),
     /** Units spent within the limit's window, by organisation. */
     spending: z.record(z.string(), z.number()),
     /** Units requested in the last second by organisation, including those beyond a limit. */
