--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -9,9 +9,11 @@
 import { Metrics } from "../metrics/mod.ts";
 import { PeerMesh } from "../peers/mod.ts";
 import { ItemReplica, ReplicaFollower } from "../replica/mod.ts";
+import { computeRetryLimit } from "./_compute_retry_limit.ts";
 import { listen } from "./_listen.ts";
-import { CrashRegistry } from "./crash_registry.ts";
+import { createCrashDetection } from "./create_crash_detection.ts";
 import { DirectoryUpdater } from "./directory_updater.ts";
+import { drainCallers } from "./drain_callers.ts";
 import { FleetReporter } from "./fleet_reporter.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
 import type { GatewayContext } from "./gateway_context.ts";
@@ -23,17 +25,10 @@
 import { ServerSubset } from "./server_subset.ts";
 import { StageBalancer } from "./stage_balancer.ts";
 
-/** Time in milliseconds after the shutdown signal during which the load balancer may still open connections. */
-const DRAIN_MILLISECONDS = 2_900;
-const DRAIN_STEP_MILLISECONDS = 25;
 /** Time in milliseconds before the process is killed at which the remaining requests are aborted. */
 const ABORT_MARGIN_MILLISECONDS = 700;
-/** Time in milliseconds allowed for the refusals of requests that are aborted at the end of a shutdown. */
-const LAST_ANSWERS_MILLISECONDS = 200;
 /** Time in milliseconds allowed for the last calls to the store and to peers. */
 const LAST_CALLS_MILLISECONDS = 300;
-/** Fraction of the retry slack that is used; the rest covers callers' own retries while an instance restarts. */
-const USED_RETRY_SLACK_FRACTION = 0.8;
 /** Longest report period in milliseconds at which peers' loads count in full; about the time of one prefill. */
 const FULL_WEIGHT_REPORT_MILLISECONDS = 100;
 /** Store key of the item that names the leader, which orders engines to change their stage. */
@@ -64,7 +59,6 @@
     readonly #incarnation = randomBytes(4).toString("hex");
     readonly #serverLoads: ServerLoadTracker;
     readonly #rateLimiter: RateLimiter;
-    readonly #crashRegistry: CrashRegistry;
     readonly #peerMesh: PeerMesh;
     readonly #directoryUpdater: DirectoryUpdater;
     readonly #context: GatewayContext;
@@ -100,7 +94,15 @@
             this.#connectionPool.retain(new Set([...this.#directory.servers.values()].map(({ address }) => address)));
         });
         this.#serverLoads = new ServerLoadTracker(this.#directory);
-        this.#crashRegistry = new CrashRegistry(this.#directory, this.#logger);
+        const crashDetection = createCrashDetection({
+            adapter,
+            connectionPool: this.#connectionPool,
+            directory: this.#directory,
+            serverLoads: this.#serverLoads,
+            isResponsible: part => this.#context.serverSubset.isTopRanked(part, 1),
+            metrics: this.#metrics,
+            logger: this.#logger,
+        });
         this.#rateLimiter = new RateLimiter({
             self: { name: settings.name, incarnation: this.#incarnation },
             windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
@@ -114,7 +116,7 @@
         const reporter = new FleetReporter({
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
-            crashRegistry: this.#crashRegistry,
+            ...crashDetection,
             stageBalancer: () => this.#stageBalancer,
             readsStore: () => this.#replicaFollower?.connected ?? false,
         });
@@ -146,7 +148,7 @@
             directory: this.#directory,
             serverLoads: this.#serverLoads,
             connectionPool: this.#connectionPool,
-            retryBudget: new RetryBudget(() => this.#retryBudgetLimit(), instanceCount),
+            retryBudget: new RetryBudget(() => computeRetryLimit(this.settings.bounds), instanceCount),
             instanceCount,
             reportPeriodMilliseconds: () => this.#peerMesh.reportPeriodMilliseconds,
             peerLoadWeight: () => this.#peerLoadWeight(),
@@ -157,7 +159,7 @@
                 () => this.#peerMesh.peerNames,
             ),
             directoryUpdater: this.#directoryUpdater,
-            crashRegistry: this.#crashRegistry,
+            ...crashDetection,
             clock: this.#clock,
             metrics: this.#metrics,
             logger: this.#logger,
@@ -222,26 +224,7 @@
         this.#server.disableKeepAlive();
         const leadershipGivenUp = this.#giveUpLeadership();
         this.#logger.info("shutting down", { requests: this.#server.active });
-        while (monotonicMilliseconds() < abortAt) {
-            // Closes the connections of callers that are idle or whose last response began before the signal, so that
-            // they connect to another instance.
-            this.#server.closeIdle();
-            await sleep(DRAIN_STEP_MILLISECONDS);
-            const drainPeriodOver = monotonicMilliseconds() - startedAt > DRAIN_MILLISECONDS;
-            if (drainPeriodOver && this.#server.active === 0) {
-                break;
-            }
-            if (drainPeriodOver) {
-                this.#server.refuseDeadlinesAfter(abortAt);
-            }
-        }
-        this.#server.stopAccepting();
-        this.#logger.info("shut down", { requestsCut: this.#server.active });
-        this.#server.abortActive();
-        for (let waited = 0; this.#server.active > 0 && waited < LAST_ANSWERS_MILLISECONDS;) {
-            await sleep(DRAIN_STEP_MILLISECONDS);
-            waited += DRAIN_STEP_MILLISECONDS;
-        }
+        await drainCallers(this.#server, startedAt, abortAt, this.#logger);
         this.#server.close();
         await Promise.race([Promise.all([leadershipGivenUp, this.#peerMesh.close()]), sleep(LAST_CALLS_MILLISECONDS)]);
     }
@@ -283,6 +266,11 @@
         return this.#peerMesh.instanceCount;
     }
 
+    /** Number of requests that are being read or answered. */
+    get activeRequests(): number {
+        return this.#server.active;
+    }
+
     /** Whether this instance is one of those that read the store for all instances. */
     get isStoreReader(): boolean {
         return this.#peerMesh.isReader();
@@ -304,15 +292,6 @@
             && this.#directoryUpdater.canAcceptKeys();
     }
 
-    #retryBudgetLimit(): { ratio: number; slack: number; windowMilliseconds: number; } {
-        const { retryRatio, retrySlack, retryWindowSeconds } = this.settings.bounds;
-        return {
-            ratio: retryRatio,
-            slack: retrySlack * USED_RETRY_SLACK_FRACTION,
-            windowMilliseconds: retryWindowSeconds * MILLISECONDS_PER_SECOND,
-        };
-    }
-
     #peerLoadWeight(): number {
         return Math.min(1, FULL_WEIGHT_REPORT_MILLISECONDS / this.#peerMesh.reportPeriodMilliseconds);
     }
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { OrganisationProfile, ServiceProfile, TrafficRoute } from "../directory/mod.ts";
+import type { CallerExchange } from "./caller_exchange.ts";
 
 /** An admitted request of a caller. */
 export interface GatewayRequest {
@@ -18,6 +19,10 @@
     key: string | undefined;
     promptTokens: number;
     outputTokens: number;
+    /** Parts of the prompt that other requests may share. */
+    promptParts: string[];
+    /** Whether the request runs once to find out whether a blocked part of its prompt still crashes servers. */
+    isProbe: boolean;
     /** Priority; 0 is served first. */
     priority: number;
     /** Monotonic time in milliseconds at which the request's headers were received. */
@@ -29,4 +34,6 @@
     /** Aborts when the caller disconnects or the deadline has passed. */
     signal: AbortSignal;
     response: ServerResponse;
+    /** What was received and sent so far. */
+    exchange: CallerExchange;
 }
