Servers that say in an answer that they leave get nothing more

Cause: the header by which a server says in any answer that it leaves was not read. Requests went on to it until its entry changed, which an instance that is cut off from the store does not see. Change: all requests to servers go through ServerClient, which reads the header of each answer but a 421. LeavingServers keeps it by id and start. Choosers prefer other servers at once; after 0.8 of the drain time (setting drainMilliseconds) the server is excluded, also when it is the only one, and callers are refused at once. Peers learn of it by their reports and the summaries of cells. The leader does not order such an engine.

--- a/packages/gateway/cell_usage_test.ts
+++ b/packages/gateway/cell_usage_test.ts
@@ -100,6 +100,7 @@
                 stageLoads: {},
                 changing: [],
                 gone: [],
+                leaving: [],
                 crashes: [],
             }),
             onState: ({ usage }) => limiter.recordCellUsage(usage),
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -113,7 +113,13 @@
                 continue;
             }
             const service = waiter.request.service.name;
-            const server = blockedServices.has(service) ? undefined : this.#choose(waiter, now);
+            const isBlocked = blockedServices.has(service);
+            const server = isBlocked ? undefined : this.#choose(waiter, now);
+            const refusal = server || isBlocked ? undefined : this.context.availability.findRefusal(service, "decode");
+            if (refusal) {
+                waiter.resolve(err(refusal));
+                continue;
+            }
             if (!server) {
                 // Later requests must not overtake the first one, which could otherwise wait forever.
                 blockedServices.add(service);
@@ -167,11 +173,11 @@
     }
 
     #choose(waiter: Waiter, now: number): RegisteredServer | undefined {
-        const { directory, serverLoads } = this.context;
+        const { availability, serverLoads } = this.context;
         const service = waiter.request.service;
         const estimate = this.prefillDispatcher.estimateMilliseconds(waiter.request);
         const prefillWait = estimate - waiter.request.promptTokens / this.prefillDispatcher.tokensPerMillisecond;
-        const engines = directory.usableServers(service.name).filter(({ stage }) => stage === "decode");
+        const engines = availability.usableServers(service.name, "decode");
         const eligible = engines.filter(server => {
             const load = serverLoads.get(server.id);
             const { active, reservedTokens } = load.total();
@@ -182,7 +188,7 @@
         });
         let best: RegisteredServer | undefined;
         let highestPreference = 0;
-        for (const server of this.context.serverSubset.narrow(eligible, engines)) {
+        for (const server of this.context.serverSubset.narrow(availability.preferStaying(eligible), engines)) {
             const load = serverLoads.get(server.id);
             const free = (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
             const preference = free / (1 + FAILURE_PENALTY * load.failureRate);
--- a/packages/gateway/engine_client.ts
+++ b/packages/gateway/engine_client.ts
@@ -33,9 +33,8 @@
         call: EngineCall,
         timeoutMilliseconds: number,
     ): Promise<{ status: number; body: string; }> {
-        const { connectionPool, headers, metrics } = this.context;
-        const response = await connectionPool.send({
-            address: server.address,
+        const { serverClient, headers, metrics } = this.context;
+        const response = await serverClient.send(server, {
             method: call.method,
             path: call.path,
             headers: [
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -1,5 +1,6 @@
 import type { CellState, Peer, PeerReport } from "../peers/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
+import type { LeavingServers } from "./leaving_servers.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
 import type { StageBalancer } from "./stage_balancer.ts";
@@ -14,6 +15,7 @@
     serverLoads: ServerLoadTracker;
     rateLimiter: RateLimiter;
     crashRegistry: CrashRegistry;
+    leavingServers: LeavingServers;
     /** Undefined before the instance has started. */
     stageBalancer(): StageBalancer | undefined;
     /** Whether the last read of the store succeeded. */
@@ -59,6 +61,7 @@
             loads,
             changing: stageBalancer()?.changing() ?? [],
             gone: serverLoads.gone(),
+            leaving: this.options.leavingServers.firsthand(),
             crashes: crashRegistry.recent(),
         };
         const serialised = JSON.stringify([state, usage.spending]);
@@ -94,6 +97,7 @@
             stageLoads: stageBalancer()?.cellLoads() ?? {},
             changing: stageBalancer()?.changing() ?? [],
             gone: serverLoads.gone(),
+            leaving: this.options.leavingServers.firsthand(),
             crashes: crashRegistry.recent(),
         };
     }
@@ -109,8 +113,10 @@
         this.options.stageBalancer()?.recordOtherCells(state.stageLoads);
     }
 
-    #applyServerStates({ changing, gone, crashes }: Pick<CellState, "changing" | "gone" | "crashes">): void {
-        const { serverLoads, crashRegistry } = this.options;
+    #applyServerStates(state: Pick<CellState, "changing" | "gone" | "leaving" | "crashes">): void {
+        const { changing, gone, leaving, crashes } = state;
+        const { serverLoads, crashRegistry, leavingServers } = this.options;
+        leaving.forEach(([id, startedAt]) => leavingServers.record({ id, startedAt }, "peer"));
         [...changing, ...gone].forEach(id => serverLoads.avoid(id, AVOIDED_MILLISECONDS));
         crashes.forEach(([fingerprint, server]) => crashRegistry.recordPeerCrash(fingerprint, server));
     }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -17,8 +17,11 @@
 import type { GatewayContext } from "./gateway_context.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import { LeavingServers } from "./leaving_servers.ts";
 import { RateLimiter } from "./rate_limiter.ts";
 import { RetryBudget } from "./retry_budget.ts";
+import { ServerAvailability } from "./server_availability.ts";
+import { ServerClient } from "./server_client.ts";
 import { ServerLoadTracker } from "./server_load_tracker.ts";
 import { ServerSubset } from "./server_subset.ts";
 import { StageBalancer } from "./stage_balancer.ts";
@@ -101,6 +104,13 @@
         });
         this.#serverLoads = new ServerLoadTracker(this.#directory);
         this.#crashRegistry = new CrashRegistry(this.#directory, this.#logger);
+        const leavingServers = new LeavingServers({
+            directory: this.#directory,
+            clock: this.#clock,
+            drainMilliseconds: () => this.settings.bounds.drainMilliseconds,
+            metrics: this.#metrics,
+            logger: this.#logger,
+        });
         this.#rateLimiter = new RateLimiter({
             self: { name: settings.name, incarnation: this.#incarnation },
             windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
@@ -115,6 +125,7 @@
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
             crashRegistry: this.#crashRegistry,
+            leavingServers,
             stageBalancer: () => this.#stageBalancer,
             readsStore: () => this.#replicaFollower?.connected ?? false,
         });
@@ -145,7 +156,9 @@
             engineProtocol: adapter.engineProtocol,
             directory: this.#directory,
             serverLoads: this.#serverLoads,
-            connectionPool: this.#connectionPool,
+            serverClient: new ServerClient(this.#connectionPool, adapter.headers, leavingServers),
+            availability: new ServerAvailability(this.#directory, leavingServers),
+            leavingServers,
             retryBudget: new RetryBudget(() => this.#retryBudgetLimit(), instanceCount),
             instanceCount,
             reportPeriodMilliseconds: () => this.#peerMesh.reportPeriodMilliseconds,
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -1,4 +1,3 @@
-import type { BackendConnectionPool } from "../backends/mod.ts";
 import type { SuspensionAwareClock } from "../clocks/mod.ts";
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
@@ -7,8 +6,11 @@
 import type { DirectoryUpdater } from "./directory_updater.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import type { LeavingServers } from "./leaving_servers.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
 import type { RetryBudget } from "./retry_budget.ts";
+import type { ServerAvailability } from "./server_availability.ts";
+import type { ServerClient } from "./server_client.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
 import type { ServerSubset } from "./server_subset.ts";
 
@@ -20,7 +22,12 @@
     engineProtocol: EngineProtocol;
     directory: Directory;
     serverLoads: ServerLoadTracker;
-    connectionPool: BackendConnectionPool;
+    /** Sends requests to backend servers. */
+    serverClient: ServerClient;
+    /** Decides which servers may get requests. */
+    availability: ServerAvailability;
+    /** Servers that have said that they leave. */
+    leavingServers: LeavingServers;
     retryBudget: RetryBudget;
     crashRegistry: CrashRegistry;
     /** Number of instances that share the fleet's limits, at least 1. */
--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -8,6 +8,8 @@
 const bounds = z.object({
     /** Time from the shutdown signal until the process is killed. */
     graceSeconds: z.number().min(0).max(3_600).default(8),
+    /** Time after a server has said that it leaves, from which it must get no request. */
+    drainMilliseconds: milliseconds.default(2_000),
     /** Time within which a revoked API key must stop working. */
     revokeMilliseconds: milliseconds.default(5_000),
     /** Whether API keys are refused while their validity cannot be confirmed. */
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -113,19 +113,19 @@
         if (request.signal.aborted && refusal?.verdict !== "not-run") {
             return { status: 504, reason: "deadline-passed", verdict: "may-have-run", message: "No answer in time" };
         }
-        return refusal ?? noServerRefusal();
+        const { availability } = this.context;
+        return refusal ?? availability.findRefusal(request.service.name) ?? noServerRefusal();
     }
 
     async #send(request: GatewayRequest, server: RegisteredServer, canRetry: boolean): Promise<SendOutcome> {
-        const { headers, connectionPool, serverLoads, directory } = this.context;
+        const { headers, serverClient, serverLoads, directory } = this.context;
         const load = serverLoads.get(server.id);
         const startedAt = monotonicMilliseconds();
         const remaining = request.deadline - startedAt;
         load.active++;
         load.recordSend();
         try {
-            const response = await connectionPool.send({
-                address: server.address,
+            const response = await serverClient.send(server, {
                 method: request.method,
                 path: request.path,
                 headers: backendHeaders(request, server, headers),
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -136,15 +136,15 @@
         target: RegisteredServer | undefined,
         tried: ReadonlySet<string>,
     ): RegisteredServer | undefined {
-        const { directory, serverLoads } = this.context;
+        const { availability, serverLoads } = this.context;
         const now = monotonicMilliseconds();
         let best: RegisteredServer | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
-        const engines = directory.usableServers(request.service.name).filter(({ stage }) => stage === "prefill");
+        const engines = availability.usableServers(request.service.name, "prefill");
         const eligible = engines.filter(server =>
             serverLoads.get(server.id).avoidedUntil <= now && !tried.has(server.id) && this.#chooser.admits(server)
         );
-        for (const server of this.context.serverSubset.narrow(eligible, engines)) {
+        for (const server of this.context.serverSubset.narrow(availability.preferStaying(eligible), engines)) {
             const load = serverLoads.get(server.id);
             const transferCost = !target || server.failureDomain === target.failureDomain
                 ? 0
@@ -175,7 +175,7 @@
         server: RegisteredServer,
         extraHeaders: string[],
     ): Promise<Result<PrefillHandle, string>> {
-        const { headers, engineProtocol, connectionPool, serverLoads, metrics } = this.context;
+        const { headers, engineProtocol, serverClient, serverLoads, metrics } = this.context;
         const load = serverLoads.get(server.id);
         const startedAt = monotonicMilliseconds();
         const idle = load.total().prefillTokens === 0;
@@ -186,8 +186,7 @@
         load.active++;
         load.recordSend();
         try {
-            const response = await connectionPool.send({
-                address: server.address,
+            const response = await serverClient.send(server, {
                 method: request.method,
                 path: request.path,
                 headers: [
--- a/packages/gateway/protocol_headers.ts
+++ b/packages/gateway/protocol_headers.ts
@@ -23,6 +23,8 @@
     /** Time in milliseconds for which a server stays cold. */
     coldMilliseconds: string;
     lastEventId: string;
+    /** `1` when the server leaves. */
+    leaving: string;
     /** Headers that only the router may set; they are removed from callers' requests. */
     reserved: string[];
 }
--- a/packages/gateway/server_chooser.ts
+++ b/packages/gateway/server_chooser.ts
@@ -27,19 +27,20 @@
      * @returns The server, or undefined if none may be used.
      */
     choose(service: string, tried: ReadonlySet<string>): RegisteredServer | undefined {
-        const { directory, serverLoads } = this.context;
+        const { availability, serverLoads } = this.context;
         const now = monotonicMilliseconds();
         let best: RegisteredServer | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
-        const servers = directory.usableServers(service);
+        const servers = availability.usableServers(service);
         // A server without a recent response counts as fast as the fastest one, so that it gets a request.
         const fastest = Math.min(
             ...servers.map(({ id }) => serverLoads.get(id).averageResponseMilliseconds ?? Number.POSITIVE_INFINITY),
         );
         const untried = servers.filter(server => !tried.has(server.id) && this.admits(server));
         const healthy = untried.filter(({ id }) => serverLoads.get(id).avoidedUntil <= now);
+        const eligible = availability.preferStaying(healthy.length > 0 ? healthy : untried);
         const peerLoadWeight = this.context.peerLoadWeight();
-        for (const server of this.context.serverSubset.narrow(healthy.length > 0 ? healthy : untried, servers)) {
+        for (const server of this.context.serverSubset.narrow(eligible, servers)) {
             const load = serverLoads.get(server.id);
             const expected = load.averageResponseMilliseconds ?? (Number.isFinite(fastest) ? fastest : 1);
             const waiting = (load.total(peerLoadWeight).active + 1) / Math.max(1, server.slots);
--- /dev/null
+++ b/packages/gateway/server_client.ts
@@ -0,0 +1,59 @@
+import type { Result } from "neverthrow";
+import type { BackendConnectionPool, BackendFault, BackendRequest, BackendResponse } from "../backends/mod.ts";
+import type { RegisteredServer } from "../directory/mod.ts";
+import type { LeavingServers } from "./leaving_servers.ts";
+import type { ProtocolHeaders } from "./protocol_headers.ts";
+
+/** Status of a response by another server than the expected one. */
+const ANOTHER_SERVER_STATUS = 421;
+const LEAVING_VALUE = "1";
+
+/**
+ * Sends requests to backend servers and records what the servers say of themselves in the headers of their responses.
+ *
+ * @example
+ * ```ts
+ * const client = new ServerClient(connectionPool, headers, leavingServers);
+ * const request = { method: "GET", path: "/", headers: [], timeoutMilliseconds: 500 };
+ * const response = await client.send(server, request);
+ * ```
+ */
+export class ServerClient {
+    /**
+     * @param connectionPool Connections to the servers.
+     * @param headers Names of the headers.
+     * @param leavingServers Servers that have said that they leave.
+     */
+    constructor(
+        private readonly connectionPool: BackendConnectionPool,
+        private readonly headers: ProtocolHeaders,
+        private readonly leavingServers: LeavingServers,
+    ) {}
+
+    /**
+     * Sends a request and waits for the headers of its response.
+     *
+     * @param server The server.
+     * @param request The request.
+     * @returns The response, or why there is none and whether the request may have run.
+     */
+    async send(
+        server: RegisteredServer,
+        request: Omit<BackendRequest, "address">,
+    ): Promise<Result<BackendResponse, BackendFault>> {
+        const response = await this.connectionPool.send({ ...request, address: server.address });
+        if (response.isOk()) {
+            this.#recordNotices(server, response.value);
+        }
+        return response;
+    }
+
+    #recordNotices(server: RegisteredServer, { status, headers }: BackendResponse): void {
+        if (status === ANOTHER_SERVER_STATUS) {
+            return;
+        }
+        if (headers[this.headers.leaving] === LEAVING_VALUE) {
+            this.leavingServers.record(server, "answer");
+        }
+    }
+}
--- a/packages/gateway/stage_balancer.ts
+++ b/packages/gateway/stage_balancer.ts
@@ -116,12 +116,13 @@
     }
 
     async #step(): Promise<void> {
-        const { directory } = this.context;
+        const { directory, availability, leavingServers } = this.context;
         for (const service of directory.configuration?.services ?? []) {
             if (!service.engine) {
                 continue;
             }
-            const servers = directory.usableServers(service.name).filter(({ stage }) => stage !== undefined);
+            const servers = availability.usableServers(service.name)
+                .filter(server => server.stage !== undefined && !leavingServers.isLeaving(server));
             const load = this.#sample(service.name, servers, service.engine.memoryTokens);
             const fence = this.leadership.fence();
             if (fence !== undefined) {
@@ -218,6 +219,9 @@
         if (!report || report.busy || report.stage === stage || this.leadership.fence() !== fence) {
             return;
         }
+        if (this.context.leavingServers.isLeaving(server)) {
+            return;
+        }
         const unavailableMilliseconds =
             (this.context.directory.findService(server.service)?.engine?.stageChangeMilliseconds ?? 0)
             + REGISTRATION_MILLISECONDS;
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -277,7 +277,7 @@
 
     /** Finds out whether the request may no longer be sent to its decode engine. */
     #findObstacle(request: GatewayRequest, reservation: DecodeReservation): PassOutcome | undefined {
-        if (!this.context.directory.isUsable(reservation.server)) {
+        if (!this.context.availability.isUsable(reservation.server)) {
             return { kind: "not-run", message: "The decode engine is leaving" };
         }
         if (request.key !== undefined && !this.context.directoryUpdater.canAcceptKey(request.key)) {
@@ -288,12 +288,11 @@
 
     async #decode(run: DecodeRun, onFirstEvent: () => void): Promise<PassOutcome> {
         const { request, reservation, extraHeaders, progress, localPrefillTokens } = run;
-        const { headers, connectionPool, serverLoads, metrics } = this.context;
+        const { headers, serverClient, serverLoads, metrics } = this.context;
         const { server } = reservation;
         const load = serverLoads.get(server.id);
         load.recordSend();
-        const response = await connectionPool.send({
-            address: server.address,
+        const response = await serverClient.send(server, {
             method: request.method,
             path: request.path,
             headers: [...withoutHeaders(backendHeaders(request, server, headers), extraHeaders), ...extraHeaders],
--- a/packages/peers/cell_summaries.ts
+++ b/packages/peers/cell_summaries.ts
@@ -1,4 +1,5 @@
 import type { SuspensionAwareClock } from "../clocks/mod.ts";
+import { mergeLeaving } from "./_merge_leaving.ts";
 import type { CellState } from "./cell_state.ts";
 import type { CellSummary } from "./cell_summary.ts";
 import type { UsageSummary } from "./usage_summary.ts";
@@ -110,7 +111,7 @@
     merge(cells: readonly string[]): CellState {
         const now = this.clock.now();
         this.#removeExpired(now);
-        const merged: CellState = { usage: [], stageLoads: {}, changing: [], gone: [], crashes: [] };
+        const merged: CellState = { usage: [], stageLoads: {}, changing: [], gone: [], leaving: [], crashes: [] };
         let live: UsageSummary | undefined;
         for (const cell of cells) {
             const entry = this.#entries.get(cell);
@@ -177,5 +178,6 @@
     }
     merged.changing.push(...state.changing);
     merged.gone.push(...state.gone);
+    merged.leaving = mergeLeaving(merged.leaving, state.leaving);
     merged.crashes.push(...state.crashes);
 }
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -2,6 +2,7 @@
 import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
 import { InstancePool, InstanceServer } from "../instances/mod.ts";
 import type { ItemChange, ReplicaUpdate } from "../replica/mod.ts";
+import { mergeLeaving } from "./_merge_leaving.ts";
 import type { Cell } from "./cell.ts";
 import { CellExchange } from "./cell_exchange.ts";
 import type { CellState } from "./cell_state.ts";
@@ -211,6 +212,7 @@
             }
             state.changing.push(...report.changing);
             state.gone.push(...report.gone);
+            state.leaving = mergeLeaving(state.leaving, report.leaving);
         }
         return state;
     }
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -11,6 +11,8 @@
     changing: z.array(z.string()).max(1_024),
     /** Servers at whose addresses other servers respond. */
     gone: z.array(z.string()).max(1_024),
+    /** Servers that have said to the instance that they leave, with the Unix time in milliseconds of their start. */
+    leaving: z.array(z.tuple([z.string(), z.number()])).max(1_024).default([]),
     /** Pairs of a request's fingerprint and a server that crashed while the request ran on it. */
     crashes: z.array(z.tuple([z.string(), z.string()])).max(1_024),
     /** Units spent within the limit's window, by organisation. */
