Servers that ask for a pause get nothing until its end

Cause: Retry-After of a server's 503 was not read. A server that refused was avoided for 50 to 1,500 ms, whatever it had asked for, and where all refused, callers were told to come back after a time that had nothing to do with it. Change: PausedServers keeps the end of each pause by id and start of the server, read in ServerClient from any 503 (plain request, prefill, reservation, generation). Choosers, the decode queue and the check before a generation pass over such servers; a prefill's result is kept for the next decode engine. Where all servers ask for a pause, callers are refused at once with the time to the first end, spread over 500 ms (reason servers-paused). parseRetryAfter takes fractions and dates; zero, negative and malformed values have no effect; the setting maximumPauseMilliseconds caps the rest.

--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -115,7 +115,7 @@
             const service = waiter.request.service.name;
             const isBlocked = blockedServices.has(service);
             const server = isBlocked ? undefined : this.#choose(waiter, now);
-            const refusal = server || isBlocked ? undefined : this.context.availability.findRefusal(service, "decode");
+            const refusal = server || isBlocked ? undefined : this.#findRefusal(waiter);
             if (refusal) {
                 waiter.resolve(err(refusal));
                 continue;
@@ -246,6 +246,11 @@
         this.dispatch();
     }
 
+    /** Finds out whether no engine that the request may use will take it in time. */
+    #findRefusal({ request, excluded }: Waiter): GatewayRefusal | undefined {
+        return this.context.availability.findRefusal(request.service.name, "decode", excluded);
+    }
+
     #refuse(waiter: Waiter): void {
         const expired = monotonicMilliseconds() >= waiter.request.deadline;
         waiter.resolve(err({
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -18,6 +18,7 @@
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { LeavingServers } from "./leaving_servers.ts";
+import { PausedServers } from "./paused_servers.ts";
 import { RateLimiter } from "./rate_limiter.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { ServerAvailability } from "./server_availability.ts";
@@ -111,6 +112,11 @@
             metrics: this.#metrics,
             logger: this.#logger,
         });
+        const pausedServers = new PausedServers({
+            maximumMilliseconds: () => this.settings.maximumPauseMilliseconds,
+            metrics: this.#metrics,
+            logger: this.#logger,
+        });
         this.#rateLimiter = new RateLimiter({
             self: { name: settings.name, incarnation: this.#incarnation },
             windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
@@ -156,8 +162,8 @@
             engineProtocol: adapter.engineProtocol,
             directory: this.#directory,
             serverLoads: this.#serverLoads,
-            serverClient: new ServerClient(this.#connectionPool, adapter.headers, leavingServers),
-            availability: new ServerAvailability(this.#directory, leavingServers),
+            serverClient: new ServerClient(this.#connectionPool, adapter.headers, leavingServers, pausedServers),
+            availability: new ServerAvailability(this.#directory, leavingServers, pausedServers),
             leavingServers,
             retryBudget: new RetryBudget(() => this.#retryBudgetLimit(), instanceCount),
             instanceCount,
--- a/packages/gateway/gateway_refusal_reason.ts
+++ b/packages/gateway/gateway_refusal_reason.ts
@@ -11,6 +11,7 @@
     | "body-too-large"
     | "over-limit"
     | "no-backend-server"
+    | "servers-paused"
     | "no-capacity"
     | "backend-failed"
     | "retry-budget-spent"
--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -50,6 +50,8 @@
     storeAddress: address,
     /** Whether the whole fleet starts for the first time. */
     firstStart: z.boolean().default(false),
+    /** Longest pause that a server may ask for; a longer one counts as this long. */
+    maximumPauseMilliseconds: milliseconds.default(300_000),
     /** Memory limit of the process. */
     memoryMegabytes: z.number().min(16),
     bounds: bounds.default(() => bounds.parse({})),
--- a/packages/gateway/leaving_servers_test.ts
+++ b/packages/gateway/leaving_servers_test.ts
@@ -2,6 +2,7 @@
 import { Directory, type RegisteredServer } from "../directory/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { LeavingServers } from "./leaving_servers.ts";
+import { PausedServers } from "./paused_servers.ts";
 import { ServerAvailability } from "./server_availability.ts";
 import { ServerClient } from "./server_client.ts";
 
@@ -22,12 +23,14 @@
     const lines: Record<string, unknown>[] = [];
     const log = (message: string, fields?: object) => lines.push({ message, ...fields });
     const metrics = new Metrics();
+    const logger = { info: log, warn: log, error: log };
+    const pausedServers = new PausedServers({ maximumMilliseconds: () => 60_000, metrics, logger });
     const leavingServers = new LeavingServers({
         directory,
         clock,
         drainMilliseconds: () => DRAIN_MILLISECONDS,
         metrics,
-        logger: { info: log, warn: log, error: log },
+        logger,
     });
     return {
         directory,
@@ -35,7 +38,8 @@
         lines,
         metrics,
         leavingServers,
-        availability: new ServerAvailability(directory, leavingServers),
+        pausedServers,
+        availability: new ServerAvailability(directory, leavingServers, pausedServers),
     };
 }
 
@@ -91,18 +95,20 @@
 // Guards against the exclusion of a server because another one at its address leaves.
 test("the header of an answer by another server than the expected one is not recorded", async () => {
     const first = server("first");
-    const { leavingServers } = create(first);
+    const { leavingServers, pausedServers } = create(first);
     const names = { leaving: "x-leaving" } as ConstructorParameters<typeof ServerClient>[1];
     const respond = (status: number, headers: Record<string, string>) => {
         const response = { isOk: () => true, value: { status, headers } };
         const pool = { send: async () => response } as unknown as ConstructorParameters<typeof ServerClient>[0];
         const request = { method: "GET", path: "/", headers: [], timeoutMilliseconds: 1 };
-        return new ServerClient(pool, names, leavingServers).send(first, request);
+        return new ServerClient(pool, names, leavingServers, pausedServers).send(first, request);
     };
-    await respond(421, { "x-leaving": "1" });
+    await respond(421, { "x-leaving": "1", "retry-after": "9" });
     await respond(200, { "x-leaving": "0" });
     await respond(200, {});
     expect(leavingServers.isLeaving(first)).toBe(false);
-    await respond(503, { "x-leaving": "1" });
+    expect(pausedServers.remainingMilliseconds(first)).toBe(0);
+    await respond(503, { "x-leaving": "1", "retry-after": "9" });
     expect(leavingServers.isLeaving(first)).toBe(true);
+    expect(pausedServers.remainingMilliseconds(first)).toBeGreaterThan(8_000);
 });
--- a/packages/gateway/pass_outcome.ts
+++ b/packages/gateway/pass_outcome.ts
@@ -2,10 +2,10 @@
  * How one pass ended.
  *
  * `"relayed"`: the engine's error response went to the caller. `"moved"`: another server responds at the engine's
- * address. `"handle-lost"`: the prefill result cannot be fetched. `"broken"`: the stream failed.
+ * address. `"withheld"`: the engine leaves or asks for a pause. `"handle-lost"`: the prefill result cannot be fetched. `"broken"`: the stream failed.
  */
 export type PassOutcome =
     | { kind: "completed"; }
     | { kind: "relayed"; }
     | { kind: "key-withdrawn"; message: string; }
-    | { kind: "not-run" | "moved" | "handle-lost" | "may-have-run" | "broken"; message: string; };
+    | { kind: "not-run" | "moved" | "withheld" | "handle-lost" | "may-have-run" | "broken"; message: string; };
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -114,7 +114,9 @@
             return { status: 504, reason: "deadline-passed", verdict: "may-have-run", message: "No answer in time" };
         }
         const { availability } = this.context;
-        return refusal ?? availability.findRefusal(request.service.name) ?? noServerRefusal();
+        return refusal?.verdict === "may-have-run"
+            ? refusal
+            : availability.findRefusal(request.service.name) ?? refusal ?? noServerRefusal();
     }
 
     async #send(request: GatewayRequest, server: RegisteredServer, canRetry: boolean): Promise<SendOutcome> {
--- a/packages/gateway/server_availability.ts
+++ b/packages/gateway/server_availability.ts
@@ -1,16 +1,20 @@
 import type { Directory, EngineStage, RegisteredServer } from "../directory/mod.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
+import type { PausedServers } from "./paused_servers.ts";
 
 /** Delay in milliseconds after which a caller may retry when every server leaves. */
 const RETRY_AFTER_MILLISECONDS = 300;
+/** Time in milliseconds over which the callers that wait for the end of a pause are spread. */
+const RETRY_SPREAD_MILLISECONDS = 500;
+const NO_SERVERS: ReadonlySet<string> = new Set();
 
 /**
  * Decides which registered servers may get requests now, given what they have said in their responses.
  *
  * @example
  * ```ts
- * const availability = new ServerAvailability(directory, leavingServers);
+ * const availability = new ServerAvailability(directory, leavingServers, pausedServers);
  * availability.usableServers("models", "decode");
  * ```
  */
@@ -18,10 +22,12 @@
     /**
      * @param directory Registered servers.
      * @param leavingServers Servers that have said that they leave.
+     * @param pausedServers Servers that have asked for a pause.
      */
     constructor(
         private readonly directory: Directory,
         private readonly leavingServers: LeavingServers,
+        private readonly pausedServers: PausedServers,
     ) {}
 
     /**
@@ -32,7 +38,7 @@
      * @returns The servers.
      */
     usableServers(service: string, stage?: EngineStage): RegisteredServer[] {
-        return this.#registeredServers(service, stage).filter(server => !this.leavingServers.isExcluded(server));
+        return this.#registeredServers(service, stage).filter(server => this.#isAvailable(server));
     }
 
     /**
@@ -42,7 +48,7 @@
      * @returns Whether it may.
      */
     isUsable(server: RegisteredServer): boolean {
-        return this.directory.isUsable(server) && !this.leavingServers.isExcluded(server);
+        return this.directory.isUsable(server) && this.#isAvailable(server);
     }
 
     /**
@@ -57,24 +63,39 @@
     }
 
     /**
-     * Finds out whether a request can be refused at once, since every server that is registered for it has withdrawn.
+     * Finds out whether a request can be refused at once, since every server that is registered for it has said that it
+     * leaves or asked for a pause.
      *
      * @param service Name of the service.
      * @param stage Stage of the engines; undefined for all servers.
+     * @param excluded Ids of servers that the request must not use. Default: none.
      * @returns The refusal; undefined if a server may be used, or if none is registered.
      */
-    findRefusal(service: string, stage?: EngineStage): GatewayRefusal | undefined {
-        const servers = this.#registeredServers(service, stage);
-        if (servers.length === 0 || servers.some(server => this.isUsable(server))) {
+    findRefusal(service: string, stage?: EngineStage, excluded = NO_SERVERS): GatewayRefusal | undefined {
+        const servers = this.#registeredServers(service, stage).filter(({ id }) => !excluded.has(id));
+        if (servers.length === 0 || servers.some(server => this.#isAvailable(server))) {
             return undefined;
         }
-        return {
-            status: 503,
-            reason: "no-backend-server",
-            verdict: "not-run",
-            message: "Every backend server has said that it leaves",
-            retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
-        };
+        const pauses = servers.filter(server => !this.leavingServers.isExcluded(server))
+            .map(server => this.pausedServers.remainingMilliseconds(server));
+        const refusal = { status: 503, verdict: "not-run" as const };
+        return pauses.length === 0
+            ? {
+                ...refusal,
+                reason: "no-backend-server",
+                message: "Every backend server has said that it leaves",
+                retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
+            }
+            : {
+                ...refusal,
+                reason: "servers-paused",
+                message: "Every backend server has asked for a pause",
+                retryAfterMilliseconds: Math.min(...pauses) + Math.random() * RETRY_SPREAD_MILLISECONDS,
+            };
+    }
+
+    #isAvailable(server: RegisteredServer): boolean {
+        return !this.leavingServers.isExcluded(server) && this.pausedServers.remainingMilliseconds(server) === 0;
     }
 
     #registeredServers(service: string, stage: EngineStage | undefined): RegisteredServer[] {
--- a/packages/gateway/server_client.ts
+++ b/packages/gateway/server_client.ts
@@ -2,18 +2,21 @@
 import type { BackendConnectionPool, BackendFault, BackendRequest, BackendResponse } from "../backends/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
+import type { PausedServers } from "./paused_servers.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
 
 /** Status of a response by another server than the expected one. */
 const ANOTHER_SERVER_STATUS = 421;
 const LEAVING_VALUE = "1";
+/** Status with which a server turns a request away. */
+const UNAVAILABLE_STATUS = 503;
 
 /**
  * Sends requests to backend servers and records what the servers say of themselves in the headers of their responses.
  *
  * @example
  * ```ts
- * const client = new ServerClient(connectionPool, headers, leavingServers);
+ * const client = new ServerClient(connectionPool, headers, leavingServers, pausedServers);
  * const request = { method: "GET", path: "/", headers: [], timeoutMilliseconds: 500 };
  * const response = await client.send(server, request);
  * ```
@@ -23,11 +26,13 @@
      * @param connectionPool Connections to the servers.
      * @param headers Names of the headers.
      * @param leavingServers Servers that have said that they leave.
+     * @param pausedServers Servers that have asked for a pause.
      */
     constructor(
         private readonly connectionPool: BackendConnectionPool,
         private readonly headers: ProtocolHeaders,
         private readonly leavingServers: LeavingServers,
+        private readonly pausedServers: PausedServers,
     ) {}
 
     /**
@@ -55,5 +60,9 @@
         if (headers[this.headers.leaving] === LEAVING_VALUE) {
             this.leavingServers.record(server, "answer");
         }
+        const retryAfter = headers["retry-after"];
+        if (status === UNAVAILABLE_STATUS && retryAfter !== undefined) {
+            this.pausedServers.record(server, retryAfter, headers["date"]);
+        }
     }
 }
--- a/packages/gateway/stage_balancer.ts
+++ b/packages/gateway/stage_balancer.ts
@@ -116,12 +116,12 @@
     }
 
     async #step(): Promise<void> {
-        const { directory, availability, leavingServers } = this.context;
+        const { directory, leavingServers } = this.context;
         for (const service of directory.configuration?.services ?? []) {
             if (!service.engine) {
                 continue;
             }
-            const servers = availability.usableServers(service.name)
+            const servers = directory.usableServers(service.name)
                 .filter(server => server.stage !== undefined && !leavingServers.isLeaving(server));
             const load = this.#sample(service.name, servers, service.engine.memoryTokens);
             const fence = this.leadership.fence();
@@ -173,7 +173,10 @@
             return;
         }
         const currentStage: EngineStage = stage === "prefill" ? "decode" : "prefill";
-        const candidates = servers.filter(server => server.stage === currentStage && !this.#changing.has(server.id));
+        const candidates = servers.filter(server =>
+            server.stage === currentStage && !this.#changing.has(server.id)
+            && this.context.availability.isUsable(server)
+        );
         await this.#changeOne(candidates, stage, load, fence);
     }
 
@@ -219,7 +222,7 @@
         if (!report || report.busy || report.stage === stage || this.leadership.fence() !== fence) {
             return;
         }
-        if (this.context.leavingServers.isLeaving(server)) {
+        if (this.context.leavingServers.isLeaving(server) || !this.context.availability.isUsable(server)) {
             return;
         }
         const unavailableMilliseconds =
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -156,7 +156,10 @@
                 message: "No answer in time",
             };
         }
-        return refusal ?? failed("no-backend-server", "not-run", "No engine could take the request");
+        return refusal?.verdict === "may-have-run"
+            ? refusal
+            : this.context.availability.findRefusal(request.service.name, "decode")
+                ?? refusal ?? failed("no-backend-server", "not-run", "No engine could take the request");
     }
 
     async #runPass(
@@ -248,7 +251,7 @@
             progress.refused = { prefillResult: prefilled, by: engine };
             return outcome;
         }
-        if (outcome.kind === "moved" && prefilled) {
+        if ((outcome.kind === "moved" || outcome.kind === "withheld") && prefilled) {
             progress.refused = { prefillResult: prefilled, by: previouslyRefused?.by ?? engine };
             return outcome;
         }
@@ -278,7 +281,7 @@
     /** Finds out whether the request may no longer be sent to its decode engine. */
     #findObstacle(request: GatewayRequest, reservation: DecodeReservation): PassOutcome | undefined {
         if (!this.context.availability.isUsable(reservation.server)) {
-            return { kind: "not-run", message: "The decode engine is leaving" };
+            return { kind: "withheld", message: "The decode engine is leaving or asks for a pause" };
         }
         if (request.key !== undefined && !this.context.directoryUpdater.canAcceptKey(request.key)) {
             return { kind: "key-withdrawn", message: "The key cannot be confirmed" };
@@ -323,7 +326,8 @@
                 this.context.crashRegistry.recordServerEnd(server.id);
                 return { kind: "moved", message: "Another server answers at the engine's address" };
             }
-            return { kind: "not-run", message: `The decode engine answered with status ${status}` };
+            const kind = this.context.availability.isUsable(server) ? "not-run" : "withheld";
+            return { kind, message: `The decode engine answered with status ${status}` };
         }
         if (status !== 200) {
             return await this.#relayErrorResponse(request, response.value);
