--- a/packages/gateway/cell_usage_test.ts
+++ b/packages/gateway/cell_usage_test.ts
@@ -101,6 +101,7 @@
                 stageLoads: {},
                 changing: [],
                 gone: [],
+                leaving: [],
                 crashes: [],
                 promptParts: createEmptyReport(),
             }),
--- a/packages/gateway/create_crash_detection.ts
+++ b/packages/gateway/create_crash_detection.ts
@@ -1,4 +1,3 @@
-import type { BackendConnectionPool } from "../backends/mod.ts";
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
@@ -6,13 +5,14 @@
 import { CrashRegistry } from "./crash_registry.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import type { ServerClient } from "./server_client.ts";
 import { ServerEndProbe } from "./server_end_probe.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
 
 /** Dependencies of the crash detection. */
 interface CrashDetectionOptions {
     adapter: GatewayAdapter;
-    connectionPool: BackendConnectionPool;
+    serverClient: ServerClient;
     directory: Directory;
     serverLoads: ServerLoadTracker;
     /** Returns whether this instance sends the probes of a blocked part of prompts. */
--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -54,12 +54,11 @@
      */
     async run(run: DecodeRun, onFirstEvent: () => void): Promise<PassOutcome> {
         const { request, reservation, extraHeaders, progress, localPrefillTokens } = run;
-        const { headers, connectionPool, serverLoads, metrics } = this.context;
+        const { headers, serverClient, serverLoads, metrics } = this.context;
         const { server } = reservation;
         const load = serverLoads.get(server.id);
         load.recordSend();
-        const response = await connectionPool.send({
-            address: server.address,
+        const response = await serverClient.send(server, {
             method: request.method,
             path: request.path,
             headers: [...withoutHeaders(backendHeaders(request, server, headers), extraHeaders), ...extraHeaders],
@@ -90,7 +89,8 @@
                 this.context.crashRegistry.recordServerEnd(server.id);
                 return { kind: "moved", message: "Another server answers at the engine's address" };
             }
-            return { kind: "not-run", message: `The decode engine answered with status ${status}` };
+            const kind = this.context.availability.isUsable(server) ? "not-run" : "withheld";
+            return { kind, message: `The decode engine answered with status ${status}` };
         }
         if (status !== 200) {
             return await this.#relayErrorResponse(request, response.value);
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -1,6 +1,7 @@
 import type { CellState, Peer, PeerReport } from "../peers/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
+import type { LeavingServers } from "./leaving_servers.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
 import type { StageBalancer } from "./stage_balancer.ts";
@@ -16,6 +17,7 @@
     rateLimiter: RateLimiter;
     crashRegistry: CrashRegistry;
     promptParts: PromptPartRegistry;
+    leavingServers: LeavingServers;
     /** Undefined before the instance has started. */
     stageBalancer(): StageBalancer | undefined;
     /** Whether the last read of the store succeeded. */
@@ -61,6 +63,7 @@
             loads,
             changing: stageBalancer()?.changing() ?? [],
             gone: serverLoads.gone(),
+            leaving: this.options.leavingServers.firsthand(),
             crashes: crashRegistry.recent(),
         };
         // The ages in the report on prompt parts change all the time, so its version is compared.
@@ -97,6 +100,7 @@
             stageLoads: stageBalancer()?.cellLoads() ?? {},
             changing: stageBalancer()?.changing() ?? [],
             gone: serverLoads.gone(),
+            leaving: this.options.leavingServers.firsthand(),
             crashes: crashRegistry.recent(),
             promptParts: promptParts.createReport(),
         };
@@ -113,9 +117,10 @@
         this.options.stageBalancer()?.recordOtherCells(state.stageLoads);
     }
 
-    #applyServerStates(state: Pick<CellState, "changing" | "gone" | "crashes" | "promptParts">): void {
-        const { changing, gone, crashes } = state;
-        const { serverLoads, crashRegistry, promptParts } = this.options;
+    #applyServerStates(state: Pick<CellState, "changing" | "gone" | "leaving" | "crashes" | "promptParts">): void {
+        const { changing, gone, leaving, crashes } = state;
+        const { serverLoads, crashRegistry, promptParts, leavingServers } = this.options;
+        leaving.forEach(([id, startedAt]) => leavingServers.record({ id, startedAt }, "peer"));
         [...changing, ...gone].forEach(id => serverLoads.avoid(id, AVOIDED_MILLISECONDS));
         crashes.forEach(([fingerprint, server]) => crashRegistry.recordPeerCrash(fingerprint, server));
         promptParts.applyReport(state.promptParts);
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -19,8 +19,12 @@
 import type { GatewayContext } from "./gateway_context.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
+import { LeavingServers } from "./leaving_servers.ts";
+import { PausedServers } from "./paused_servers.ts";
 import { RateLimiter } from "./rate_limiter.ts";
 import { RetryBudget } from "./retry_budget.ts";
+import { ServerAvailability } from "./server_availability.ts";
+import { ServerClient } from "./server_client.ts";
 import { ServerLoadTracker } from "./server_load_tracker.ts";
 import { ServerSubset } from "./server_subset.ts";
 import { StageBalancer } from "./stage_balancer.ts";
@@ -94,9 +98,22 @@
             this.#connectionPool.retain(new Set([...this.#directory.servers.values()].map(({ address }) => address)));
         });
         this.#serverLoads = new ServerLoadTracker(this.#directory);
+        const leavingServers = new LeavingServers({
+            directory: this.#directory,
+            clock: this.#clock,
+            drainMilliseconds: () => this.settings.bounds.drainMilliseconds,
+            metrics: this.#metrics,
+            logger: this.#logger,
+        });
+        const pausedServers = new PausedServers({
+            maximumMilliseconds: () => this.settings.maximumPauseMilliseconds,
+            metrics: this.#metrics,
+            logger: this.#logger,
+        });
+        const serverClient = new ServerClient(this.#connectionPool, adapter.headers, leavingServers, pausedServers);
         const crashDetection = createCrashDetection({
             adapter,
-            connectionPool: this.#connectionPool,
+            serverClient,
             directory: this.#directory,
             serverLoads: this.#serverLoads,
             isResponsible: part => this.#context.serverSubset.isTopRanked(part, 1),
@@ -117,6 +134,7 @@
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
             ...crashDetection,
+            leavingServers,
             stageBalancer: () => this.#stageBalancer,
             readsStore: () => this.#replicaFollower?.connected ?? false,
         });
@@ -147,7 +165,9 @@
             engineProtocol: adapter.engineProtocol,
             directory: this.#directory,
             serverLoads: this.#serverLoads,
-            connectionPool: this.#connectionPool,
+            serverClient,
+            availability: new ServerAvailability(this.#directory, leavingServers, pausedServers),
+            leavingServers,
             retryBudget: new RetryBudget(() => computeRetryLimit(this.settings.bounds), instanceCount),
             instanceCount,
             reportPeriodMilliseconds: () => this.#peerMesh.reportPeriodMilliseconds,
--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -8,6 +8,8 @@
 const bounds = z.object({
     /** Time from the shutdown signal until the process is killed. */
     graceSeconds: z.number().min(0).max(3_600).default(8),
+    /** Time after a server has said that it leaves, from which it must get no request. */
+    drainMilliseconds: milliseconds.default(2_000),
     /** Time within which a revoked API key must stop working. */
     revokeMilliseconds: milliseconds.default(5_000),
     /** Whether API keys are refused while their validity cannot be confirmed. */
@@ -48,6 +50,8 @@
     storeAddress: address,
     /** Whether the whole fleet starts for the first time. */
     firstStart: z.boolean().default(false),
+    /** Longest pause that a server may ask for; a longer one counts as this long. */
+    maximumPauseMilliseconds: milliseconds.default(300_000),
     /** Memory limit of the process. */
     memoryMegabytes: z.number().min(16),
     bounds: bounds.default(() => bounds.parse({})),
--- /dev/null
+++ b/packages/gateway/server_availability.ts
@@ -0,0 +1,105 @@
+import type { Directory, EngineStage, RegisteredServer } from "../directory/mod.ts";
+import type { GatewayRefusal } from "./gateway_refusal.ts";
+import type { LeavingServers } from "./leaving_servers.ts";
+import type { PausedServers } from "./paused_servers.ts";
+
+/** Delay in milliseconds after which a caller may retry when every server leaves. */
+const RETRY_AFTER_MILLISECONDS = 300;
+/** Time in milliseconds over which the callers that wait for the end of a pause are spread. */
+const RETRY_SPREAD_MILLISECONDS = 500;
+const NO_SERVERS: ReadonlySet<string> = new Set();
+
+/**
+ * Decides which registered servers may get requests now, given what they have said in their responses.
+ *
+ * @example
+ * ```ts
+ * const availability = new ServerAvailability(directory, leavingServers, pausedServers);
+ * availability.usableServers("models", "decode");
+ * ```
+ */
+export class ServerAvailability {
+    /**
+     * @param directory Registered servers.
+     * @param leavingServers Servers that have said that they leave.
+     * @param pausedServers Servers that have asked for a pause.
+     */
+    constructor(
+        private readonly directory: Directory,
+        private readonly leavingServers: LeavingServers,
+        private readonly pausedServers: PausedServers,
+    ) {}
+
+    /**
+     * Lists the servers of a service that may get requests.
+     *
+     * @param service Name of the service.
+     * @param stage Stage of the engines; undefined for all servers.
+     * @returns The servers.
+     */
+    usableServers(service: string, stage?: EngineStage): RegisteredServer[] {
+        return this.#registeredServers(service, stage).filter(server => this.#isAvailable(server));
+    }
+
+    /**
+     * Returns whether a server that was found earlier may still get requests.
+     *
+     * @param server The server as it was registered then.
+     * @returns Whether it may.
+     */
+    isUsable(server: RegisteredServer): boolean {
+        return this.directory.isUsable(server) && this.#isAvailable(server);
+    }
+
+    /**
+     * Removes the servers that have said that they leave, if others remain.
+     *
+     * @param servers The servers.
+     * @returns Those to prefer.
+     */
+    preferStaying(servers: RegisteredServer[]): RegisteredServer[] {
+        const staying = servers.filter(server => !this.leavingServers.isLeaving(server));
+        return staying.length > 0 ? staying : servers;
+    }
+
+    /**
+     * Finds out whether a request can be refused at once, since every server that is registered for it has said that it
+     * leaves or asked for a pause.
+     *
+     * @param service Name of the service.
+     * @param stage Stage of the engines; undefined for all servers.
+     * @param excluded Ids of servers that the request must not use. Default: none.
+     * @returns The refusal; undefined if a server may be used, or if none is registered.
+     */
+    findRefusal(service: string, stage?: EngineStage, excluded = NO_SERVERS): GatewayRefusal | undefined {
+        const servers = this.#registeredServers(service, stage).filter(({ id }) => !excluded.has(id));
+        if (servers.length === 0 || servers.some(server => this.#isAvailable(server))) {
+            return undefined;
+        }
+        const pauses = servers.filter(server => !this.leavingServers.isExcluded(server))
+            .map(server => this.pausedServers.remainingMilliseconds(server));
+        const refusal = { status: 503, verdict: "not-run" as const };
+        return pauses.length === 0
+            ? {
+                ...refusal,
+                reason: "no-backend-server",
+                message: "Every backend server has said that it leaves",
+                retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
+            }
+            : {
+                ...refusal,
+                reason: "servers-paused",
+                message: "Every backend server has asked for a pause",
+                retryAfterMilliseconds: Math.min(...pauses) + Math.random() * RETRY_SPREAD_MILLISECONDS,
+            };
+    }
+
+    #isAvailable(server: RegisteredServer): boolean {
+        return !this.leavingServers.isExcluded(server) && this.pausedServers.remainingMilliseconds(server) === 0;
+    }
+
+    #registeredServers(service: string, stage: EngineStage | undefined): RegisteredServer[] {
+        const servers = this.directory.usableServers(service);
+        return stage === undefined ? servers : servers.filter(server => server.stage === stage);
+    }
+}
--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -1,10 +1,11 @@
-import { type BackendConnectionPool, readResponseBody } from "../backends/mod.ts";
+import { readResponseBody } from "../backends/mod.ts";
 import { sleep } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
+import type { ServerClient } from "./server_client.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
 
 const TIMEOUT_MILLISECONDS = 500;
@@ -14,7 +15,7 @@
 
 /** Dependencies of {@linkcode ServerEndProbe}. */
 interface ServerEndProbeOptions {
-    connectionPool: BackendConnectionPool;
+    serverClient: ServerClient;
     crashRegistry: CrashRegistry;
     serverLoads: ServerLoadTracker;
     headers: ProtocolHeaders;
@@ -52,10 +53,9 @@
     }
 
     async #probe(server: RegisteredServer): Promise<void> {
-        const { connectionPool, crashRegistry, serverLoads, headers, engineProtocol, logger } = this.options;
+        const { serverClient, crashRegistry, serverLoads, headers, engineProtocol, logger } = this.options;
         const { method, path } = engineProtocol.report();
-        const response = await connectionPool.send({
-            address: server.address,
+        const response = await serverClient.send(server, {
             method,
             path,
             headers: ["Host", server.address, headers.expectedServer, server.id],
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -146,7 +146,10 @@
                 message: "No answer in time",
             };
         }
-        return refusal ?? failed("no-backend-server", "not-run", "No engine could take the request");
+        return refusal?.verdict === "may-have-run"
+            ? refusal
+            : this.context.availability.findRefusal(request.service.name, "decode")
+                ?? refusal ?? failed("no-backend-server", "not-run", "No engine could take the request");
     }
 
     async #runPass(
@@ -244,7 +247,7 @@
             progress.refused = { prefillResult: prefilled, by: engine };
             return outcome;
         }
-        if (outcome.kind === "moved" && prefilled) {
+        if ((outcome.kind === "moved" || outcome.kind === "withheld") && prefilled) {
             progress.refused = { prefillResult: prefilled, by: previouslyRefused?.by ?? engine };
             return outcome;
         }
@@ -273,8 +276,8 @@
 
     /** Finds out whether the request may no longer be sent to its decode engine. */
     #findObstacle(request: GatewayRequest, reservation: DecodeReservation): PassOutcome | undefined {
-        if (!this.context.directory.isUsable(reservation.server)) {
-            return { kind: "not-run", message: "The decode engine is leaving" };
+        if (!this.context.availability.isUsable(reservation.server)) {
+            return { kind: "withheld", message: "The decode engine is leaving or asks for a pause" };
         }
         if (request.key !== undefined && !this.context.directoryUpdater.canAcceptKey(request.key)) {
             return { kind: "key-withdrawn", message: "The key cannot be confirmed" };
--- a/packages/peers/cell_summaries.ts
+++ b/packages/peers/cell_summaries.ts
@@ -1,5 +1,6 @@
 import type { SuspensionAwareClock } from "../clocks/mod.ts";
 import { createEmptyReport, mergePromptPartReports } from "../prompt_parts/mod.ts";
+import { mergeLeaving } from "./_merge_leaving.ts";
 import type { CellState } from "./cell_state.ts";
 import type { CellSummary } from "./cell_summary.ts";
 import type { UsageSummary } from "./usage_summary.ts";
@@ -116,6 +117,7 @@
             stageLoads: {},
             changing: [],
             gone: [],
+            leaving: [],
             crashes: [],
             promptParts: createEmptyReport(),
         };
@@ -186,5 +188,6 @@
     }
     merged.changing.push(...state.changing);
     merged.gone.push(...state.gone);
+    merged.leaving = mergeLeaving(merged.leaving, state.leaving);
     merged.crashes.push(...state.crashes);
 }
