Split the creation of server access and status servers off the gateway

Change: mechanical. create_server_access.ts creates what sends requests to servers, _status_servers.ts holds the readiness check and the counters.

Measured: coordination_test.ts and leaving_servers_test.ts pass.

--- /dev/null
+++ b/packages/gateway/create_server_access.ts
@@ -0,0 +1,53 @@
+import type { BackendConnectionPool } from "../backends/mod.ts";
+import type { SuspensionAwareClock } from "../clocks/mod.ts";
+import type { Directory } from "../directory/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+import type { GatewaySettings } from "./gateway_settings.ts";
+import { LeavingServers } from "./leaving_servers.ts";
+import { PausedServers } from "./paused_servers.ts";
+import type { ProtocolHeaders } from "./protocol_headers.ts";
+import { ServerAvailability } from "./server_availability.ts";
+import { ServerClient } from "./server_client.ts";
+
+/** Dependencies of the access to servers. */
+interface ServerAccessOptions {
+    connectionPool: BackendConnectionPool;
+    headers: ProtocolHeaders;
+    directory: Directory;
+    clock: SuspensionAwareClock;
+    /** Current settings. */
+    settings: () => GatewaySettings;
+    metrics: Metrics;
+    logger: Logger;
+}
+
+/**
+ * Creates what sends requests to servers and keeps what the servers say of themselves in their responses.
+ *
+ * @param options Dependencies.
+ * @returns The objects, by their names in the gateway's context.
+ * @example
+ * ```ts
+ * const { serverClient, availability } = createServerAccess(options);
+ * ```
+ */
+export function createServerAccess(
+    options: ServerAccessOptions,
+): Pick<GatewayContext, "availability" | "leavingServers" | "serverClient"> {
+    const { connectionPool, headers, directory, settings } = options;
+    const leavingServers = new LeavingServers({
+        ...options,
+        drainMilliseconds: () => settings().bounds.drainMilliseconds,
+    });
+    const pausedServers = new PausedServers({
+        ...options,
+        maximumMilliseconds: () => settings().maximumPauseMilliseconds,
+    });
+    return {
+        leavingServers,
+        availability: new ServerAvailability(directory, leavingServers, pausedServers),
+        serverClient: new ServerClient(connectionPool, headers, leavingServers, pausedServers),
+    };
+}
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -1,5 +1,4 @@
 import { randomBytes } from "node:crypto";
-import { createServer, type Server } from "node:http";
 import type { Writable } from "node:stream";
 import { BackendConnectionPool } from "../backends/mod.ts";
 import { monotonicMilliseconds, sleep, SuspensionAwareClock } from "../clocks/mod.ts";
@@ -10,8 +9,9 @@
 import { PeerMesh } from "../peers/mod.ts";
 import { ItemReplica, ReplicaFollower } from "../replica/mod.ts";
 import { computeRetryLimit } from "./_compute_retry_limit.ts";
-import { listen } from "./_listen.ts";
+import { StatusServers } from "./_status_servers.ts";
 import { createCrashDetection } from "./create_crash_detection.ts";
+import { createServerAccess } from "./create_server_access.ts";
 import { DirectoryUpdater } from "./directory_updater.ts";
 import { drainCallers } from "./drain_callers.ts";
 import { FleetReporter } from "./fleet_reporter.ts";
@@ -19,12 +19,8 @@
 import type { GatewayContext } from "./gateway_context.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
-import { LeavingServers } from "./leaving_servers.ts";
-import { PausedServers } from "./paused_servers.ts";
 import { RateLimiter } from "./rate_limiter.ts";
 import { RetryBudget } from "./retry_budget.ts";
-import { ServerAvailability } from "./server_availability.ts";
-import { ServerClient } from "./server_client.ts";
 import { ServerLoadTracker } from "./server_load_tracker.ts";
 import { ServerSubset } from "./server_subset.ts";
 import { StageBalancer } from "./stage_balancer.ts";
@@ -58,8 +54,7 @@
     readonly #connectionPool = new BackendConnectionPool();
     readonly #store: CoordinationStore;
     readonly #server: GatewayServer;
-    readonly #readinessServer: Server;
-    readonly #metricsServer: Server;
+    readonly #statusServers: StatusServers;
     readonly #incarnation = randomBytes(4).toString("hex");
     readonly #serverLoads: ServerLoadTracker;
     readonly #rateLimiter: RateLimiter;
@@ -98,22 +93,18 @@
             this.#connectionPool.retain(new Set([...this.#directory.servers.values()].map(({ address }) => address)));
         });
         this.#serverLoads = new ServerLoadTracker(this.#directory);
-        const leavingServers = new LeavingServers({
+        const serverAccess = createServerAccess({
+            connectionPool: this.#connectionPool,
+            headers: adapter.headers,
             directory: this.#directory,
             clock: this.#clock,
-            drainMilliseconds: () => this.settings.bounds.drainMilliseconds,
-            metrics: this.#metrics,
-            logger: this.#logger,
-        });
-        const pausedServers = new PausedServers({
-            maximumMilliseconds: () => this.settings.maximumPauseMilliseconds,
+            settings: () => this.settings,
             metrics: this.#metrics,
             logger: this.#logger,
         });
-        const serverClient = new ServerClient(this.#connectionPool, adapter.headers, leavingServers, pausedServers);
         const crashDetection = createCrashDetection({
             adapter,
-            serverClient,
+            serverClient: serverAccess.serverClient,
             directory: this.#directory,
             serverLoads: this.#serverLoads,
             isResponsible: part => this.#context.serverSubset.isTopRanked(part, 1),
@@ -134,7 +125,7 @@
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
             ...crashDetection,
-            leavingServers,
+            leavingServers: serverAccess.leavingServers,
             stageBalancer: () => this.#stageBalancer,
             readsStore: () => this.#replicaFollower?.connected ?? false,
         });
@@ -165,9 +156,7 @@
             engineProtocol: adapter.engineProtocol,
             directory: this.#directory,
             serverLoads: this.#serverLoads,
-            serverClient,
-            availability: new ServerAvailability(this.#directory, leavingServers, pausedServers),
-            leavingServers,
+            ...serverAccess,
             retryBudget: new RetryBudget(() => computeRetryLimit(this.settings.bounds), instanceCount),
             instanceCount,
             reportPeriodMilliseconds: () => this.#peerMesh.reportPeriodMilliseconds,
@@ -186,14 +175,7 @@
         };
         this.#context = context;
         this.#server = new GatewayServer(context, this.#rateLimiter);
-        this.#readinessServer = createServer((request, response) => {
-            response.writeHead(request.url === adapter.readinessPath && this.ready ? 200 : 503);
-            response.end();
-        });
-        this.#metricsServer = createServer((_request, response) => {
-            response.writeHead(200, { "Content-Type": "text/plain" });
-            response.end(this.#metrics.render());
-        });
+        this.#statusServers = new StatusServers(adapter.readinessPath, () => this.ready, this.#metrics);
     }
 
     /**
@@ -213,8 +195,7 @@
             metrics: this.#metrics,
         });
         await this.#server.listen(this.settings.callersAddress);
-        await listen(this.#readinessServer, this.settings.readinessAddress);
-        await listen(this.#metricsServer, this.settings.metricsAddress);
+        await this.#statusServers.listen(this.settings.readinessAddress, this.settings.metricsAddress);
         await this.#peerMesh.start(this.settings.instancesAddress);
         this.#leadership = new Leadership({
             key: STAGE_LEADER_KEY,
@@ -261,8 +242,7 @@
         this.#connectionPool.close();
         this.#store.close();
         await Promise.all([this.#replicaFollower?.close(), this.#giveUpLeadership(), this.#peerMesh.close()]);
-        this.#readinessServer.close();
-        this.#metricsServer.close();
+        this.#statusServers.close();
     }
 
     /** Gives up the leadership, so that another instance can take it. */
