Do not end an answer because its engine is silent

What callers saw: a model stream ended in the middle, or got a 502 before its first event, although its engine was sound and went on a little later. Cause: an engine that sent no event for 2.5 s (0.7 s where the stream may go on elsewhere, or twice the permitted pause) was given up first, and a retry and another engine were looked for afterwards. Streams that may not be resumed always ended so; those that may, whenever the retries were spent or no other engine had memory. Change: SilenceWatch asks after each period of silence whether the run is given up. SuccessorSearch answers yes only once another engine has reserved memory, a retry is spent, the key may still be used and the engine has sent nothing meanwhile; only then is the first run ended, and the stream goes on at the reserved engine. Otherwise it is relayed until its deadline or its caller's end. A long silence still counts once as a failure of the engine. Tests: a stream that sends bytes but no event still ends (relay_events_test.ts, the same check, with another engine at hand; two new ones without). Left: a stream whose next engine, found before, then fails or refuses it still ends.

--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -10,6 +10,7 @@
 import type { PassOutcome } from "./pass_outcome.ts";
 import type { PassProgress } from "./pass_progress.ts";
 import { relayEvents } from "./relay_events.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 
 /** Time in milliseconds that an engine is avoided after it did not answer. */
 const AVOID_MILLISECONDS = 800;
@@ -29,6 +30,8 @@
     progress: PassProgress;
     /** Prompt tokens that the decode engine computes itself. */
     localPrefillTokens: number;
+    /** Finds another engine that the stream can go on at; undefined if it must end where it runs. */
+    findSuccessor: ((isStillSilent: () => boolean) => Promise<boolean>) | undefined;
 }
 
 /**
@@ -53,7 +56,39 @@
      * @returns How the run ended.
      */
     async run(run: DecodeRun, onFirstEvent: () => void): Promise<PassOutcome> {
-        const { request, reservation, extraHeaders, progress, localPrefillTokens } = run;
+        const watch = this.#watch(run);
+        try {
+            return await this.#send(run, watch, onFirstEvent);
+        }
+        finally {
+            watch.close();
+        }
+    }
+
+    /** Watches for silence, which counts as one failure of the engine even where the run goes on. */
+    #watch({ request, reservation, localPrefillTokens, findSuccessor }: DecodeRun): SilenceWatch {
+        const load = this.context.serverLoads.get(reservation.server.id);
+        const idleTimeout = engineIdleTimeout(request, findSuccessor !== undefined);
+        let recorded = false;
+        const onSilence = async (isStillSilent: () => boolean) => {
+            const found = await findSuccessor?.(isStillSilent) ?? false;
+            if (!found && !recorded) {
+                recorded = true;
+                load.recordFailure();
+                this.context.metrics.increment("silent_runs_total");
+            }
+            return found;
+        };
+        return new SilenceWatch(
+            idleTimeout,
+            request.signal,
+            onSilence,
+            idleTimeout + localPrefillTokens / SLOWEST_LOCAL_TOKENS_PER_MILLISECOND,
+        );
+    }
+
+    async #send(run: DecodeRun, watch: SilenceWatch, onFirstEvent: () => void): Promise<PassOutcome> {
+        const { request, reservation, extraHeaders, progress } = run;
         const { headers, connectionPool, serverLoads, metrics } = this.context;
         const { server } = reservation;
         const load = serverLoads.get(server.id);
@@ -64,25 +99,27 @@
             path: request.path,
             headers: [...withoutHeaders(backendHeaders(request, server, headers), extraHeaders), ...extraHeaders],
             body: request.body.length > 0 ? request.body : undefined,
-            timeoutMilliseconds: Math.min(
-                engineIdleTimeout(request, progress) + localPrefillTokens / SLOWEST_LOCAL_TOKENS_PER_MILLISECOND,
-                request.deadline - monotonicMilliseconds(),
-            ),
-            signal: request.signal,
+            timeoutMilliseconds: request.deadline - monotonicMilliseconds(),
+            signal: watch.signal,
             correlation: { header: headers.requestId, value: request.id },
         });
         if (response.isErr()) {
-            metrics.increment("decodes_total", { result: response.error.kind });
+            metrics.increment("decodes_total", { result: watch.isGivenUp ? "silent" : response.error.kind });
             if (response.error.verdict === "not-run") {
                 load.recordFailure();
             }
-            if (response.error.kind !== "aborted") {
+            if (response.error.kind !== "aborted" || watch.isGivenUp) {
                 load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
             }
-            return { kind: response.error.verdict, message: response.error.message };
+            const message = watch.isGivenUp ? "The engine did not begin its answer" : response.error.message;
+            return { kind: response.error.verdict, message };
         }
+        watch.touch();
         const { status } = response.value;
         metrics.increment("decodes_total", { result: String(status) });
+        if (status !== 200) {
+            watch.close();
+        }
         if (status === 421 || response.value.headers[headers.notRun] !== undefined) {
             await readResponseBody(response.value, ERROR_BODY_MILLISECONDS, MAXIMUM_RESPONSE_BYTES);
             if (status === 421) {
@@ -102,7 +139,7 @@
             return { kind: "may-have-run", message: "The engine's answer is not signed or is encoded" };
         }
         return await relayEvents(
-            { request, reservation, progress, onEvent: onFirstEvent },
+            { request, reservation, progress, watch, onEvent: onFirstEvent },
             response.value,
             this.context,
         );
--- a/packages/gateway/pass_progress.ts
+++ b/packages/gateway/pass_progress.ts
@@ -1,3 +1,4 @@
+import type { DecodeReservation } from "./decode_reservation.ts";
 import type { PrefillResult } from "./prefill_result.ts";
 
 /** State of a stream that is kept from one pass to the next. */
@@ -12,6 +13,8 @@
     localPrefill: boolean;
     /** Prefill result that the decode engine `by` did not accept; the next pass offers it to another engine. */
     refused: { prefillResult: PrefillResult; by: string; } | undefined;
+    /** Memory of another engine, with a retry spent, at which the next pass goes on. */
+    successor: DecodeReservation | undefined;
     /** Ids of decode engines that the next pass must not use. */
     excluded: Set<string>;
 }
--- a/packages/gateway/relay_events.ts
+++ b/packages/gateway/relay_events.ts
@@ -2,12 +2,12 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
-import { engineIdleTimeout } from "./engine_idle_timeout.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { PassOutcome } from "./pass_outcome.ts";
 import type { PassProgress } from "./pass_progress.ts";
+import type { SilenceWatch } from "./silence_watch.ts";
 
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
@@ -16,12 +16,14 @@
     request: GatewayRequest;
     reservation: DecodeReservation;
     progress: PassProgress;
+    /** Aborts when the stream is given up. */
+    watch: SilenceWatch;
     /** Called for each event; the first one shows that the prompt has been computed. */
     onEvent: () => void;
 }
 
 /**
- * Relays the events of a decode engine, complete and in order, until the stream ends, fails or is idle for too long.
+ * Relays the events of a decode engine, complete and in order, until the stream ends, fails or is given up.
  *
  * @param stream The stream; its progress is updated.
  * @param backendResponse Response of the engine, of which the headers have arrived.
@@ -29,7 +31,7 @@
  * @returns How the stream ended.
  * @example
  * ```ts
- * const outcome = await relayEvents({ request, reservation, progress, onEvent }, backendResponse, context);
+ * const outcome = await relayEvents({ request, reservation, progress, watch, onEvent }, backendResponse, context);
  * ```
  */
 export function relayEvents(
@@ -37,7 +39,7 @@
     backendResponse: BackendResponse,
     context: GatewayContext,
 ): Promise<PassOutcome> {
-    const { request, reservation, progress, onEvent } = stream;
+    const { request, reservation, progress, watch, onEvent } = stream;
     const { response } = request;
     const splitter = new EventSplitter();
     return new Promise(resolve => {
@@ -47,8 +49,8 @@
                 return;
             }
             finished = true;
-            clearTimeout(idleTimer);
-            request.signal.removeEventListener("abort", abort);
+            watch.close();
+            watch.signal.removeEventListener("abort", abort);
             if (outcome.kind === "completed") {
                 context.serverLoads.get(reservation.server.id).recordSuccess();
                 response.end();
@@ -59,11 +61,13 @@
             context.metrics.increment("streams_total", { result: outcome.kind });
             resolve(outcome);
         };
-        const abort = () => finish({ kind: "broken", message: "The request was given up" });
-        const idleTimeout = engineIdleTimeout(request, progress);
-        const onIdle = () => finish({ kind: "broken", message: "The stream fell silent" });
-        let idleTimer = setTimeout(onIdle, idleTimeout);
-        request.signal.addEventListener("abort", abort, { once: true });
+        const abort = () => {
+            finish({
+                kind: "broken",
+                message: watch.isGivenUp ? "The stream fell silent" : "The request was given up",
+            });
+        };
+        watch.signal.addEventListener("abort", abort, { once: true });
         backendResponse.body.on("data", (chunk: Buffer) => {
             if (finished) {
                 return;
@@ -90,8 +94,7 @@
             }
             // Only a whole event shows that the engine makes progress.
             if (events.length > 0) {
-                clearTimeout(idleTimer);
-                idleTimer = setTimeout(onIdle, idleTimeout);
+                watch.touch();
             }
         });
         backendResponse.body.on("close", () => {
--- a/packages/gateway/relay_events_test.ts
+++ b/packages/gateway/relay_events_test.ts
@@ -2,10 +2,12 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import type { BackendResponse } from "../backends/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
+import { engineIdleTimeout } from "./engine_idle_timeout.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { PassProgress } from "./pass_progress.ts";
 import { relayEvents } from "./relay_events.ts";
+import { SilenceWatch } from "./silence_watch.ts";
 
 const MINUTE_MILLISECONDS = 60_000;
 
@@ -17,8 +19,11 @@
     vi.useRealTimers();
 });
 
-/** Relays a stream of a resumable route on which pauses of the given length are on time. */
-function relay(targetGapMilliseconds: number) {
+/**
+ * Relays a stream of a resumable route on which pauses of the given length are on time. The stream can go on elsewhere if
+ * `findSuccessor` returns true.
+ */
+function relay(targetGapMilliseconds: number, findSuccessor = () => Promise.resolve(true)) {
     const body = new PassThrough();
     const written: string[] = [];
     const response = {
@@ -29,6 +34,7 @@
         write: (bytes: Buffer) => written.push(bytes.toString()),
         end: () => {},
     };
+    const abort = new AbortController();
     const backendResponse = {
         body: Object.assign(body, { complete: false }),
         rawHeaders: [],
@@ -39,7 +45,7 @@
         response,
         receivedAt: 0,
         exchange: { events: 0 },
-        signal: new AbortController().signal,
+        signal: abort.signal,
         route: { resumable: true, maximumServers: 3, targetGapMilliseconds },
     } as unknown as GatewayRequest;
     const context = {
@@ -48,8 +54,9 @@
     } as unknown as GatewayContext;
     const progress = { lastEventId: undefined, runs: 0 } as PassProgress;
     const reservation = { server: { id: "engine-1" } } as never;
-    const outcome = relayEvents({ request, reservation, progress, onEvent: () => {} }, backendResponse, context);
-    return { body, written, outcome };
+    const watch = new SilenceWatch(engineIdleTimeout(request, true), request.signal, findSuccessor);
+    const outcome = relayEvents({ request, reservation, progress, watch, onEvent: () => {} }, backendResponse, context);
+    return { body, written, outcome, giveUp: () => abort.abort("deadline") };
 }
 
 test("a stream whose events come just within the permitted pause is not cut, for minutes", async () => {
@@ -74,6 +81,44 @@
     expect(await outcome).toEqual({ kind: "broken", message: "The stream fell silent" });
 });
 
+// Guards against answers that end although no other engine can continue them.
+test("a silent stream that cannot go on elsewhere is relayed until its request is given up", async () => {
+    let searches = 0;
+    const { body, written, outcome, giveUp } = relay(300, () => {
+        searches++;
+        return Promise.resolve(false);
+    });
+    body.write("id: 1\ndata: x\n\n");
+    await vi.advanceTimersByTimeAsync(MINUTE_MILLISECONDS);
+    expect(body.destroyed).toBe(false);
+    expect(searches).toBeGreaterThan(1);
+    body.write("id: 2\ndata: x\n\n");
+    await vi.advanceTimersByTimeAsync(1);
+    expect(written).toHaveLength(2);
+    giveUp();
+    expect(await outcome).toEqual({ kind: "broken", message: "The request was given up" });
+    expect(body.destroyed).toBe(true);
+});
+
+// Guards against a stream that is broken off for a silence that has ended meanwhile.
+test("a stream whose engine sends an event while another engine is sought stays where it is", async () => {
+    let found: (value: boolean) => void = () => {};
+    const { body, written } = relay(300, () =>
+        new Promise<boolean>(resolve => {
+            found = resolve;
+        }));
+    body.write("id: 1\ndata: x\n\n");
+    await vi.advanceTimersByTimeAsync(1_000);
+    body.write("id: 2\ndata: x\n\n");
+    await vi.advanceTimersByTimeAsync(1);
+    found(true);
+    await vi.advanceTimersByTimeAsync(1);
+    expect(body.destroyed).toBe(false);
+    body.write("id: 3\ndata: x\n\n");
+    await vi.advanceTimersByTimeAsync(1);
+    expect(written).toHaveLength(3);
+});
+
 test("an event without an end is not collected without a limit", async () => {
     const { body, outcome } = relay(300);
     body.write("id: 1\ndata: x\n\nid: 2\ndata: ");
--- a/packages/gateway/retry_budget.ts
+++ b/packages/gateway/retry_budget.ts
@@ -43,26 +43,34 @@
     }
 
     /**
-     * Spends one retry if the budget allows it.
+     * Returns whether the budget allows a retry now.
      *
      * @param service Name of the service.
-     * @returns Whether the retry is allowed.
+     * @returns Whether {@linkcode trySpend} would succeed.
      */
-    trySpend(service: string): boolean {
-        const current = this.#currentBucket(service);
-        const buckets = this.#buckets.get(service) ?? [];
+    canSpend(service: string): boolean {
+        this.#currentBucket(service);
         let requests = 0;
         let retries = 0;
-        for (const bucket of buckets) {
+        for (const bucket of this.#buckets.get(service) ?? []) {
             requests += bucket.requests;
             retries += bucket.retries;
         }
         const { ratio, slack } = this.limit();
-        const allowed = ratio * requests + slack / this.instanceCount();
-        if (retries + 1 > allowed) {
+        return retries + 1 <= ratio * requests + slack / this.instanceCount();
+    }
+
+    /**
+     * Spends one retry if the budget allows it.
+     *
+     * @param service Name of the service.
+     * @returns Whether the retry is allowed.
+     */
+    trySpend(service: string): boolean {
+        if (!this.canSpend(service)) {
             return false;
         }
-        current.retries++;
+        this.#currentBucket(service).retries++;
         return true;
     }
 
--- a/packages/gateway/retry_budget_test.ts
+++ b/packages/gateway/retry_budget_test.ts
@@ -29,3 +29,12 @@
     expect(budget.trySpend("orders")).toBe(false);
     expect(budget.trySpend("models")).toBe(true);
 });
+
+test("whether a retry is allowed can be asked without spending it", () => {
+    const budget = new RetryBudget(limit, () => 1);
+    for (let question = 0; question < 100; question++) {
+        expect(budget.canSpend("orders")).toBe(true);
+    }
+    expect(spendAll(budget)).toBe(52);
+    expect(budget.canSpend("orders")).toBe(false);
+});
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -14,6 +14,7 @@
 import type { PrefillFailure } from "./prefill_failure.ts";
 import type { PrefillResult } from "./prefill_result.ts";
 import { sendRefusal } from "./send_refusal.ts";
+import { SuccessorSearch } from "./successor_search.ts";
 
 /** Largest number of passes of one request through prefill and decode. */
 const MAXIMUM_PASSES = 4;
@@ -32,6 +33,7 @@
  */
 export class StreamForwarder {
     readonly #decodePass: DecodePass;
+    readonly #successorSearch: SuccessorSearch;
 
     /**
      * @param context Shared objects of the gateway.
@@ -46,6 +48,7 @@
         private readonly prefillDispatcher: PrefillDispatcher,
     ) {
         this.#decodePass = new DecodePass(context);
+        this.#successorSearch = new SuccessorSearch(context, queue, engineClient);
     }
 
     /**
@@ -61,20 +64,23 @@
             prefillAttempted: false,
             localPrefill: false,
             refused: undefined,
+            successor: undefined,
             excluded: new Set(),
         };
         let refusal: GatewayRefusal | undefined;
         for (let pass = 0; pass < MAXIMUM_PASSES && !request.signal.aborted; pass++) {
-            if (pass > 0 && !this.context.retryBudget.trySpend(request.service.name)) {
+            const { successor } = progress;
+            progress.successor = undefined;
+            if (pass > 0 && !successor && !this.context.retryBudget.trySpend(request.service.name)) {
                 refusal ??= failed("retry-budget-spent", "not-run", "Too many requests are being retried");
                 break;
             }
-            const reservation = await this.queue.acquire(request, progress.excluded);
+            const reservation = successor ? ok(successor) : await this.queue.acquire(request, progress.excluded);
             if (reservation.isErr()) {
                 refusal ??= reservation.error;
                 break;
             }
-            const outcome = await this.#runPass(request, reservation.value, progress);
+            const outcome = await this.#runPass(request, reservation.value, progress, pass + 1 < MAXIMUM_PASSES);
             this.context.logger.info("generation pass ended", {
                 request: request.id,
                 pass: pass + 1,
@@ -113,6 +119,7 @@
             }
         }
         this.#releaseRefusedPrefill(progress);
+        this.#successorSearch.releaseUnused(progress);
         const final = this.#finalRefusal(request, refusal);
         sendRefusal(request, final, this.context);
         return final.verdict;
@@ -144,6 +151,7 @@
         request: GatewayRequest,
         reservation: DecodeReservation,
         progress: PassProgress,
+        mayPassAgain: boolean,
     ): Promise<PassOutcome> {
         let reservationUsed = false;
         try {
@@ -182,7 +190,13 @@
                 localPrefillEnded = true;
             };
             let localPrefillEnded = false;
-            const run = { request, reservation, extraHeaders, progress, localPrefillTokens };
+            const mayResume = mayPassAgain && request.route.resumable
+                && progress.runs + 1 < request.route.maximumServers;
+            const findSuccessor = mayResume
+                ? (isStillSilent: () => boolean) =>
+                    this.#successorSearch.find(request, progress, reservation, isStillSilent)
+                : undefined;
+            const run = { request, reservation, extraHeaders, progress, localPrefillTokens, findSuccessor };
             const outcome = await this.#decodePass.run(run, endLocalPrefill).finally(endLocalPrefill);
             return this.#applyOutcome(outcome, prefilled.unwrapOr(undefined), reservation, progress);
         }
