--- /dev/null
+++ b/packages/gateway/_choose_final_refusal.ts
@@ -0,0 +1,22 @@
+import { createStreamRefusal } from "./_create_stream_refusal.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+import type { GatewayRefusal } from "./gateway_refusal.ts";
+import type { GatewayRequest } from "./gateway_request.ts";
+
+/** Chooses what a model request is told in the end, given the refusal of its last pass. */
+export function chooseFinalRefusal(
+    request: GatewayRequest,
+    refusal: GatewayRefusal | undefined,
+    context: GatewayContext,
+): GatewayRefusal {
+    if (request.signal.aborted) {
+        const verdict = refusal?.verdict ?? "not-run";
+        const status = verdict === "not-run" ? 503 : 504;
+        return { status, reason: "deadline-passed", verdict, message: "No answer in time" };
+    }
+    if (refusal?.verdict === "may-have-run") {
+        return refusal;
+    }
+    return context.availability.findRefusal(request.service.name, "decode")
+        ?? refusal ?? createStreamRefusal("no-backend-server", "not-run", "No engine could take the request");
+}
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -1,6 +1,8 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { Verdict } from "../verdicts/mod.ts";
+import { chooseFinalRefusal } from "./_choose_final_refusal.ts";
+import { createStreamRefusal } from "./_create_stream_refusal.ts";
 import { CrashEvidence } from "./crash_evidence.ts";
 import { DecodePass } from "./decode_pass.ts";
 import type { DecodeQueue } from "./decode_queue.ts";
@@ -78,7 +80,7 @@
             const { successor } = progress;
             progress.successor = undefined;
             if (pass > 0 && !successor && !this.context.retryBudget.trySpend(request.service.name)) {
-                refusal ??= failed("retry-budget-spent", "not-run", "Too many requests are being retried");
+                refusal ??= createStreamRefusal("retry-budget-spent", "not-run", "Too many requests are being retried");
                 break;
             }
             const reservation = successor ? ok(successor) : await this.queue.acquire(request, progress.excluded);
@@ -106,7 +108,9 @@
             }
             if (outcome.kind === "key-withdrawn") {
                 // An earlier pass may have run, which its refusal says.
-                refusal = progress.runs > 0 ? refusal : failed("configuration-stale", "not-run", outcome.message);
+                refusal = progress.runs > 0
+                    ? refusal
+                    : createStreamRefusal("configuration-stale", "not-run", outcome.message);
                 break;
             }
             if (outcome.kind !== "handle-lost") {
@@ -117,19 +121,19 @@
                     this.context.serverLoads.get(reservation.value.server.id).recordFailure();
                 }
                 progress.runs++;
-                refusal = failed("backend-failed", "may-have-run", outcome.message);
+                refusal = createStreamRefusal("backend-failed", "may-have-run", outcome.message);
                 const mayRepeat = request.route.resumable && progress.runs < request.route.maximumServers;
                 if (!mayRepeat) {
                     break;
                 }
             }
             else {
-                refusal ??= failed("no-backend-server", "not-run", outcome.message);
+                refusal ??= createStreamRefusal("no-backend-server", "not-run", outcome.message);
             }
         }
         this.#releaseRefusedPrefill(progress);
         this.#successorSearch.releaseUnused(progress);
-        const final = this.#finalRefusal(request, refusal);
+        const final = chooseFinalRefusal(request, refusal, this.context);
         sendRefusal(request, final, this.context);
         return final.verdict;
     }
@@ -143,22 +147,6 @@
         }
     }
 
-    #finalRefusal(request: GatewayRequest, refusal: GatewayRefusal | undefined): GatewayRefusal {
-        if (request.signal.aborted) {
-            const verdict = refusal?.verdict ?? "not-run";
-            return {
-                status: verdict === "not-run" ? 503 : 504,
-                reason: "deadline-passed",
-                verdict,
-                message: "No answer in time",
-            };
-        }
-        return refusal?.verdict === "may-have-run"
-            ? refusal
-            : this.context.availability.findRefusal(request.service.name, "decode")
-                ?? refusal ?? failed("no-backend-server", "not-run", "No engine could take the request");
-    }
-
     async #runPass(
         request: GatewayRequest,
         reservation: DecodeReservation,
@@ -302,12 +290,3 @@
         return undefined;
     }
 }
-
-function failed(
-    reason: GatewayRefusal["reason"],
-    verdict: GatewayRefusal["verdict"],
-    message: string,
-): GatewayRefusal {
-    const status = verdict === "not-run" ? 503 : 502;
-    return { status, reason, verdict, message, ...verdict === "not-run" ? { retryAfterMilliseconds: 500 } : {} };
-}
