Keep idle connections open by the limit that callers go by

What callers saw: a request on a kept connection ended without an answer, since the connection was closed as it was on its way, after a change of IdleTimeoutMs. Cause: the HTTP server arms its idle timer when an answer has ended, with the limit in force then. After a raise, connections armed before were closed by the old limit while callers already went by the new one; after a lowering while a request ran, its answer announced the old limit in Keep-Alive and the connection was closed by the new one. There was no margin either for a request on its way at the very limit. Change: a connection is closed only once it has been idle for longer than the limit that its last answer announced and than the present one, and one second more.

--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -6,6 +6,8 @@
 import type { GatewayContext } from "./gateway_context.ts";
 import { headerOf } from "./header_of.ts";
 
+/** Time in milliseconds for which an idle connection stays open beyond the limit, since a request may be on its way. */
+const IDLE_MARGIN_MILLISECONDS = 1_000;
 /** Status lines for requests that the HTTP parser or a timer rejects, by the code of the error. */
 const PARSER_RESPONSES: Record<string, string> = {
     HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
@@ -23,6 +25,10 @@
 interface CallerConnection {
     /** Number of requests whose headers were received. */
     requests: number;
+    /** Idle limit in milliseconds that the last answer announced. */
+    announcedIdleMilliseconds: number;
+    /** Monotonic time in milliseconds at which the last answer ended. */
+    idleSince: number;
     /** Bytes received up to the end of the last whole request. */
     wholeBytes: number;
     /** Whether the rest of the body of an answered request has not arrived. */
@@ -55,8 +61,9 @@
      * @param context Shared objects of the gateway.
      * @param server The server for callers.
      */
-    constructor(private readonly context: GatewayContext, server: Server) {
+    constructor(private readonly context: GatewayContext, private readonly server: Server) {
         server.on("connection", (socket: Socket) => this.#watch(socket));
+        server.on("timeout", (socket: Socket) => this.#closeIfIdle(socket));
         server.on("clientError", (error: Error, socket: Socket) => this.#reject(socket, error));
     }
 
@@ -82,6 +89,7 @@
             return exchange;
         }
         connection.requests++;
+        connection.announcedIdleMilliseconds = this.server.keepAliveTimeout;
         connection.current = { exchange, incoming, response };
         const requestOfConnection = connection.requests;
         const bytesWrittenBefore = socket.bytesWritten;
@@ -92,6 +100,7 @@
         response.on("close", () => {
             if (connection.current?.exchange === exchange) {
                 connection.current = undefined;
+                connection.idleSince = monotonicMilliseconds();
             }
             if (response.writableFinished || exchange.answered) {
                 connection.bodyPending = !incoming.complete;
@@ -122,6 +131,8 @@
         const openedAt = monotonicMilliseconds();
         const connection: CallerConnection = {
             requests: 0,
+            announcedIdleMilliseconds: 0,
+            idleSince: openedAt,
             wholeBytes: 0,
             bodyPending: false,
             current: undefined,
@@ -144,6 +155,22 @@
         });
     }
 
+    /**
+     * Closes a connection that has been idle for longer than both the limit that its last answer announced and the present
+     * one. Callers go by either while a change of the limit spreads.
+     */
+    #closeIfIdle(socket: Socket): void {
+        const connection = this.#connections.get(socket);
+        const idleMilliseconds = monotonicMilliseconds() - (connection?.idleSince ?? 0);
+        const limit = Math.max(connection?.announcedIdleMilliseconds ?? 0, this.server.keepAliveTimeout)
+            + IDLE_MARGIN_MILLISECONDS;
+        if (connection && !this.#shuttingDown && idleMilliseconds < limit) {
+            socket.setTimeout(Math.max(1, limit - idleMilliseconds));
+            return;
+        }
+        socket.destroy();
+    }
+
     /** Answers bytes that are no request, and requests that are not received in time, and closes their connection. */
     #reject(socket: Socket, error: Error): void {
         const connection = this.#connections.get(socket);
