Do not cut an answer that its caller is still reading when shutting down

What callers saw: a long answer ended in the middle while an instance shut down. Cause: the idle connections are closed every 25 ms of a shutdown. The HTTP server counts a connection as idle once its answer has been written, although bytes of it may still wait for a caller or a link that takes them slowly. Evidence: idle_connections_test.ts, a caller that pauses one second while it reads 7 MB: on the code before, 'expected 3919872 to be greater than 7340032'. Change: CallerConnections closes only connections without a request under way, without unread bytes and without bytes to be sent; the server's own method is replaced by it, since closing the port calls that too. Result: idle_connections_test.ts 5, coordination_test.ts and incomplete_answers_test.ts pass (24 in all).

--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -54,7 +54,7 @@
  * ```
  */
 export class CallerConnections {
-    readonly #connections = new WeakMap<Socket, CallerConnection>();
+    readonly #connections = new Map<Socket, CallerConnection>();
     #shuttingDown = false;
 
     /**
@@ -62,6 +62,8 @@
      * @param server The server for callers.
      */
     constructor(private readonly context: GatewayContext, private readonly server: Server) {
+        // The server's own method, which its close() calls too, cuts answers that have been written but not sent.
+        server.closeIdleConnections = () => this.closeIdle();
         server.on("connection", (socket: Socket) => this.#watch(socket));
         server.on("timeout", (socket: Socket) => this.#closeIfIdle(socket));
         server.on("clientError", (error: Error, socket: Socket) => this.#reject(socket, error));
@@ -127,6 +129,17 @@
         this.#shuttingDown = true;
     }
 
+    /** Closes the connections that have no request under way and no answer that is still being sent. */
+    closeIdle(): void {
+        for (const [socket, { requests, current, bodyPending, wholeBytes }] of this.#connections) {
+            const idle = !current && !bodyPending && socket.bytesRead === wholeBytes && socket.writableLength === 0;
+            // The first request of a new connection may be on its way.
+            if (idle && requests > 0) {
+                socket.destroy();
+            }
+        }
+    }
+
     #watch(socket: Socket): void {
         const openedAt = monotonicMilliseconds();
         const connection: CallerConnection = {
@@ -142,6 +155,7 @@
         };
         this.#connections.set(socket, connection);
         socket.on("close", () => {
+            this.#connections.delete(socket);
             const unreadBytes = socket.bytesRead - connection.wholeBytes;
             if (connection.reported || connection.bodyPending || (unreadBytes === 0 && !connection.rejection)) {
                 return;
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -116,7 +116,7 @@
 
     /** Closes idle connections. */
     closeIdle(): void {
-        this.#server.closeIdleConnections();
+        this.#connections.closeIdle();
     }
 
     /** Ends the active requests; those without a response so far get a refusal. */
