Answer requests whose deadline or grace period ends while their body arrives

What callers saw: no answer at all, neither at the deadline nor at the end of a shutdown, for a request whose body was still arriving. Cause: the deadline was armed, and the end of a shutdown observed, only once the whole body had been read. Up to 10 s later the HTTP server answered 408; at the end of a shutdown the connection was closed.

--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -181,31 +181,39 @@
             sendRefusal(unreadRequest, admission.refusal, this.context);
             return;
         }
-        const body = await readRequestBody(incoming, this.#maximumBodyBytes(), exchange);
-        if (body.kind === "too-large") {
-            response.shouldKeepAlive = false;
-            const message = "The body is too large";
-            sendRefusal(
-                unreadRequest,
-                { status: 413, reason: "body-too-large", verdict: "not-run", message },
-                this.context,
-            );
-            return;
-        }
-        if (body.kind === "broken") {
-            response.destroy();
-            return;
-        }
-        const request: GatewayRequest = { ...admission.request, body: body.bytes, exchange };
-        const timer = setTimeout(() => abort.abort("deadline"), request.deadline - monotonicMilliseconds());
+        const { deadline } = admission.request;
+        const timer = setTimeout(() => abort.abort("deadline"), deadline - monotonicMilliseconds());
         try {
-            await this.#forward(request);
+            const body = await readRequestBody(incoming, this.#maximumBodyBytes(), exchange, abort.signal);
+            if (body.kind === "read") {
+                await this.#forward({ ...admission.request, body: body.bytes, exchange });
+            }
+            else if (body.kind === "broken" || abort.signal.reason === "caller-gone") {
+                response.destroy();
+            }
+            else {
+                this.#refuseUnread({ ...unreadRequest, signal: abort.signal }, body.kind);
+            }
         }
         finally {
             clearTimeout(timer);
         }
     }
 
+    /** Refuses a request whose body was not read to its end. */
+    #refuseUnread(request: Parameters<typeof sendRefusal>[0], cause: "too-large" | "given-up"): void {
+        const verdict = "not-run";
+        if (cause === "too-large") {
+            request.response.shouldKeepAlive = false;
+            const message = "The body is too large";
+            sendRefusal(request, { status: 413, reason: "body-too-large", verdict, message }, this.context);
+            return;
+        }
+        const reason = request.signal?.reason === "shutting-down" ? "leaving" : "deadline-passed";
+        const message = "The body did not arrive in time";
+        sendRefusal(request, { status: 503, reason, verdict, message }, this.context);
+    }
+
     async #forward(request: GatewayRequest): Promise<void> {
         const { retryBudget, metrics } = this.context;
         if (this.context.crashRegistry.isBlocked(request)) {
--- a/packages/gateway/read_request_body.ts
+++ b/packages/gateway/read_request_body.ts
@@ -2,7 +2,7 @@
 import type { CallerExchange } from "./caller_exchange.ts";
 
 /** The body of a request, or why it was not read. */
-type RequestBody = { kind: "read"; bytes: Buffer; } | { kind: "too-large"; } | { kind: "broken"; };
+type RequestBody = { kind: "read"; bytes: Buffer; } | { kind: "too-large" | "broken" | "given-up"; };
 
 const EMPTY = Buffer.alloc(0);
 
@@ -12,16 +12,18 @@
  * @param incoming The request.
  * @param maximumBytes Largest accepted body.
  * @param exchange Record of the request, in which the bytes read are counted.
+ * @param signal Aborts when the request is given up.
  * @returns The body, or why it was not read.
  * @example
  * ```ts
- * const body = await readRequestBody(incoming, 1_048_576, exchange);
+ * const body = await readRequestBody(incoming, 1_048_576, exchange, signal);
  * ```
  */
 export function readRequestBody(
     incoming: IncomingMessage,
     maximumBytes: number,
     exchange: CallerExchange,
+    signal: AbortSignal,
 ): Promise<RequestBody> {
     if (Number(incoming.headers["content-length"] ?? 0) > maximumBytes) {
         return Promise.resolve({ kind: "too-large" });
@@ -42,6 +44,7 @@
         incoming.on("end", () => {
             resolve({ kind: "read", bytes: chunks.length === 1 ? chunks[0] ?? EMPTY : Buffer.concat(chunks) });
         });
+        signal.addEventListener("abort", () => resolve({ kind: "given-up" }), { once: true });
         incoming.on("close", () => resolve({ kind: "broken" }));
         incoming.on("error", () => resolve({ kind: "broken" }));
     });
