Give callers the configured time for their headers where it is longer than 10 s

What callers saw: 408 for headers that arrived within HeaderTimeoutMs. Cause: the HTTP server's limit for a whole request, 10 s, stayed below a configured limit for headers that is longer. Evidence: slow_bodies_test.ts, headers that take 11 of 14 s: 'HTTP/1.1 408' in place of 200 on the code before. Change: the limit for a whole request is at least the one for its headers. Result: slow_bodies_test.ts 3, early_answers_test.ts and incomplete_answers_test.ts pass (19).

--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -21,7 +21,7 @@
 /** Timeouts in milliseconds before the first configuration is known. */
 const DEFAULT_IDLE_MILLISECONDS = 15_000;
 const DEFAULT_HEADER_MILLISECONDS = 3_000;
-/** Time in milliseconds that a caller may take to send a request with its body. */
+/** Time in milliseconds that a caller may take to send a request with its body; at least the time for its headers. */
 const REQUEST_TIMEOUT_MILLISECONDS = 10_000;
 
 /**
@@ -137,6 +137,7 @@
         if (limits) {
             this.#server.keepAliveTimeout = limits.idleTimeoutMilliseconds;
             this.#server.headersTimeout = limits.headerTimeoutMilliseconds;
+            this.#server.requestTimeout = Math.max(REQUEST_TIMEOUT_MILLISECONDS, limits.headerTimeoutMilliseconds);
         }
     }
 
