Ask an engine again whose kept connection was reset by the probe

What callers saw: further engines crashed by the same part of a prompt. Cause: the probe that asks an engine after a broken connection takes a kept connection if there is one. That of an engine that has ended is reset, which was taken for an engine that still runs, so the crash was known only when the registration expired, 3 s later. A connection that broke within 500 ms after a probe started none. Change: after a reset the probe is repeated, up to 12 times 20 ms apart; a connection that breaks after a probe leads to another one.

--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -1,4 +1,4 @@
-import { readResponseBody } from "../backends/mod.ts";
+import { type BackendFault, readResponseBody } from "../backends/mod.ts";
 import { sleep } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
@@ -10,6 +10,11 @@
 
 const TIMEOUT_MILLISECONDS = 500;
 const MAXIMUM_RESPONSE_BYTES = 1_024 * 1_024;
+/** Status of a response by another server than the expected one. */
+const ANOTHER_SERVER_STATUS = 421;
+/** Number of further questions after a reset, more than the connections that are usually kept to one engine. */
+const MAXIMUM_REPETITIONS = 12;
+const REPETITION_MILLISECONDS = 20;
 /** Time in milliseconds after a probe in which no other one is sent to the same server. */
 const PAUSE_MILLISECONDS = 500;
 
@@ -33,7 +38,8 @@
  * ```
  */
 export class ServerEndProbe {
-    readonly #recent = new Set<string>();
+    /** Engines that are probed or were just before, with whether another connection to them has broken since. */
+    readonly #recent = new Map<string, boolean>();
 
     /**
      * @param options Dependencies of the probe.
@@ -41,19 +47,43 @@
     constructor(private readonly options: ServerEndProbeOptions) {}
 
     /**
-     * Probes an engine in the background, unless it was probed just before.
+     * Probes an engine in the background; if it was probed just before, a little later.
      *
      * @param server The engine.
      */
     start(server: RegisteredServer): void {
-        if (!this.#recent.has(server.id)) {
-            this.#recent.add(server.id);
+        if (this.#recent.has(server.id)) {
+            this.#recent.set(server.id, true);
+        }
+        else {
             void this.#probe(server);
         }
     }
 
     async #probe(server: RegisteredServer): Promise<void> {
-        const { serverClient, crashRegistry, serverLoads, headers, engineProtocol, logger } = this.options;
+        const { crashRegistry, serverLoads, logger } = this.options;
+        this.#recent.set(server.id, false);
+        let outcome = await this.#ask(server);
+        // A kept connection of an engine that has ended is reset; a new one is refused.
+        for (let repetition = 0; outcome === "reset" && repetition < MAXIMUM_REPETITIONS; repetition++) {
+            await sleep(REPETITION_MILLISECONDS);
+            outcome = await this.#ask(server);
+        }
+        logger.info("server probed after a broken connection", { server: server.id, outcome });
+        if (outcome === "ended") {
+            serverLoads.markTerminated(server.id);
+            crashRegistry.recordServerEnd(server.id);
+        }
+        await sleep(PAUSE_MILLISECONDS);
+        const hasBrokenAgain = this.#recent.get(server.id) === true;
+        this.#recent.delete(server.id);
+        if (hasBrokenAgain) {
+            this.start(server);
+        }
+    }
+
+    async #ask(server: RegisteredServer): Promise<BackendFault["kind"] | "ended" | "running"> {
+        const { serverClient, headers, engineProtocol } = this.options;
         const { method, path } = engineProtocol.report();
         const response = await serverClient.send(server, {
             method,
@@ -61,20 +91,10 @@
             headers: ["Host", server.address, headers.expectedServer, server.id],
             timeoutMilliseconds: TIMEOUT_MILLISECONDS,
         });
-        const portClosed = response.isErr() && response.error.portClosed;
-        const replaced = response.isOk() && response.value.status === 421;
-        if (response.isOk()) {
-            await readResponseBody(response.value, TIMEOUT_MILLISECONDS, MAXIMUM_RESPONSE_BYTES);
-        }
-        logger.info("server probed after a broken connection", {
-            server: server.id,
-            outcome: portClosed || replaced ? "ended" : response.isOk() ? "running" : response.error.kind,
-        });
-        if (portClosed || replaced) {
-            serverLoads.markTerminated(server.id);
-            crashRegistry.recordServerEnd(server.id);
+        if (response.isErr()) {
+            return response.error.portClosed ? "ended" : response.error.kind;
         }
-        await sleep(PAUSE_MILLISECONDS);
-        this.#recent.delete(server.id);
+        await readResponseBody(response.value, TIMEOUT_MILLISECONDS, MAXIMUM_RESPONSE_BYTES);
+        return response.value.status === ANOTHER_SERVER_STATUS ? "ended" : "running";
     }
 }
