Count crashes by the starts of engines, and only proved ones

What callers saw: sound requests refused as if a part of their prompt crashed engines. Change: a crash belongs to one start of an engine; two are independent if the second engine still ran after the first crash: its reservation was asked for later. Only a refused port, a 421 or a new start proves a crash, and only of a run that was neither given up nor at a leaving engine. Of two parts that were always together each is probed by rank, half a second apart; a probe counts when it is sent.

--- a/packages/gateway/crash_evidence.ts
+++ b/packages/gateway/crash_evidence.ts
@@ -1,4 +1,4 @@
-import type { RegisteredServer } from "../directory/mod.ts";
+import type { DecodeReservation } from "./decode_reservation.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { PassOutcome } from "./pass_outcome.ts";
@@ -12,7 +12,7 @@
  *
  * @example
  * ```ts
- * const evidence = new CrashEvidence(context, request, server, performance.now());
+ * const evidence = new CrashEvidence(context, request, reservation);
  * evidence.recordEvent();
  * evidence.recordOutcome({ kind: "completed" });
  * ```
@@ -23,14 +23,12 @@
     /**
      * @param context Shared objects of the gateway.
      * @param request The request.
-     * @param server The engine.
-     * @param sentAt Monotonic time in milliseconds at which the request was sent.
+     * @param reservation Reservation at the engine.
      */
     constructor(
         private readonly context: GatewayContext,
         private readonly request: GatewayRequest,
-        private readonly server: RegisteredServer,
-        private readonly sentAt: number,
+        private readonly reservation: DecodeReservation,
     ) {}
 
     /** Records that an event was delivered. */
@@ -47,17 +45,25 @@
      */
     recordOutcome(outcome: PassOutcome): void {
         const { promptParts, crashRegistry, serverEndProbe } = this.context;
-        const { request, server, sentAt } = this;
+        const { request, reservation } = this;
         if (outcome.kind === "completed") {
             promptParts.recordServed(request.promptParts);
         }
         if (outcome.kind === "may-have-run" || outcome.kind === "broken") {
-            const isSuspect = this.#events < CLEARING_EVENTS;
-            const run = isSuspect ? { sentAt, parts: request.promptParts } : undefined;
-            crashRegistry.recordBrokenConnection(request, server.id, run);
-            if (isSuspect && !request.signal.aborted) {
-                serverEndProbe.start(server);
+            const isSuspect = !outcome.isGivenUp && !request.signal.aborted && this.#events < CLEARING_EVENTS
+                && !this.#isLeaving();
+            const run = { aliveAt: reservation.requestedAt, parts: request.promptParts };
+            crashRegistry.recordBrokenConnection(request, reservation.server, isSuspect ? run : undefined);
+            if (isSuspect) {
+                serverEndProbe.start(reservation.server);
             }
         }
     }
+
+    /** Whether the engine was about to end in any case. */
+    #isLeaving(): boolean {
+        const { directory, leavingServers } = this.context;
+        const { server } = this.reservation;
+        return directory.servers.get(server.id)?.leaving === true || leavingServers.isLeaving(server);
+    }
 }
--- a/packages/gateway/crash_registry.ts
+++ b/packages/gateway/crash_registry.ts
@@ -1,6 +1,6 @@
 import { createHash } from "node:crypto";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
-import type { Directory } from "../directory/mod.ts";
+import type { Directory, RegisteredServer } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { CrashedRun } from "../prompt_parts/mod.ts";
 
@@ -22,12 +22,11 @@
     organisation: { name: string; } | undefined;
 }
 
-/** A run of a request: when it was sent to the server, and the parts of its prompt that may have crashed the server. */
-interface Run {
-    /** Monotonic time in milliseconds. */
-    sentAt: number;
-    parts: string[];
-}
+/** A server as it was registered when a request was sent to it. */
+type ServerStart = Pick<RegisteredServer, "id" | "startedAt">;
+
+/** A run of a request that may have crashed its server. */
+type SuspectedRun = Pick<CrashedRun, "aliveAt" | "parts">;
 
 /** A crash of a server, confirmed or suspected, while a request ran on it. */
 interface Crash {
@@ -35,7 +34,12 @@
     server: string;
     /** Monotonic time in milliseconds. */
     at: number;
-    run?: Run | undefined;
+}
+
+/** A crash that is not confirmed yet. */
+interface Suspicion extends Crash {
+    startedAt: number;
+    run: SuspectedRun | undefined;
 }
 
 /**
@@ -45,39 +49,40 @@
  * @example
  * ```ts
  * const registry = new CrashRegistry(directory, logger);
- * registry.recordBrokenConnection(request, "server-1");
+ * registry.recordBrokenConnection(request, { id: "server-1", startedAt });
  * registry.isBlocked(request); // false
  * ```
  */
 export class CrashRegistry {
-    readonly #suspects: Crash[] = [];
+    #suspicions: Suspicion[] = [];
     readonly #crashes = new Map<string, Crash[]>();
-    readonly #registeredStarts = new Map<string, number>();
 
     /**
      * @param directory Registered servers; one that is removed or registers with a new start counts as crashed.
      * @param logger Logs blocked requests.
-     * @param onCrash Called for each run of this instance during which a server crashed.
+     * @param onCrash Called for each suspected run of this instance whose server is proved to have crashed.
      */
     constructor(
         private readonly directory: Directory,
         private readonly logger: Logger,
         private readonly onCrash: (run: CrashedRun) => void = () => {},
     ) {
-        directory.onChange(() => this.#confirmSuspects());
+        directory.onChange(() => this.#confirmByRegistrations());
     }
 
     /**
      * Records that the connection to a server broke while a request ran on it.
      *
      * @param request The request.
-     * @param server Id of the server.
-     * @param run The run of which no event was delivered; undefined if there were events.
+     * @param server The server.
+     * @param run The run, if it may have crashed the server by a part of its prompt.
      */
-    recordBrokenConnection(request: IdentifiableRequest, server: string, run?: Run): void {
-        this.#suspects.push({ fingerprint: computeFingerprint(request), server, at: monotonicMilliseconds(), run });
-        if (this.#suspects.length > MAXIMUM_ENTRIES) {
-            this.#suspects.shift();
+    recordBrokenConnection(request: IdentifiableRequest, server: ServerStart, run?: SuspectedRun): void {
+        const { id, startedAt } = server;
+        const fingerprint = computeFingerprint(request);
+        this.#suspicions.push({ fingerprint, server: id, startedAt, at: monotonicMilliseconds(), run });
+        if (this.#suspicions.length > MAXIMUM_ENTRIES) {
+            this.#suspicions.shift();
         }
     }
 
@@ -87,21 +92,7 @@
      * @param server Id of the server.
      */
     recordServerEnd(server: string): void {
-        const oldest = monotonicMilliseconds() - CONFIRMATION_MILLISECONDS;
-        for (let index = this.#suspects.length - 1; index >= 0; index--) {
-            const suspect = this.#suspects[index];
-            if (!suspect || suspect.at < oldest) {
-                this.#suspects.splice(index, 1);
-            }
-            else if (suspect.server === server) {
-                this.#suspects.splice(index, 1);
-                this.#record(suspect);
-                if (suspect.run) {
-                    const { sentAt, parts } = suspect.run;
-                    this.onCrash({ server, sentAt, endedAt: suspect.at, parts });
-                }
-            }
-        }
+        this.#confirm(suspicion => suspicion.server === server, true);
     }
 
     /**
@@ -164,23 +155,22 @@
         }
     }
 
-    #confirmSuspects(): void {
-        if (this.#suspects.length === 0) {
-            return;
-        }
-        for (const { server, at } of [...this.#suspects]) {
-            const registered = this.directory.servers.get(server);
-            const startedAt = this.#registeredStarts.get(server);
-            if (!registered || (startedAt !== undefined && registered.startedAt !== startedAt)) {
-                this.recordServerEnd(server);
-            }
-            else if (monotonicMilliseconds() - at < CONFIRMATION_MILLISECONDS) {
-                this.#registeredStarts.set(server, registered.startedAt);
-            }
-        }
-        for (const id of this.#registeredStarts.keys()) {
-            if (!this.directory.servers.has(id)) {
-                this.#registeredStarts.delete(id);
+    /** Confirms crashes of servers that have registered with another start, or are no longer registered. */
+    #confirmByRegistrations(): void {
+        const { servers } = this.directory;
+        this.#confirm(({ server, startedAt }) => (servers.get(server)?.startedAt ?? startedAt) !== startedAt, true);
+        // A registration may also be removed since the server has left or the store has lost it.
+        this.#confirm(({ server }) => !servers.has(server), false);
+    }
+
+    #confirm(matches: (suspicion: Suspicion) => boolean, isProved: boolean): void {
+        const oldest = monotonicMilliseconds() - CONFIRMATION_MILLISECONDS;
+        const recent = this.#suspicions.filter(({ at }) => at >= oldest);
+        this.#suspicions = recent.filter(suspicion => !matches(suspicion));
+        for (const { fingerprint, server, startedAt, at, run } of recent.filter(matches)) {
+            this.#record({ fingerprint, server, at });
+            if (run && isProved) {
+                this.onCrash({ server, startedAt, endedAt: at, ...run });
             }
         }
     }
--- a/packages/gateway/crash_registry_test.ts
+++ b/packages/gateway/crash_registry_test.ts
@@ -1,9 +1,11 @@
 import { PassThrough } from "node:stream";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import { Directory } from "../directory/mod.ts";
+import { Directory, type RegisteredServer } from "../directory/mod.ts";
 import { createLogger } from "../logs/mod.ts";
+import type { CrashedRun } from "../prompt_parts/mod.ts";
 import { CrashRegistry } from "./crash_registry.ts";
 
+const logger = createLogger("test", new PassThrough().resume());
 const request = { path: "/draft/1", body: Buffer.from("prompt"), organisation: undefined };
 
 beforeEach(() => {
@@ -15,11 +17,11 @@
 });
 
 function createRegistry(): CrashRegistry {
-    return new CrashRegistry(new Directory(), createLogger("test", new PassThrough().resume()));
+    return new CrashRegistry(new Directory(), logger);
 }
 
 function crash(registry: CrashRegistry, server: string): void {
-    registry.recordBrokenConnection(request, server);
+    registry.recordBrokenConnection(request, { id: server, startedAt: 1 });
     registry.recordServerEnd(server);
 }
 
@@ -46,3 +48,64 @@
     ["a", "a", "a"].forEach(server => crash(registry, server));
     expect(registry.isBlocked(request)).toBe(false);
 });
+
+function run(part: string): Pick<CrashedRun, "aliveAt" | "parts"> {
+    return { aliveAt: performance.now(), parts: [part] };
+}
+
+function register(directory: Directory, startedAt: number, revision: number): void {
+    const server: RegisteredServer = {
+        id: "a",
+        service: "models",
+        address: "127.0.0.1:1",
+        failureDomain: "north",
+        leaving: false,
+        stage: "decode",
+        slots: 8,
+        coldMilliseconds: 0,
+        startedAt,
+        revision,
+    };
+    directory.apply({ kind: "server", server });
+}
+
+// Guards against crashes that are believed since a start of the server long ago is compared with its present one.
+test("a broken connection to a server that has restarted long ago is no crash", () => {
+    const directory = new Directory();
+    const crashes: CrashedRun[] = [];
+    const registry = new CrashRegistry(directory, logger, crashedRun => crashes.push(crashedRun));
+    register(directory, 1, 1);
+    registry.recordBrokenConnection(request, { id: "a", startedAt: 1 }, run("models/x"));
+    register(directory, 1, 2);
+    vi.advanceTimersByTime(1_000);
+    register(directory, 2, 3);
+    expect(crashes).toHaveLength(1);
+    // A minute later the link to the sound server breaks; then its entry is written again, unchanged.
+    vi.advanceTimersByTime(60_000);
+    registry.recordBrokenConnection(request, { id: "a", startedAt: 2 }, run("models/sound"));
+    register(directory, 2, 4);
+    expect(crashes).toHaveLength(1);
+});
+
+// Guards against parts that escape since the first entry after a crash is already that of the next start.
+test("a server that starts again under its id before any other change has crashed", () => {
+    const directory = new Directory();
+    const crashes: CrashedRun[] = [];
+    const registry = new CrashRegistry(directory, logger, crashedRun => crashes.push(crashedRun));
+    register(directory, 1, 1);
+    registry.recordBrokenConnection(request, { id: "a", startedAt: 1 }, run("models/deadly"));
+    vi.advanceTimersByTime(1_500);
+    register(directory, 2, 2);
+    expect(crashes).toHaveLength(1);
+});
+
+// Guards against the conviction of parts whose engine has left as planned, or whose entry the store has lost.
+test("a removed registration alone proves no crash", () => {
+    const directory = new Directory();
+    const crashes: CrashedRun[] = [];
+    const registry = new CrashRegistry(directory, logger, crashedRun => crashes.push(crashedRun));
+    register(directory, 1, 1);
+    registry.recordBrokenConnection(request, { id: "a", startedAt: 1 }, run("models/sound"));
+    directory.apply({ kind: "server-removed", id: "a" });
+    expect(crashes).toEqual([]);
+});
--- a/packages/gateway/create_crash_detection.ts
+++ b/packages/gateway/create_crash_detection.ts
@@ -15,8 +15,8 @@
     serverClient: ServerClient;
     directory: Directory;
     serverLoads: ServerLoadTracker;
-    /** Returns whether this instance sends the probes of a blocked part of prompts. */
-    isResponsible(part: string): boolean;
+    /** Returns whether this instance is among the first `count` that probe a blocked part of prompts. */
+    isTopRanked(part: string, count: number): boolean;
     metrics: Metrics;
     logger: Logger;
 }
@@ -34,8 +34,8 @@
 export function createCrashDetection(
     options: CrashDetectionOptions,
 ): Pick<GatewayContext, "crashRegistry" | "promptParts" | "serverEndProbe"> {
-    const { adapter, directory, isResponsible, metrics, logger } = options;
-    const promptParts = new PromptPartRegistry(logger, isResponsible);
+    const { adapter, directory, metrics, logger } = options;
+    const promptParts = new PromptPartRegistry(logger, (part, count) => options.isTopRanked(part, count));
     metrics.gauge("prompt_parts_blocked", () => promptParts.blockedParts);
     const crashRegistry = new CrashRegistry(directory, logger, run => promptParts.recordCrash(run));
     const { headers, engineProtocol } = adapter;
--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -111,7 +111,9 @@
                 load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
             }
             const message = watch.isGivenUp ? "The engine did not begin its answer" : response.error.message;
-            return { kind: response.error.verdict, message };
+            return response.error.verdict === "not-run"
+                ? { kind: "not-run", message }
+                : { kind: "may-have-run", message, isGivenUp: watch.isGivenUp };
         }
         watch.touch();
         const { status } = response.value;
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -227,7 +227,9 @@
         });
         if (reservationId !== undefined) {
             metrics.observe("decode_wait", monotonicMilliseconds() - waiter.since);
-            waiter.resolve(ok({ server, reservationId, tokens, expiresAt: startedAt + lifetime }));
+            waiter.resolve(
+                ok({ server, reservationId, tokens, requestedAt: startedAt, expiresAt: startedAt + lifetime }),
+            );
             return;
         }
         load.reservedTokens -= tokens;
--- a/packages/gateway/decode_reservation.ts
+++ b/packages/gateway/decode_reservation.ts
@@ -6,6 +6,8 @@
     /** Id of the reservation at the engine. */
     reservationId: string;
     tokens: number;
+    /** Monotonic time in milliseconds at which it was asked for; the engine granted it later. */
+    requestedAt: number;
     /** Monotonic time in milliseconds at which the reservation expires unless a request uses it. */
     expiresAt: number;
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -107,7 +107,7 @@
             serverClient: serverAccess.serverClient,
             directory: this.#directory,
             serverLoads: this.#serverLoads,
-            isResponsible: part => this.#context.serverSubset.isTopRanked(part, 1),
+            isTopRanked: (part, count) => this.#context.serverSubset.isTopRanked(part, count),
             metrics: this.#metrics,
             logger: this.#logger,
         });
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -140,7 +140,7 @@
             });
             if (response.isErr()) {
                 if (response.error.kind === "reset") {
-                    this.context.crashRegistry.recordBrokenConnection(request, server.id);
+                    this.context.crashRegistry.recordBrokenConnection(request, server);
                 }
                 if (response.error.kind === "unreachable") {
                     this.context.crashRegistry.recordServerEnd(server.id);
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -32,6 +32,8 @@
 const BODY_TIMEOUT_MILLISECONDS = 500;
 const AVOID_MILLISECONDS = 800;
 const MAXIMUM_ATTEMPTS = 3;
+/** Time in milliseconds after which a reset shows that the engine still ran when it received the prompt. */
+const MINIMUM_RUN_MILLISECONDS = 50;
 const MAXIMUM_RESPONSE_BYTES = 65_536;
 
 /**
@@ -203,8 +205,10 @@
             if (response.isErr()) {
                 metrics.increment("prefills_total", { result: response.error.kind });
                 if (response.error.kind === "reset") {
-                    const run = { sentAt: startedAt, parts: request.promptParts };
-                    this.context.crashRegistry.recordBrokenConnection(request, server.id, run);
+                    // A sooner reset may come from an engine that had ended before the request was sent.
+                    const hasBegun = monotonicMilliseconds() - startedAt > MINIMUM_RUN_MILLISECONDS;
+                    const run = hasBegun ? { aliveAt: startedAt, parts: request.promptParts } : undefined;
+                    this.context.crashRegistry.recordBrokenConnection(request, server, run);
                     this.context.serverEndProbe.start(server);
                 }
                 if (response.error.kind !== "aborted") {
--- a/packages/gateway/relay_events.ts
+++ b/packages/gateway/relay_events.ts
@@ -65,6 +65,7 @@
             finish({
                 kind: "broken",
                 message: watch.isGivenUp ? "The stream fell silent" : "The request was given up",
+                ...watch.isGivenUp ? { isGivenUp: true } : {},
             });
         };
         watch.signal.addEventListener("abort", abort, { once: true });
--- a/packages/gateway/relay_events_test.ts
+++ b/packages/gateway/relay_events_test.ts
@@ -78,7 +78,7 @@
         await vi.advanceTimersByTimeAsync(200);
         body.write("d");
     }
-    expect(await outcome).toEqual({ kind: "broken", message: "The stream fell silent" });
+    expect(await outcome).toEqual({ kind: "broken", message: "The stream fell silent", isGivenUp: true });
 });
 
 // Guards against answers that end although no other engine can continue them.
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -197,7 +197,10 @@
                     this.#successorSearch.find(request, progress, reservation, isStillSilent)
                 : undefined;
             const run = { request, reservation, extraHeaders, progress, localPrefillTokens, findSuccessor };
-            const evidence = new CrashEvidence(this.context, request, reservation.server, monotonicMilliseconds());
+            if (request.isProbe) {
+                this.context.promptParts.recordProbe(request.promptParts);
+            }
+            const evidence = new CrashEvidence(this.context, request, reservation);
             const recordEvent = () => {
                 endLocalPrefill();
                 evidence.recordEvent();
--- a/packages/prompt_parts/_crash_log.ts
+++ b/packages/prompt_parts/_crash_log.ts
@@ -4,8 +4,6 @@
 
 /** Time in milliseconds for which a crash counts. */
 const CRASH_LIFETIME_MILLISECONDS = 120_000;
-/** Time in milliseconds within which two reports of one run are taken for the same one. */
-const SAME_RUN_MILLISECONDS = 1_000;
 const MAXIMUM_CRASHES = 128;
 
 /** Runs of the last two minutes that ended with a crash of their server, with the parts that are still suspected. */
@@ -31,10 +29,9 @@
      */
     add(run: CrashedRun): boolean {
         const oldest = monotonicMilliseconds() - CRASH_LIFETIME_MILLISECONDS;
-        const isKnown = this.#runs.some(({ server, sentAt, endedAt, parts }) =>
-            server === run.server && Math.abs(sentAt - run.sentAt) < SAME_RUN_MILLISECONDS
-            && Math.abs(endedAt - run.endedAt) < SAME_RUN_MILLISECONDS
-            && run.parts.every(part => parts.includes(part))
+        // Reports may be held up, so crashes are told apart by the starts of the servers and not by times.
+        const isKnown = this.#runs.some(({ server, startedAt, parts }) =>
+            server === run.server && startedAt === run.startedAt && run.parts.every(part => parts.includes(part))
         );
         if (run.parts.length === 0 || isKnown || run.endedAt <= oldest) {
             return false;
--- a/packages/prompt_parts/_part_block.ts
+++ b/packages/prompt_parts/_part_block.ts
@@ -5,4 +5,6 @@
     requestedAt: number;
     /** Time of the last probe that this instance sent, at first the time at which it learned of the block. */
     probedAt: number;
+    /** Time until which a request that was admitted as a probe may still be sent. */
+    probingUntil: number;
 }
--- a/packages/prompt_parts/crashed_run.ts
+++ b/packages/prompt_parts/crashed_run.ts
@@ -2,8 +2,10 @@
 export interface CrashedRun {
     /** Id of the server. */
     server: string;
-    /** Monotonic time in milliseconds at which the request was sent to the server. */
-    sentAt: number;
+    /** Unix time in milliseconds of the server's start; one start crashes once. */
+    startedAt: number;
+    /** Monotonic time in milliseconds at which the server still ran, before the request was sent. */
+    aliveAt: number;
     /** Monotonic time in milliseconds at which the connection broke. */
     endedAt: number;
     /** Parts of the prompt that may have caused the crash. */
--- a/packages/prompt_parts/parse_prompt_parts.ts
+++ b/packages/prompt_parts/parse_prompt_parts.ts
@@ -1,6 +1,7 @@
 /** Largest number of parts that are considered; a prompt has a handful. */
 const MAXIMUM_PARTS = 64;
-const MAXIMUM_ID_CHARACTERS = 128;
+/** Largest number of characters of a key; reports between instances allow no more. */
+const MAXIMUM_KEY_CHARACTERS = 256;
 
 /**
  * Lists the parts of a prompt that other requests to the same service may share. The last part belongs to the request
@@ -19,6 +20,6 @@
         return [];
     }
     const ids = header.split(",").map(part => part.slice(0, Math.max(0, part.lastIndexOf(":"))).trim());
-    const shared = ids.slice(0, -1).filter(id => id !== "" && id.length <= MAXIMUM_ID_CHARACTERS);
-    return [...new Set(shared)].slice(-MAXIMUM_PARTS).map(id => `${service}/${id}`);
+    const keys = ids.slice(0, -1).filter(id => id !== "").map(id => `${service}/${id}`);
+    return [...new Set(keys)].filter(key => key.length <= MAXIMUM_KEY_CHARACTERS).slice(-MAXIMUM_PARTS);
 }
--- a/packages/prompt_parts/prompt_part_registry.ts
+++ b/packages/prompt_parts/prompt_part_registry.ts
@@ -23,8 +23,14 @@
 const REPORTED_ADVANCE_MILLISECONDS = 1_000;
 /** Time in milliseconds for which a suspected part is reported as served. */
 const CLEARED_REPORT_MILLISECONDS = 3_000;
+/** Time in milliseconds within which a request that was admitted as a probe is sent to an engine or refused. */
+const PROBE_PENDING_MILLISECONDS = 3_000;
+/** Time in milliseconds after which the instance of the next rank may probe an ambiguous part, too. */
+const PROBE_STAGGER_MILLISECONDS = 500;
 const MAXIMUM_BLOCKS = 128;
 const MAXIMUM_CLEARED = 8_192;
+/** Largest number of served parts in a report. */
+const MAXIMUM_REPORTED_CLEARED = 256;
 
 /**
  * Finds the parts of prompts that crash each server which begins to generate from them. A run that had not delivered
@@ -33,8 +39,8 @@
  *
  * @example
  * ```ts
- * const registry = new PromptPartRegistry(logger, part => subset.isTopRanked(part, 1));
- * registry.recordCrash({ server: "server-1", sentAt, endedAt, parts: ["models/91bd"] });
+ * const registry = new PromptPartRegistry(logger, (part, count) => subset.isTopRanked(part, count));
+ * registry.recordCrash({ server: "server-1", startedAt, aliveAt, endedAt, parts: ["models/91bd"] });
  * registry.admit(["models/91bd"]); // "admitted"
  * ```
  */
@@ -49,11 +55,11 @@
 
     /**
      * @param logger Logs suspected, blocked and cleared parts.
-     * @param isResponsible Returns whether this instance sends the probes of a part; one instance does.
+     * @param isTopRanked Returns whether this instance is among the first `count` that probe a part.
      */
     constructor(
         private readonly logger: Logger,
-        private readonly isResponsible: (part: string) => boolean,
+        private readonly isTopRanked: (part: string, count: number) => boolean,
     ) {}
 
     /** Number of blocked parts. */
@@ -85,14 +91,28 @@
         const [part, block] = entry;
         const isAmbiguous = this.#crashes.isAmbiguous(part);
         const firstDelay = isAmbiguous ? FIRST_AMBIGUOUS_PROBE_MILLISECONDS : FIRST_PROBE_MILLISECONDS;
-        if (others.length > 0 || now < computeNextProbe(block, firstDelay) || !this.isResponsible(part)) {
+        const probeAt = computeNextProbe(block, firstDelay);
+        const probers = isAmbiguous ? 1 + Math.floor((now - probeAt) / PROBE_STAGGER_MILLISECONDS) : 1;
+        const isDue = now >= probeAt && now >= block.probingUntil;
+        if (others.length > 0 || !isDue || !this.isTopRanked(part, probers)) {
             return "blocked";
         }
-        block.probedAt = now;
+        block.probingUntil = now + PROBE_PENDING_MILLISECONDS;
         this.logger.info("blocked prompt part is probed", { part, isAmbiguous, sinceMilliseconds: now - block.since });
         return "probe";
     }
 
+    /**
+     * Records that a request that was admitted as a probe is sent to an engine.
+     *
+     * @param parts Parts of its prompt.
+     */
+    recordProbe(parts: readonly string[]): void {
+        for (const block of this.#findBlocks(parts).values()) {
+            block.probedAt = monotonicMilliseconds();
+        }
+    }
+
     /**
      * Returns whether a request that was admitted earlier must not be sent any more.
      *
@@ -114,7 +134,8 @@
             server: run.server,
             suspectedParts: parts,
             clearedParts: run.parts.length - parts.length,
-            afterMilliseconds: Math.round(run.endedAt - run.sentAt),
+            startedAt: run.startedAt,
+            aliveMilliseconds: Math.round(run.endedAt - run.aliveAt),
         });
         this.#addCrash({ ...run, parts });
     }
@@ -139,13 +160,13 @@
         const now = monotonicMilliseconds();
         const ageOf = (time: number) => Math.max(0, Math.round(now - time));
         return {
-            crashes: this.#crashes.runs().map(({ server, sentAt, endedAt, parts }) => (
-                { server, sentAge: ageOf(sentAt), endedAge: ageOf(endedAt), parts }
+            crashes: this.#crashes.runs().map(({ server, startedAt, aliveAt, endedAt, parts }) => (
+                { server, startedAt, aliveAge: ageOf(aliveAt), endedAge: ageOf(endedAt), parts }
             )),
             blocked: [...this.#blocks].map((
                 [part, { since, requestedAt }],
             ) => [part, ageOf(since), ageOf(requestedAt)]),
-            cleared: [...this.#contested.keys()].flatMap(part => {
+            cleared: [...this.#contested.keys()].slice(-MAXIMUM_REPORTED_CLEARED).flatMap(part => {
                 const at = this.#cleared.get(part);
                 return at === undefined ? [] : [[part, ageOf(at)]];
             }),
@@ -164,9 +185,15 @@
                 this.#clear(part, now - age);
             }
         }
-        for (const { server, sentAge, endedAge, parts } of report.crashes) {
+        for (const { server, startedAt, aliveAge, endedAge, parts } of report.crashes) {
             const suspected = parts.filter(part => !this.#contest(part));
-            this.#addCrash({ server, sentAt: now - sentAge, endedAt: now - endedAge, parts: suspected });
+            this.#addCrash({
+                server,
+                startedAt,
+                aliveAt: now - aliveAge,
+                endedAt: now - endedAge,
+                parts: suspected,
+            });
         }
         for (const [part, sinceAge, requestedAge] of report.blocked) {
             if (!this.#contest(part) && !this.#crashes.isExplained(part)) {
@@ -204,7 +231,7 @@
         if (requestedAt < now - BLOCK_LIFETIME_MILLISECONDS || this.#blocks.size >= MAXIMUM_BLOCKS) {
             return;
         }
-        this.#blocks.set(part, { since, requestedAt, probedAt: now });
+        this.#blocks.set(part, { since, requestedAt, probedAt: now, probingUntil: 0 });
         this.#version++;
         this.logger.warn("prompt part is blocked", { part, cause, sinceMilliseconds: Math.round(now - since) });
     }
--- a/packages/prompt_parts/prompt_part_report_schema.ts
+++ b/packages/prompt_parts/prompt_part_report_schema.ts
@@ -10,7 +10,8 @@
     /** Runs that had not delivered any event when their server crashed. */
     crashes: z.array(z.object({
         server: z.string(),
-        sentAge: milliseconds,
+        startedAt: z.number(),
+        aliveAge: milliseconds,
         endedAge: milliseconds,
         parts: z.array(part).max(MAXIMUM_PARTS),
     })).max(MAXIMUM_ENTRIES),
