Do not cut a stream for want of a retry at its successor

What callers saw: a resumable stream whose first engine was silent for 0.7 s, but sound, was cut after its first events although memory and a retry for another engine had been found. Cause: the successor costs one retry, its prefill a second one, and where that prefill fails, or the successor refuses before it runs, a further one was asked for. Without it the answer ended, with the first engine given up already. A wait for memory that found none ended it, too. Change: from the moment at which an engine is given up for a successor until another engine has run the stream, and for a failed prefill once events were delivered, a retry is made also without a budget, and counts against later retries of the service. A successor that refuses or leaves is followed by another engine, and a wait for memory is repeated, as far as the passes allow. A stream whose engine broke still needs a retry from the budget.

--- a/packages/gateway/pass_progress.ts
+++ b/packages/gateway/pass_progress.ts
@@ -15,6 +15,8 @@
     refused: { prefillResult: PrefillResult; by: string; } | undefined;
     /** Memory of another engine, with a retry spent, at which the next pass goes on. */
     successor: DecodeReservation | undefined;
+    /** Whether an engine was given up for a successor and no other one has run the stream since. */
+    mustGoOn: boolean;
     /** Ids of decode engines that the next pass must not use. */
     excluded: Set<string>;
 }
--- a/packages/gateway/retry_budget.ts
+++ b/packages/gateway/retry_budget.ts
@@ -64,10 +64,11 @@
      * Spends one retry if the budget allows it.
      *
      * @param service Name of the service.
+     * @param isOwed Whether the retry is made even without a budget; later ones then wait for it. Default: false.
      * @returns Whether the retry is allowed.
      */
-    trySpend(service: string): boolean {
-        if (!this.canSpend(service)) {
+    trySpend(service: string, isOwed = false): boolean {
+        if (!isOwed && !this.canSpend(service)) {
             return false;
         }
         this.#currentBucket(service).retries++;
--- a/packages/gateway/retry_budget_test.ts
+++ b/packages/gateway/retry_budget_test.ts
@@ -38,3 +38,13 @@
     expect(spendAll(budget)).toBe(52);
     expect(budget.canSpend("orders")).toBe(false);
 });
+
+// Guards against retries that are made without a budget and not counted.
+test("a retry that is owed is made without a budget and counts against later ones", () => {
+    let slack = 1;
+    const budget = new RetryBudget(() => ({ ratio: 0, slack, windowMilliseconds: 10_000 }), () => 1);
+    expect(spendAll(budget)).toBe(1);
+    expect(budget.trySpend("orders", true)).toBe(true);
+    slack = 2;
+    expect(budget.trySpend("orders")).toBe(false);
+});
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -69,6 +69,7 @@
             localPrefill: false,
             refused: undefined,
             successor: undefined,
+            mustGoOn: false,
             excluded: new Set(),
         };
         let refusal: GatewayRefusal | undefined;
@@ -79,13 +80,17 @@
             }
             const { successor } = progress;
             progress.successor = undefined;
-            if (pass > 0 && !successor && !this.context.retryBudget.trySpend(request.service.name)) {
+            progress.mustGoOn ||= successor !== undefined;
+            if (pass > 0 && !successor && !this.context.retryBudget.trySpend(request.service.name, progress.mustGoOn)) {
                 refusal ??= createStreamRefusal("retry-budget-spent", "not-run", "Too many requests are being retried");
                 break;
             }
             const reservation = successor ? ok(successor) : await this.queue.acquire(request, progress.excluded);
             if (reservation.isErr()) {
                 refusal ??= reservation.error;
+                if (progress.mustGoOn) {
+                    continue;
+                }
                 break;
             }
             const outcome = await this.#runPass(request, reservation.value, progress, pass + 1 < MAXIMUM_PASSES);
@@ -121,6 +126,7 @@
                     this.context.serverLoads.get(reservation.value.server.id).recordFailure();
                 }
                 progress.runs++;
+                progress.mustGoOn = false;
                 refusal = createStreamRefusal("backend-failed", "may-have-run", outcome.message);
                 const mayRepeat = request.route.resumable && progress.runs < request.route.maximumServers;
                 if (!mayRepeat) {
@@ -166,14 +172,15 @@
                 });
                 return { kind: "not-run", message: "The request was given up" };
             }
-            if (prefilled.isErr() && prefilled.error.sent && !this.context.retryBudget.trySpend(request.service.name)) {
+            const { engineProtocol, headers, retryBudget } = this.context;
+            const mustGoOn = progress.mustGoOn || progress.lastEventId !== undefined;
+            if (prefilled.isErr() && prefilled.error.sent && !retryBudget.trySpend(request.service.name, mustGoOn)) {
                 return { kind: "not-run", message: `${prefilled.error.message}; too many requests are being retried` };
             }
             const obstacle = this.#findObstacle(request, reservation);
             if (obstacle) {
                 return this.#applyOutcome(obstacle, prefilled.unwrapOr(undefined), reservation, progress);
             }
-            const { engineProtocol, headers } = this.context;
             const extraHeaders = [...resumeHeaders, headers.reservation, reservation.reservationId];
             if (prefilled.isOk()) {
                 extraHeaders.push(
