Do not hold up requests behind searches for another engine

What callers saw: new model requests could wait up to 540 ms though an engine had room, again and again while a stream of the same service was silent. Cause: in the queue for memory, a waiter without an engine holds up all later ones of its service, so that none overtakes it. A search for another engine of a silent stream excludes that stream's engine; where only this one had room, the search held up every request that could have used it. It also stayed in the queue when the engine had sent again, and could take memory. Change: a waiter with excluded engines does not hold up later ones. A search leaves the queue when the engine has sent again, at the next check (25 ms). A repeated pass that excludes an engine can now be overtaken, too; it waits 540 ms at most.

--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -38,6 +38,8 @@
     /** Whether the first event can no longer meet the route's target latency. */
     late: boolean;
     excluded: ReadonlySet<string>;
+    /** Whether the memory is still of use. */
+    isWanted: () => boolean;
     resolve: (result: Result<DecodeReservation, GatewayRefusal>) => void;
 }
 
@@ -80,11 +82,13 @@
      *
      * @param request The request.
      * @param excluded Ids of engines that must not be used.
+     * @param isWanted Whether the memory is still of use; the wait ends soon after it returns false. Default: always.
      * @returns The reservation, or a refusal.
      */
     acquire(
         request: GatewayRequest,
         excluded: ReadonlySet<string>,
+        isWanted: () => boolean = () => true,
     ): Promise<Result<DecodeReservation, GatewayRefusal>> {
         return new Promise(resolve => {
             const since = monotonicMilliseconds();
@@ -95,6 +99,7 @@
                 late: false,
                 giveUpAt: Math.min(request.deadline, since + MAXIMUM_WAIT_MILLISECONDS),
                 excluded,
+                isWanted,
                 resolve,
             });
             this.dispatch();
@@ -108,7 +113,7 @@
         const blockedServices = new Set<string>();
         this.#sortWaiters(now);
         for (const waiter of this.#waiters) {
-            if (waiter.request.signal.aborted || now >= waiter.giveUpAt) {
+            if (waiter.request.signal.aborted || now >= waiter.giveUpAt || !waiter.isWanted()) {
                 this.#refuse(waiter);
                 continue;
             }
@@ -121,8 +126,11 @@
                 continue;
             }
             if (!server) {
-                // Later requests must not overtake the first one, which could otherwise wait forever.
-                blockedServices.add(service);
+                // Later requests must not overtake the first one, which could otherwise wait forever. One that may not
+                // use every engine waits while there is room for others.
+                if (waiter.excluded.size === 0) {
+                    blockedServices.add(service);
+                }
                 remaining.push(waiter);
                 continue;
             }
--- /dev/null
+++ b/packages/gateway/decode_queue_test.ts
@@ -0,0 +1,94 @@
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { DecodeQueue } from "./decode_queue.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+import type { GatewayRequest } from "./gateway_request.ts";
+import { ServerLoad } from "./server_load.ts";
+
+const MEMORY_TOKENS = 1_000;
+/** Engine with room; the engine `full` has none. */
+const SILENT = "silent";
+/** Longer than the period after which the queue is checked, and shorter than the longest wait. */
+const CHECKED_MILLISECONDS = 100;
+
+let queue: DecodeQueue;
+
+beforeEach(() => {
+    vi.useFakeTimers();
+    queue = createQueue();
+});
+
+afterEach(() => {
+    queue.close();
+    vi.useRealTimers();
+});
+
+function createQueue(): DecodeQueue {
+    const loads = new Map([[SILENT, new ServerLoad()], ["full", new ServerLoad()]]);
+    loads.forEach((load, id) => {
+        load.reservedTokens = id === "full" ? MEMORY_TOKENS : 0;
+    });
+    const servers = [...loads.keys()].map(id => ({ id, slots: 8, service: "models", stage: "decode" }));
+    const context = {
+        availability: {
+            usableServers: () => servers,
+            preferStaying: (list: unknown) => list,
+            findRefusal: () => undefined,
+        },
+        serverLoads: { get: (id: string) => loads.get(id), admits: () => true },
+        serverSubset: { narrow: (list: unknown) => list },
+        engineProtocol: { reserve: () => ({}), parseReservation: () => "h1" },
+        metrics: { increment: () => {}, observe: () => {} },
+        logger: { info: () => {} },
+    } as unknown as GatewayContext;
+    const engineClient = { call: () => Promise.resolve({ status: 200, body: "" }) } as never;
+    const prefillDispatcher = {
+        tokensPerMillisecond: 25,
+        estimateMilliseconds: () => 4,
+        isLocalPrefillFaster: () => false,
+    } as never;
+    return new DecodeQueue(context, engineClient, prefillDispatcher);
+}
+
+function createRequest(id: string, promptTokens = 100): GatewayRequest {
+    return {
+        id,
+        promptTokens,
+        outputTokens: 0,
+        priority: 1,
+        receivedAt: monotonicMilliseconds(),
+        deadline: monotonicMilliseconds() + 10_000,
+        signal: new AbortController().signal,
+        route: { targetLatencyMilliseconds: 2_000 },
+        service: { name: "models", engine: { memoryTokens: MEMORY_TOKENS, maximumReservationMilliseconds: 1_000 } },
+    } as unknown as GatewayRequest;
+}
+
+// Guards against searches for another engine of a silent stream that hold up all later requests of the service.
+test("a request is not held up by a search that only excludes the engine with room", async () => {
+    void queue.acquire(createRequest("search"), new Set([SILENT]));
+    const reservation = queue.acquire(createRequest("new"), new Set());
+    await vi.advanceTimersByTimeAsync(0);
+    expect(queue.length).toBe(1);
+    expect((await reservation).isOk()).toBe(true);
+});
+
+// Guards against large requests that wait for ever since smaller ones overtake them.
+test("a request without exclusions is not overtaken by a later one", async () => {
+    void queue.acquire(createRequest("large", MEMORY_TOKENS + 1), new Set());
+    void queue.acquire(createRequest("new"), new Set());
+    await vi.advanceTimersByTimeAsync(0);
+    expect(queue.length).toBe(2);
+});
+
+// Guards against searches that wait for memory, and may take it, when the silent engine has gone on.
+test("a search leaves the queue once it is no longer wanted", async () => {
+    let isWanted = true;
+    const search = queue.acquire(createRequest("search"), new Set([SILENT]), () => isWanted);
+    await vi.advanceTimersByTimeAsync(CHECKED_MILLISECONDS);
+    expect(queue.length).toBe(1);
+    isWanted = false;
+    await vi.advanceTimersByTimeAsync(CHECKED_MILLISECONDS);
+    expect(queue.length).toBe(0);
+    expect((await search).isErr()).toBe(true);
+});
--- a/packages/gateway/successor_search.ts
+++ b/packages/gateway/successor_search.ts
@@ -33,7 +33,7 @@
      * @param request The request.
      * @param progress Progress of its stream.
      * @param current The reservation at the silent engine.
-     * @param isStillSilent Whether the engine has sent nothing since.
+     * @param isStillSilent Whether the engine has sent nothing since; the search ends when it sends again.
      * @returns Whether the stream may go on at the successor.
      */
     async find(
@@ -46,7 +46,8 @@
         if (!this.#canUseKey(request) || !this.context.retryBudget.canSpend(service)) {
             return false;
         }
-        const reservation = await this.queue.acquire(request, new Set([...progress.excluded, current.server.id]));
+        const excluded = new Set([...progress.excluded, current.server.id]);
+        const reservation = await this.queue.acquire(request, excluded, isStillSilent);
         if (reservation.isErr()) {
             return false;
         }
