Wait for a slow plain server unless another one is certain

What callers saw: 502 (backend-failed) after 45% of the time for an idempotent request whose server would have answered in time. Cause: each send of an idempotent request was aborted at 45% of its time if its route allows another server, without a check whether there was one or a retry left. Evidence: slow_servers_test.ts on the code before, server 1.7 s, deadline 2.8 s: "an idempotent request without a retry left waits for its slow server" and "... without another server ...", both "expected { Object (status, headers, ...) } to match object { status: 200, broken: false }", received "status": 502. "... ends at its deadline" got 502 instead of 504. The fourth test, where another server answers, passed before. Change: at 45% another server is chosen and a retry is spent; only then is the send given up, and the request goes to that server. Else it waits until its deadline, at which it ends with 504 without another send. The slow server counts one failure in both cases; how that send ends later adds neither a failure nor a success. There is no second check. Resets, refusals and unreachable servers are handled as before. Once the answer has begun, the send ends only with its request, as before; slow_server_watch_test.ts covers that.

--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -9,13 +9,12 @@
 import type { GatewayRequest } from "./gateway_request.ts";
 import { sendRefusal } from "./send_refusal.ts";
 import { ServerChooser } from "./server_chooser.ts";
+import { SlowServerWatch } from "./slow_server_watch.ts";
 
 /** Largest number of sends of one request, including those that a server refused. */
 const MAXIMUM_SENDS = 4;
 /** Largest body in bytes of a response. */
 const MAXIMUM_RESPONSE_BYTES = 8 * 1_024 * 1_024;
-/** Fraction of its remaining time that an idempotent request may take on a server if its route allows another one. */
-const ATTEMPT_TIME_FRACTION = 0.45;
 /** Time in milliseconds that a server is avoided after it refused a request. */
 const REFUSED_AVOID_MILLISECONDS = 50;
 /** Time in milliseconds that a server is avoided after it could not be reached. */
@@ -25,7 +24,14 @@
 /** How one send ended. */
 type SendOutcome =
     | { kind: "answered"; response: BackendResponse; body: Buffer; }
-    | { kind: "not-run" | "may-have-run"; message: string; };
+    | {
+        kind: "not-run" | "may-have-run";
+        message: string;
+        /** Whether the deadline of the request has passed. */
+        isOutOfTime?: boolean;
+        /** The server for which the send was given up, with a retry spent. */
+        successor?: RegisteredServer | undefined;
+    };
 
 /**
  * Forwards requests to plain services.
@@ -56,17 +62,22 @@
         let runs = 0;
         let errorResponse: { response: BackendResponse; body: Buffer; } | undefined;
         let refusal: GatewayRefusal | undefined;
+        let successor: RegisteredServer | undefined;
         for (let sends = 0; sends < MAXIMUM_SENDS && !request.signal.aborted; sends++) {
-            const server = this.#chooser.choose(request.service.name, tried);
+            const server = successor ?? this.#chooser.choose(request.service.name, tried);
             if (!server || runs >= request.route.maximumServers || !this.#canUseKey(request)) {
                 break;
             }
-            if (sends > 0 && !this.context.retryBudget.trySpend(request.service.name)) {
+            if (sends > 0 && !successor && !this.context.retryBudget.trySpend(request.service.name)) {
                 refusal ??= { ...noServerRefusal(), reason: "retry-budget-spent" };
                 break;
             }
             tried.add(server.id);
-            const outcome = await this.#send(request, server, runs + 1 < request.route.maximumServers);
+            const mayRepeat = request.route.kind === "idempotent" && runs + 1 < request.route.maximumServers
+                && sends + 1 < MAXIMUM_SENDS;
+            const findSuccessor = mayRepeat ? () => this.#findSuccessor(request, tried) : undefined;
+            const outcome = await this.#send(request, server, findSuccessor);
+            successor = outcome.kind === "answered" ? undefined : outcome.successor;
             this.context.logger.info("request sent to a server", {
                 request: request.id,
                 server: server.id,
@@ -87,8 +98,10 @@
             }
             if (outcome.kind === "may-have-run") {
                 runs++;
-                refusal = { status: 502, reason: "backend-failed", verdict: "may-have-run", message: outcome.message };
-                if (request.route.kind !== "idempotent") {
+                refusal = outcome.isOutOfTime
+                    ? outOfTimeRefusal()
+                    : { status: 502, reason: "backend-failed", verdict: "may-have-run", message: outcome.message };
+                if (outcome.isOutOfTime || request.route.kind !== "idempotent") {
                     break;
                 }
             }
@@ -109,9 +122,16 @@
         return request.key === undefined || this.context.directoryUpdater.canAcceptKey(request.key);
     }
 
+    /** Chooses another server for a request whose server is slow, and spends a retry. */
+    #findSuccessor(request: GatewayRequest, tried: ReadonlySet<string>): RegisteredServer | undefined {
+        const service = request.service.name;
+        const server = this.#canUseKey(request) ? this.#chooser.choose(service, tried) : undefined;
+        return server && this.context.retryBudget.trySpend(service) ? server : undefined;
+    }
+
     #finalRefusal(request: GatewayRequest, refusal: GatewayRefusal | undefined): GatewayRefusal {
         if (request.signal.aborted && refusal?.verdict !== "not-run") {
-            return { status: 504, reason: "deadline-passed", verdict: "may-have-run", message: "No answer in time" };
+            return outOfTimeRefusal();
         }
         const { availability } = this.context;
         return refusal?.verdict === "may-have-run"
@@ -119,11 +139,21 @@
             : availability.findRefusal(request.service.name) ?? refusal ?? noServerRefusal();
     }
 
-    async #send(request: GatewayRequest, server: RegisteredServer, canRetry: boolean): Promise<SendOutcome> {
+    async #send(
+        request: GatewayRequest,
+        server: RegisteredServer,
+        findSuccessor: (() => RegisteredServer | undefined) | undefined,
+    ): Promise<SendOutcome> {
         const { headers, serverClient, serverLoads, directory } = this.context;
         const load = serverLoads.get(server.id);
         const startedAt = monotonicMilliseconds();
         const remaining = request.deadline - startedAt;
+        const watch = findSuccessor && new SlowServerWatch(request, remaining, load, findSuccessor);
+        const recordFailure = () => {
+            if (!watch?.isSlow) {
+                load.recordFailure();
+            }
+        };
         load.active++;
         load.recordSend();
         try {
@@ -132,20 +162,24 @@
                 path: request.path,
                 headers: backendHeaders(request, server, headers),
                 body: request.body.length > 0 ? request.body : undefined,
-                timeoutMilliseconds: canRetry && request.route.kind === "idempotent"
-                    ? remaining * ATTEMPT_TIME_FRACTION
-                    : remaining,
-                signal: request.signal,
+                timeoutMilliseconds: remaining,
+                signal: watch?.signal ?? request.signal,
                 correlation: { header: headers.requestId, value: request.id },
             });
+            watch?.recordAnswer();
             if (response.isErr()) {
+                if (watch?.successor) {
+                    const fault = { ...response.error, kind: "timeout", message: "No answer in time" };
+                    return { ...this.#recordFault(load, fault, recordFailure), successor: watch.successor };
+                }
                 if (response.error.kind === "reset") {
                     this.context.crashRegistry.recordBrokenConnection(request, server.id);
                 }
                 if (response.error.kind === "unreachable") {
                     this.context.crashRegistry.recordServerEnd(server.id);
                 }
-                return this.#recordFault(load, response.error);
+                const outcome = this.#recordFault(load, response.error, recordFailure);
+                return { ...outcome, isOutOfTime: response.error.kind === "timeout" };
             }
             const { status } = response.value;
             const coldMilliseconds = Number(response.value.headers[headers.coldMilliseconds] ?? 0);
@@ -168,34 +202,38 @@
                 return { kind: "not-run", message: `The server answered with status ${status}` };
             }
             if (!body) {
-                load.recordFailure();
+                recordFailure();
                 return { kind: "may-have-run", message: "The server's answer broke off" };
             }
             if (status < 300 && !isSignedUnencoded(response.value, headers.signature)) {
-                load.recordFailure();
+                recordFailure();
                 return { kind: "may-have-run", message: "The server's answer is not signed or is encoded" };
             }
             if (status >= 500) {
-                load.recordFailure();
+                recordFailure();
             }
             else {
-                load.recordSuccess();
+                if (!watch?.isSlow) {
+                    load.recordSuccess();
+                }
                 load.recordResponseTime(monotonicMilliseconds() - startedAt);
             }
             return { kind: "answered", response: response.value, body };
         }
         finally {
+            watch?.close();
             load.active--;
         }
     }
 
     #recordFault(
-        load: { avoidedUntil: number; recordFailure(): void; },
+        load: { avoidedUntil: number; },
         fault: { kind: string; verdict: "not-run" | "may-have-run"; message: string; },
-    ): SendOutcome {
+        recordFailure: () => void,
+    ): { kind: "not-run" | "may-have-run"; message: string; } {
         this.context.metrics.increment("backend_faults_total", { kind: fault.kind, verdict: fault.verdict });
         if (fault.kind !== "aborted") {
-            load.recordFailure();
+            recordFailure();
         }
         if (fault.kind === "unreachable") {
             load.avoidedUntil = monotonicMilliseconds() + UNREACHABLE_AVOID_MILLISECONDS;
@@ -219,6 +257,10 @@
     return response.headers[signature] !== undefined && response.headers["content-encoding"] === undefined;
 }
 
+function outOfTimeRefusal(): GatewayRefusal {
+    return { status: 504, reason: "deadline-passed", verdict: "may-have-run", message: "No answer in time" };
+}
+
 function noServerRefusal(): GatewayRefusal {
     return {
         status: 503,
--- a/packages/gateway/silence_watch.ts
+++ b/packages/gateway/silence_watch.ts
@@ -1,5 +1,5 @@
 /**
- * Watches the run of a request at an engine. An engine may be sound and still send nothing for a while, so silence alone
+ * Watches the run of a request at a server. A server may be sound and still send nothing for a while, so silence alone
  * ends no run: after each period of silence, `onSilence` decides whether the run is given up.
  *
  * @example
