Split off served parts of prompts and the progress of streams

Change: what was served moves to _served_parts.ts, with the same times and limits; the first progress of a stream to _create_pass_progress.ts.

--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -78,7 +78,7 @@
     ) {
         this.#logger = createLogger(settings.name, logOutput);
         this.#store = adapter.openStore(settings.storeAddress, this.#metrics);
-        const instanceCount = () => this.#instanceCount();
+        const instanceCount = () => this.instances;
         const { bounds } = settings;
         this.#directoryUpdater = new DirectoryUpdater({
             decodeItem: change => adapter.decodeItem(change),
@@ -201,7 +201,7 @@
             key: STAGE_LEADER_KEY,
             self: this.settings.name,
             leaseMilliseconds: this.settings.bounds.leaseMilliseconds,
-            instanceCount: () => this.#instanceCount(),
+            instanceCount: () => this.instances,
             store: this.#store,
             replica: this.#replica,
             clock: this.#clock,
@@ -295,8 +295,4 @@
     #peerLoadWeight(): number {
         return Math.min(1, FULL_WEIGHT_REPORT_MILLISECONDS / this.#peerMesh.reportPeriodMilliseconds);
     }
-
-    #instanceCount(): number {
-        return this.#peerMesh.instanceCount;
-    }
 }
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -2,6 +2,7 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { Verdict } from "../verdicts/mod.ts";
 import { chooseFinalRefusal } from "./_choose_final_refusal.ts";
+import { createPassProgress } from "./_create_pass_progress.ts";
 import { createStreamRefusal } from "./_create_stream_refusal.ts";
 import { CrashEvidence } from "./crash_evidence.ts";
 import { DecodePass } from "./decode_pass.ts";
@@ -62,16 +63,7 @@
      * @returns Whether the request may have run; resolves once the response has ended.
      */
     async forward(request: GatewayRequest): Promise<Verdict> {
-        const progress: PassProgress = {
-            lastEventId: undefined,
-            runs: 0,
-            prefillAttempted: false,
-            localPrefill: false,
-            refused: undefined,
-            successor: undefined,
-            mustGoOn: false,
-            excluded: new Set(),
-        };
+        const progress = createPassProgress();
         let refusal: GatewayRefusal | undefined;
         for (let pass = 0; pass < MAXIMUM_PASSES && !request.signal.aborted; pass++) {
             if (pass > 0 && this.context.promptParts.isBlocked(request.promptParts)) {
--- a/packages/prompt_parts/prompt_part_registry.ts
+++ b/packages/prompt_parts/prompt_part_registry.ts
@@ -3,14 +3,13 @@
 import { computeNextProbe } from "./_compute_next_probe.ts";
 import { CrashLog } from "./_crash_log.ts";
 import type { PartBlock } from "./_part_block.ts";
+import { ServedParts } from "./_served_parts.ts";
 import type { CrashedRun } from "./crashed_run.ts";
 import type { PartAdmission } from "./part_admission.ts";
 import type { PromptPartReport } from "./prompt_part_report.ts";
 
 /** Number of independent crashes at which a part is blocked. */
 const BLOCKING_CRASHES = 2;
-/** Time in milliseconds for which a part that was served is not suspected. */
-const CLEARED_LIFETIME_MILLISECONDS = 30_000;
 /** Time in milliseconds after the last request that held a part at which its block ends. */
 const BLOCK_LIFETIME_MILLISECONDS = 60_000;
 /** Time in milliseconds from a block to its first probe; the time between two probes doubles. */
@@ -19,18 +18,11 @@
 const FIRST_AMBIGUOUS_PROBE_MILLISECONDS = 1_000;
 /** Time in milliseconds for which such a part may be requested without the other one; peers report that it was served. */
 const AMBIGUOUS_GRACE_MILLISECONDS = 1_000;
-/** Smallest advance in milliseconds of a reported time that is passed on; reports age on their way. */
-const REPORTED_ADVANCE_MILLISECONDS = 1_000;
-/** Time in milliseconds for which a suspected part is reported as served. */
-const CLEARED_REPORT_MILLISECONDS = 3_000;
 /** Time in milliseconds within which a request that was admitted as a probe is sent to an engine or refused. */
 const PROBE_PENDING_MILLISECONDS = 3_000;
 /** Time in milliseconds after which the instance of the next rank may probe an ambiguous part, too. */
 const PROBE_STAGGER_MILLISECONDS = 500;
 const MAXIMUM_BLOCKS = 128;
-const MAXIMUM_CLEARED = 8_192;
-/** Largest number of served parts in a report. */
-const MAXIMUM_REPORTED_CLEARED = 256;
 
 /**
  * Finds the parts of prompts that crash each server which begins to generate from them. A run that had not delivered
@@ -47,10 +39,7 @@
 export class PromptPartRegistry {
     readonly #crashes = new CrashLog();
     readonly #blocks = new Map<string, PartBlock>();
-    /** Times at which parts were last served. */
-    readonly #cleared = new Map<string, number>();
-    /** Times at which served parts were suspected by others. */
-    readonly #contested = new Map<string, number>();
+    readonly #served = new ServedParts();
     #version = 0;
 
     /**
@@ -129,7 +118,7 @@
      * @param run The run.
      */
     recordCrash(run: CrashedRun): void {
-        const parts = run.parts.filter(part => !this.#isCleared(part));
+        const parts = run.parts.filter(part => !this.#served.has(part));
         this.logger.info("server crashed while a prompt ran", {
             server: run.server,
             suspectedParts: parts,
@@ -166,10 +155,7 @@
             blocked: [...this.#blocks].map((
                 [part, { since, requestedAt }],
             ) => [part, ageOf(since), ageOf(requestedAt)]),
-            cleared: [...this.#contested.keys()].slice(-MAXIMUM_REPORTED_CLEARED).flatMap(part => {
-                const at = this.#cleared.get(part);
-                return at === undefined ? [] : [[part, ageOf(at)]];
-            }),
+            cleared: this.#served.reported().map(([part, at]) => [part, ageOf(at)]),
         };
     }
 
@@ -181,9 +167,7 @@
     applyReport(report: PromptPartReport): void {
         const now = monotonicMilliseconds();
         for (const [part, age] of report.cleared) {
-            if (age < CLEARED_LIFETIME_MILLISECONDS) {
-                this.#clear(part, now - age);
-            }
+            this.#clear(part, now - age);
         }
         for (const { server, startedAt, aliveAge, endedAge, parts } of report.crashes) {
             const suspected = parts.filter(part => !this.#contest(part));
@@ -244,44 +228,30 @@
     }
 
     #clear(part: string, at: number): void {
-        const previous = this.#cleared.get(part);
-        if (previous !== undefined && at <= previous) {
+        const news = this.#served.record(part, at);
+        const isSuspected = this.#blocks.has(part) || this.#crashes.has(part);
+        if (news === "none" || !isSuspected || !this.#served.has(part)) {
             return;
         }
-        this.#cleared.delete(part);
-        this.#cleared.set(part, at);
-        const [oldest] = this.#cleared.keys();
-        if (this.#cleared.size > MAXIMUM_CLEARED && oldest !== undefined) {
-            this.#cleared.delete(oldest);
-        }
-        const suspected = this.#blocks.has(part) || this.#crashes.has(part);
-        if (suspected && (previous === undefined || at - previous > REPORTED_ADVANCE_MILLISECONDS)) {
-            this.#contested.set(part, monotonicMilliseconds());
+        if (news === "worth reporting") {
+            this.#served.report(part);
             this.#version++;
         }
-        if (suspected) {
-            this.#unblock(part, "it was served");
-            this.#crashes.removePart(part);
-        }
+        this.#unblock(part, "it was served");
+        this.#crashes.removePart(part);
     }
 
     /** Whether a part that another instance suspects was served; if so, the other instance is told. */
     #contest(part: string): boolean {
-        if (!this.#isCleared(part)) {
+        if (!this.#served.has(part)) {
             return false;
         }
-        if (!this.#contested.has(part)) {
+        if (this.#served.report(part)) {
             this.#version++;
         }
-        this.#contested.set(part, monotonicMilliseconds());
         return true;
     }
 
-    #isCleared(part: string): boolean {
-        const at = this.#cleared.get(part);
-        return at !== undefined && at > monotonicMilliseconds() - CLEARED_LIFETIME_MILLISECONDS;
-    }
-
     #findBlocks(parts: readonly string[]): Map<string, PartBlock> {
         const found = new Map<string, PartBlock>();
         if (this.#blocks.size === 0) {
@@ -312,10 +282,5 @@
                 this.#unblock(part, "it is no longer requested");
             }
         }
-        for (const [part, at] of this.#contested) {
-            if (at < now - CLEARED_REPORT_MILLISECONDS) {
-                this.#contested.delete(part);
-            }
-        }
     }
 }
