--- a/packages/replica/replica_follower.ts
+++ b/packages/replica/replica_follower.ts
@@ -44,6 +44,7 @@
     #takeoverUntil = Number.NEGATIVE_INFINITY;
     #announcedRevision = 0;
     #lastWatchHadChanges = false;
+    #lastSnapshotWasOlder = false;
     #wake = new AbortController();
 
     /**
@@ -123,9 +124,24 @@
         this.replica.replace(listed.value, readAt);
         this.#succeed();
         this.#needsSnapshot = listed.value.revision < this.replica.revision;
+        this.#reportOlderSnapshot(listed.value.revision);
         this.options.onRead({ after, revision: listed.value.revision, changes: undefined });
     }
 
+    /** Logs the first of several snapshots in a row that are older than the replica. */
+    #reportOlderSnapshot(revision: number): void {
+        if (this.#needsSnapshot) {
+            this.options.metrics.increment("store_older_snapshots_total");
+            if (!this.#lastSnapshotWasOlder) {
+                this.options.logger.warn("snapshot is older than the replica", {
+                    snapshot: revision,
+                    revision: this.replica.revision,
+                });
+            }
+        }
+        this.#lastSnapshotWasOlder = this.#needsSnapshot;
+    }
+
     async #watch(signal: AbortSignal): Promise<void> {
         const wait = this.#lastWatchHadChanges ? WATCH_WAIT_AFTER_CHANGES_MILLISECONDS : WATCH_WAIT_MILLISECONDS;
         if (this.#lastWatchHadChanges) {
