Order the states of the store by era and revision

What callers saw: after the store had come back from an older copy, nothing was served for three seconds and longer, changes of the configuration were not in force, and 404 and 401 were answered for what it allows (CONFIG, DENIED). Cause: a revision alone ordered two states of the store. Revisions go back with the copy and are given out again, so each read was dropped as older, nothing was confirmed, and once the count had passed the old one, other changes under the same numbers were taken for known. Change: a position is era and revision, one type, ordered by comparePositions. The store's client reads the era from each response, rejects responses of an earlier era, lists whose pages are of two eras and watches, conditions and leases of another one. Instances exchange positions. A replica that enters an era takes what was written since the return, and keeps what it knows and the copy lacks until that is written again: without a limit where the copy has what the replica saw before, otherwise for 5 s; a missing server for 2 s. Retries have a pause. Revisions that nothing read are removed from servers and configurations.

--- a/packages/coordination/conditional_write.ts
+++ b/packages/coordination/conditional_write.ts
@@ -1,9 +1,11 @@
-/** A write that takes effect only if the item has not changed. */
+import type { StoreLease } from "./store_lease.ts";
+
+/** A write that takes effect only if its condition holds. */
 export interface ConditionalWrite {
     key: string;
     value: string;
-    /** Revision that the item must have, 0 if it must not exist; undefined for an unconditional write. */
-    expectedRevision?: number;
+    /** Whether the item must not exist yet. Default: no condition. */
+    isNew?: boolean;
     /** Lease whose expiry or revocation removes the item. */
-    lease?: number;
+    lease?: StoreLease;
 }
--- a/packages/coordination/leadership.ts
+++ b/packages/coordination/leadership.ts
@@ -1,5 +1,7 @@
 import { PeriodicTask, sleep } from "../clocks/mod.ts";
+import { positionOf } from "../replica/mod.ts";
 import type { LeadershipOptions } from "./leadership_options.ts";
+import type { StoreLease } from "./store_lease.ts";
 
 /** Fraction of the lease's lifetime after which it is renewed. */
 const RENEWAL_FRACTION = 1 / 3;
@@ -10,9 +12,9 @@
 const ATTEMPT_DELAY_MILLISECONDS_PER_INSTANCE = 15;
 
 /**
- * Elects one instance as the leader through the store. The leader's fencing token is the store revision at which it
- * took the leadership, so it grows from leader to leader. A new leader does not act for the length of one lease, so
- * that everything the previous leader sent has arrived by then.
+ * Elects one instance as the leader through the store. The leader's fencing token follows from the store's position at
+ * which it took the leadership, so it grows from leader to leader. A new leader does not act for the length of one
+ * lease, so that everything the previous leader sent has arrived by then.
  *
  * @example
  * ```ts
@@ -23,7 +25,7 @@
  */
 export class Leadership {
     readonly #task: PeriodicTask;
-    #lease: number | undefined;
+    #lease: StoreLease | undefined;
     #fence = 0;
     #actsFrom = 0;
     #actsUntil = 0;
@@ -91,7 +93,7 @@
 
     #isVacant(): boolean {
         const { replica, key } = this.options;
-        return replica.revision > 0 && !replica.get(key);
+        return replica.isFilled && !replica.getStored(key);
     }
 
     async #acquire(): Promise<void> {
@@ -102,20 +104,26 @@
             return;
         }
         const value = JSON.stringify({ leader: self });
-        const written = await store.write([{ key, value, expectedRevision: 0, lease: lease.value }]);
+        const written = await store.write([{ key, value, isNew: true, lease: lease.value }]);
         if (written.isErr() || written.value.kind !== "stored") {
             // A write without a response may have taken effect; revoking its lease removes the item.
             await store.revokeLease(lease.value);
             return;
         }
+        const { position } = written.value;
+        if (position.era !== lease.value.era) {
+            // In this era, the number of the lease may belong to another instance.
+            await store.remove(key, position);
+            return;
+        }
+        this.#fence = position.revision;
         this.#lease = lease.value;
-        this.#fence = written.value.revision;
         this.#actsFrom = clock.now() + leaseMilliseconds;
         this.#actsUntil = sentAt + leaseMilliseconds * ACTING_FRACTION;
-        logger.info("leadership taken", { fence: this.#fence });
+        logger.info("leadership taken", { fence: this.#fence, ...positionOf(position) });
     }
 
-    async #renew(lease: number): Promise<void> {
+    async #renew(lease: StoreLease): Promise<void> {
         const { store, leaseMilliseconds, clock, logger } = this.options;
         const sentAt = clock.now();
         const renewed = await store.renewLease(lease);
@@ -125,7 +133,7 @@
         }
         if (renewed.isOk()) {
             this.#lease = undefined;
-            logger.warn("leadership lost", { fence: this.#fence });
+            logger.warn("leadership lost", { fence: this.#fence, ...this.options.replica.position });
         }
     }
 }
--- a/packages/coordination/leadership_test.ts
+++ b/packages/coordination/leadership_test.ts
@@ -7,6 +7,7 @@
 import { StoreFailure } from "../store/mod.ts";
 import type { CoordinationStore } from "./coordination_store.ts";
 import { Leadership } from "./leadership.ts";
+import type { StoreLease } from "./store_lease.ts";
 
 const LEASE_MILLISECONDS = 3_000;
 const KEY = "leader";
@@ -38,24 +39,24 @@
         const reach = <Value>(call: () => Value) =>
             state.cutOff ? err(new StoreFailure("may-have-run", "The store does not respond")) : ok(call());
         const store = {
-            createLease: async () => reach(() => ++this.#leases),
-            write: async ([{ lease }]: [{ lease: number; }]) =>
+            createLease: async () => reach(() => ({ id: ++this.#leases, era: 0 })),
+            write: async ([{ lease }]: [{ lease: StoreLease; }]) =>
                 reach(() => {
                     if (this.isHeld) {
                         return { kind: "conflict" };
                     }
-                    this.#holder = lease;
+                    this.#holder = lease.id;
                     this.#expiresAt = performance.now() + LEASE_MILLISECONDS;
-                    return { kind: "stored", revision: ++this.revision };
+                    return { kind: "stored", position: { era: 0, revision: ++this.revision } };
                 }),
-            renewLease: async (lease: number) =>
+            renewLease: async ({ id }: StoreLease) =>
                 reach(() => {
-                    const held = this.isHeld && this.#holder === lease;
+                    const held = this.isHeld && this.#holder === id;
                     this.#expiresAt = held ? performance.now() + LEASE_MILLISECONDS : this.#expiresAt;
                     return held;
                 }),
-            revokeLease: async (lease: number) => {
-                if (!state.cutOff && this.#holder === lease) {
+            revokeLease: async ({ id }: StoreLease) => {
+                if (!state.cutOff && this.#holder === id) {
                     this.#holder = undefined;
                 }
             },
@@ -76,7 +77,7 @@
 
 function createReplica(): ItemReplica {
     const replica = new ItemReplica();
-    replica.replace({ items: [], revision: 1 }, 0);
+    replica.replace({ items: [], era: 0, revision: 1 }, 0);
     return replica;
 }
 
@@ -85,10 +86,10 @@
     const acting: number[][] = [];
     for (let passed = 0; passed < milliseconds; passed += 50) {
         await vi.advanceTimersByTimeAsync(50);
-        const items = store.isHeld ? [{ key: KEY, value: "{}", revision: store.revision }] : [];
+        const items = store.isHeld ? [{ key: KEY, value: "{}", era: 0, revision: store.revision }] : [];
         for (const { state, replica } of instances) {
             if (!state.cutOff) {
-                replica.replace({ items, revision: store.revision }, performance.now());
+                replica.replace({ items, era: 0, revision: store.revision }, performance.now());
             }
         }
         store.revision++;
@@ -128,8 +129,8 @@
         leaseMilliseconds: LEASE_MILLISECONDS,
         instanceCount: () => 1,
         store: {
-            createLease: async () => ok(1),
-            write: async () => ok({ kind: "stored", revision: 7 }),
+            createLease: async () => ok({ id: 1, era: 0 }),
+            write: async () => ok({ kind: "stored", position: { era: 0, revision: 7 } }),
             renewLease: async () => ok(true),
             revokeLease: async () => {},
         } as unknown as CoordinationStore,
--- a/packages/coordination/mod.ts
+++ b/packages/coordination/mod.ts
@@ -3,4 +3,5 @@
 export type { CoordinationStore } from "./coordination_store.ts";
 export { Leadership } from "./leadership.ts";
 export type { LeadershipOptions } from "./leadership_options.ts";
+export type { StoreLease } from "./store_lease.ts";
 export type { WriteOutcome } from "./write_outcome.ts";
--- a/packages/directory/directory_event.ts
+++ b/packages/directory/directory_event.ts
@@ -3,7 +3,7 @@
 
 /** A change of the directory, decoded from a change of a stored item. */
 export type DirectoryEvent =
-    | { kind: "configuration"; configuration: FleetConfiguration; revision: number; }
+    | { kind: "configuration"; configuration: FleetConfiguration; }
     | { kind: "server"; server: RegisteredServer; }
     | { kind: "server-removed"; id: string; }
     | { kind: "domain-drained"; failureDomain: string; }
--- a/packages/directory/registered_server.ts
+++ b/packages/directory/registered_server.ts
@@ -18,6 +18,4 @@
     coldMilliseconds: number;
     /** Unix time in milliseconds of the server's start; 0 if unknown. */
     startedAt: number;
-    /** Store revision of the registration. */
-    revision: number;
 }
--- a/packages/gateway/crash_registry_test.ts
+++ b/packages/gateway/crash_registry_test.ts
@@ -53,7 +53,7 @@
     return { aliveAt: performance.now(), parts: [part] };
 }
 
-function register(directory: Directory, startedAt: number, revision: number): void {
+function register(directory: Directory, startedAt: number): void {
     const server: RegisteredServer = {
         id: "a",
         service: "models",
@@ -64,7 +64,6 @@
         slots: 8,
         coldMilliseconds: 0,
         startedAt,
-        revision,
     };
     directory.apply({ kind: "server", server });
 }
@@ -74,16 +73,16 @@
     const directory = new Directory();
     const crashes: CrashedRun[] = [];
     const registry = new CrashRegistry(directory, logger, crashedRun => crashes.push(crashedRun));
-    register(directory, 1, 1);
+    register(directory, 1);
     registry.recordBrokenConnection(request, { id: "a", startedAt: 1 }, run("models/x"));
-    register(directory, 1, 2);
+    register(directory, 1);
     vi.advanceTimersByTime(1_000);
-    register(directory, 2, 3);
+    register(directory, 2);
     expect(crashes).toHaveLength(1);
     // A minute later the link to the sound server breaks; then its entry is written again, unchanged.
     vi.advanceTimersByTime(60_000);
     registry.recordBrokenConnection(request, { id: "a", startedAt: 2 }, run("models/sound"));
-    register(directory, 2, 4);
+    register(directory, 2);
     expect(crashes).toHaveLength(1);
 });
 
@@ -92,10 +91,10 @@
     const directory = new Directory();
     const crashes: CrashedRun[] = [];
     const registry = new CrashRegistry(directory, logger, crashedRun => crashes.push(crashedRun));
-    register(directory, 1, 1);
+    register(directory, 1);
     registry.recordBrokenConnection(request, { id: "a", startedAt: 1 }, run("models/deadly"));
     vi.advanceTimersByTime(1_500);
-    register(directory, 2, 2);
+    register(directory, 2);
     expect(crashes).toHaveLength(1);
 });
 
@@ -104,7 +103,7 @@
     const directory = new Directory();
     const crashes: CrashedRun[] = [];
     const registry = new CrashRegistry(directory, logger, crashedRun => crashes.push(crashedRun));
-    register(directory, 1, 1);
+    register(directory, 1);
     registry.recordBrokenConnection(request, { id: "a", startedAt: 1 }, run("models/sound"));
     directory.apply({ kind: "server-removed", id: "a" });
     expect(crashes).toEqual([]);
--- a/packages/gateway/directory_updater.ts
+++ b/packages/gateway/directory_updater.ts
@@ -12,6 +12,8 @@
 const MAXIMUM_DENIAL_AGE_MILLISECONDS = 1_900;
 /** Time in milliseconds by which the removal of a server is delayed while the store is recovering. */
 const REMOVAL_DELAY_MILLISECONDS = 1_700;
+/** Time in milliseconds within which a server that the store's copy lacks registers again if it runs. */
+const REGISTRATION_MILLISECONDS = 2_000;
 /** Age of a replica that was never confirmed; log lines need a finite number. */
 const UNCONFIRMED_AGE_MILLISECONDS = 1e9;
 
@@ -47,6 +49,10 @@
         const { replica } = options;
         this.#removals = new RemovalDelay(id => this.#applyEvent({ kind: "server-removed", id }));
         replica.onChange(change => this.#applyChange(change));
+        replica.onEraChange(({ from, to, copiedRevision, retained }) => {
+            options.metrics.increment("store_returns_total");
+            options.logger.warn("store has come back from an older copy", { from, to, copiedRevision, retained });
+        });
     }
 
     /** Age in milliseconds of the replica, counted from the start of the read that last confirmed it. */
@@ -57,12 +63,12 @@
     /**
      * Returns the fields that describe the directory in the log line of a decision.
      *
-     * @returns Version of the configuration, revision of the replica, and its age in milliseconds.
+     * @returns Version of the configuration, position of the replica, and its age in milliseconds.
      */
-    logFields(): { configuration: number | undefined; revision: number; age: number; } {
+    logFields(): { configuration: number | undefined; era: number; revision: number; age: number; } {
         const { directory, replica } = this.options;
         const age = Math.round(this.age);
-        return { configuration: directory.configuration?.version, revision: replica.revision, age };
+        return { configuration: directory.configuration?.version, ...replica.position, age };
     }
 
     /**
@@ -103,6 +109,10 @@
 
     #applyChange(change: ItemChange): void {
         const { decodeItem, clock, replica, metrics, logger } = this.options;
+        if (change.kind === "missing") {
+            this.#holdBackRemoval(decodeItem({ ...change, kind: "removed" }), REGISTRATION_MILLISECONDS);
+            return;
+        }
         const event = decodeItem(change);
         if (!event) {
             return;
@@ -110,15 +120,14 @@
         if (event.kind === "unreadable") {
             metrics.increment("unreadable_items_total");
             logger.warn("stored item cannot be read", { key: event.key, error: event.message });
-            const removed = decodeItem({ kind: "removed", key: event.key, revision: 0 });
+            const removed = decodeItem({ kind: "removed", key: event.key, ...replica.position });
             if (removed) {
                 this.#applyEvent(removed);
             }
             return;
         }
         if (event.kind === "server-removed" && replica.isRecovering(clock.now())) {
-            logger.info("removal of a server held back", { server: event.id, ...this.logFields() });
-            this.#removals.schedule(event.id, REMOVAL_DELAY_MILLISECONDS);
+            this.#holdBackRemoval(event, REMOVAL_DELAY_MILLISECONDS);
             return;
         }
         if (event.kind === "server") {
@@ -127,14 +136,24 @@
         this.#applyEvent(event);
     }
 
+    #holdBackRemoval(event: DirectoryEvent | undefined, milliseconds: number): void {
+        if (event?.kind === "server-removed" && this.options.directory.servers.has(event.id)) {
+            this.options.logger.info("removal of a server held back", { server: event.id, ...this.logFields() });
+            this.#removals.schedule(event.id, milliseconds);
+        }
+    }
+
     #applyEvent(event: DirectoryEvent): void {
+        if (event.kind === "server-removed" && !this.options.directory.servers.has(event.id)) {
+            return;
+        }
         this.#logEvent(event);
         this.options.directory.apply(event);
     }
 
     #logEvent(event: DirectoryEvent): void {
         const { directory, logger } = this.options;
-        const { revision, age } = this.logFields();
+        const { era, revision, age } = this.logFields();
         switch (event.kind) {
             case "configuration": {
                 const { version, routes, services, organisations } = event.configuration;
@@ -146,6 +165,7 @@
                     routes: routes.length,
                     services: services.length,
                     organisations: organisations?.length,
+                    era,
                     revision,
                     age,
                 });
@@ -154,18 +174,28 @@
             case "server": {
                 const { id, service, stage, leaving, startedAt } = event.server;
                 if (hasChanged(directory.servers.get(id), event.server)) {
-                    logger.info("server registered", { server: id, service, stage, leaving, startedAt, revision, age });
+                    logger.info("server registered", {
+                        server: id,
+                        service,
+                        stage,
+                        leaving,
+                        startedAt,
+                        era,
+                        revision,
+                        age,
+                    });
                 }
                 break;
             }
             case "server-removed":
-                logger.info("server removed", { server: event.id, revision, age });
+                logger.info("server removed", { server: event.id, era, revision, age });
                 break;
             case "domain-drained":
             case "domain-restored":
                 logger.info("failure domain changed", {
                     failureDomain: event.failureDomain,
                     outcome: event.kind === "domain-drained" ? "drained" : "restored",
+                    era,
                     revision,
                     age,
                 });
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -143,7 +143,7 @@
             metrics: this.#metrics,
             logger: this.#logger,
             readsStore: () => this.#replicaFollower?.connected ?? false,
-            onNewerRevision: revision => this.#replicaFollower?.catchUpTo(revision),
+            onNewerPosition: position => this.#replicaFollower?.catchUpTo(position),
             createReport: force => reporter.createReport(force),
             usageWindowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
             onReport: report => reporter.applyReport(report),
@@ -186,6 +186,9 @@
      */
     async start(): Promise<void> {
         this.#logger.info("starting", { incarnation: this.#incarnation, failureDomain: this.settings.failureDomain });
+        await this.#server.listen(this.settings.callersAddress);
+        await this.#statusServers.listen(this.settings.readinessAddress, this.settings.metricsAddress);
+        await this.#peerMesh.start(this.settings.instancesAddress);
         this.#replicaFollower = new ReplicaFollower(this.#replica, this.#store, {
             prefix: this.adapter.itemPrefix,
             isReader: () => this.#peerMesh.isReader(),
@@ -194,9 +197,6 @@
             logger: this.#logger,
             metrics: this.#metrics,
         });
-        await this.#server.listen(this.settings.callersAddress);
-        await this.#statusServers.listen(this.settings.readinessAddress, this.settings.metricsAddress);
-        await this.#peerMesh.start(this.settings.instancesAddress);
         this.#leadership = new Leadership({
             key: STAGE_LEADER_KEY,
             self: this.settings.name,
--- a/packages/gateway/leaving_servers_test.ts
+++ b/packages/gateway/leaving_servers_test.ts
@@ -11,7 +11,7 @@
 function server(id: string, changes: Partial<RegisteredServer> = {}): RegisteredServer {
     return {
         ...{ id, service: "orders", address: "127.0.0.1:1", failureDomain: "north", leaving: false, stage: undefined },
-        ...{ slots: 8, coldMilliseconds: 0, startedAt: 1, revision: 1 },
+        ...{ slots: 8, coldMilliseconds: 0, startedAt: 1 },
         ...changes,
     };
 }
@@ -69,9 +69,9 @@
     clock.time = DRAIN_MILLISECONDS;
     expect(availability.findRefusal("orders")).toMatchObject({ status: 503, verdict: "not-run" });
     directory.apply({ kind: "server-removed", id: "first" });
-    directory.apply({ kind: "server", server: server("first", { revision: 5 }) });
+    directory.apply({ kind: "server", server: server("first") });
     expect(availability.usableServers("orders")).toEqual([]);
-    directory.apply({ kind: "server", server: server("first", { revision: 6, startedAt: 2 }) });
+    directory.apply({ kind: "server", server: server("first", { startedAt: 2 }) });
     expect(availability.usableServers("orders")).toHaveLength(1);
     // A late answer of the former start says nothing about the new one.
     leavingServers.record(first, "answer");
--- a/packages/peers/ended_mate_removal.ts
+++ b/packages/peers/ended_mate_removal.ts
@@ -2,7 +2,7 @@
 import type { CoordinationStore } from "../coordination/mod.ts";
 import type { InstancePool } from "../instances/mod.ts";
 import type { Logger } from "../logs/mod.ts";
-import type { ItemReplica } from "../replica/mod.ts";
+import { type ItemReplica, positionOf } from "../replica/mod.ts";
 import type { MemberList } from "./member_list.ts";
 
 /** Pause in milliseconds between two searches. */
@@ -59,12 +59,12 @@
         }
         for (const peer of members.silentMates()) {
             const key = keyPrefix + peer.name;
-            const revision = replica.get(key)?.revision;
+            const item = replica.getStored(key);
             const response = await pool.call(peer, "peers.probe", {}, PROBE_TIMEOUT_MILLISECONDS);
-            if (response.isOk() || revision === undefined) {
+            if (response.isOk() || item === undefined) {
                 continue;
             }
-            const removed = await store.remove(key, revision);
+            const removed = await store.remove(key, positionOf(item));
             logger.info("registration of a silent instance removed", {
                 peer: peer.name,
                 incarnation: peer.incarnation,
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -1,7 +1,7 @@
 import * as z from "zod";
 import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
 import { InstancePool, InstanceServer } from "../instances/mod.ts";
-import type { ItemChange, ReplicaUpdate } from "../replica/mod.ts";
+import { type ItemChange, positionOf, type ReplicaUpdate } from "../replica/mod.ts";
 import { mergeLeaving } from "./_merge_leaving.ts";
 import type { Cell } from "./cell.ts";
 import { CellExchange } from "./cell_exchange.ts";
@@ -223,20 +223,22 @@
             return;
         }
         const name = key.slice(KEY_PREFIX.length);
-        const { logger } = this.options;
+        const { self, logger } = this.options;
         if (change.kind === "removed") {
             this.#members.unregister(name);
-            logger.info("instance unregistered", { peer: name, revision: change.revision });
-            if (name === this.options.self.name && !this.#closed) {
+            logger.info("instance unregistered", { peer: name, ...positionOf(change) });
+            if (name === self.name) {
                 this.#registration?.renew();
             }
+        }
+        if (change.kind !== "written") {
             return;
         }
         try {
             const peer = peerSchema.parse(JSON.parse(change.item.value ?? ""));
             this.#members.register(peer);
             const { incarnation, address } = peer;
-            logger.info("instance registered", { peer: name, incarnation, address, revision: change.item.revision });
+            logger.info("instance registered", { peer: name, incarnation, address, ...positionOf(change.item) });
         }
         catch (error) {
             logger.warn("cannot parse registered instance", { key, error: String(error) });
--- a/packages/peers/peer_mesh_options.ts
+++ b/packages/peers/peer_mesh_options.ts
@@ -2,7 +2,7 @@
 import type { CoordinationStore } from "../coordination/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import type { ItemReplica } from "../replica/mod.ts";
+import type { ItemReplica, StorePosition } from "../replica/mod.ts";
 import type { CellState } from "./cell_state.ts";
 import type { Peer } from "./peer.ts";
 import type { PeerReport } from "./peer_report.ts";
@@ -21,8 +21,8 @@
     createReport(force: boolean): Omit<PeerReport, keyof Peer> | undefined;
     /** Whether this instance's last read of the store succeeded. */
     readsStore(): boolean;
-    /** Called when a peer has a newer revision whose changes have not arrived. */
-    onNewerRevision(revision: number): void;
+    /** Called when a peer has a newer position whose changes have not arrived. */
+    onNewerPosition(position: StorePosition): void;
     /** Window of the rate limits in milliseconds. */
     usageWindowMilliseconds: number;
     /** Called for each report of a member of the cell. */
--- a/packages/peers/registration.ts
+++ b/packages/peers/registration.ts
@@ -1,5 +1,5 @@
 import { PeriodicTask, sleep } from "../clocks/mod.ts";
-import type { CoordinationStore } from "../coordination/mod.ts";
+import type { CoordinationStore, StoreLease } from "../coordination/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 
 /**
@@ -22,7 +22,7 @@
  */
 export class Registration {
     readonly #task: PeriodicTask;
-    #lease: number | undefined;
+    #lease: StoreLease | undefined;
     #retryMilliseconds = MINIMUM_RETRY_MILLISECONDS;
     #wake = new AbortController();
 
@@ -55,7 +55,7 @@
         }
     }
 
-    /** Writes the item again, since it was removed although this process still runs. */
+    /** Writes the item again, since it was removed or the store has come back from an older copy. */
     renew(): void {
         this.#lease = undefined;
         this.#wake.abort();
@@ -86,11 +86,16 @@
             });
             return false;
         }
+        if (written.value.position.era !== lease.value.era) {
+            // In this era, the number of the lease may belong to another instance.
+            this.logger.warn("cannot register", { error: "The store came back from an older copy" });
+            return false;
+        }
         this.#lease = lease.value;
         return true;
     }
 
-    async #renew(lease: number): Promise<boolean> {
+    async #renew(lease: StoreLease): Promise<boolean> {
         const renewed = await this.store.renewLease(lease);
         if (renewed.isErr()) {
             return false;
--- a/packages/peers/replica_exchange.ts
+++ b/packages/peers/replica_exchange.ts
@@ -2,7 +2,14 @@
 import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
 import { instanceId } from "../instances/mod.ts";
 import { selectMembers } from "../membership/mod.ts";
-import type { ItemChange, ItemSnapshot, ReplicaUpdate } from "../replica/mod.ts";
+import {
+    comparePositions,
+    type ItemChange,
+    type ItemSnapshot,
+    positionOf,
+    type ReplicaUpdate,
+    type StorePosition,
+} from "../replica/mod.ts";
 import type { KnownPeer } from "./known_peer.ts";
 import type { Peer } from "./peer.ts";
 import type { ReplicaExchangeOptions } from "./replica_exchange_options.ts";
@@ -26,17 +33,17 @@
 /** Maximum bytes that a reader sends to all peers for one update; for a larger one, peers read the store. */
 const PUSH_BUDGET_BYTES = 200_000;
 
-const itemSchema = z.object({ key: z.string(), value: z.string().optional(), revision: z.number() });
+const positionSchema = z.object({ era: z.number(), revision: z.number() });
+const itemSchema = positionSchema.extend({ key: z.string(), value: z.string().optional() });
 const changeSchema = z.union([
     z.object({ kind: z.literal("written"), item: itemSchema }),
-    z.object({ kind: z.literal("removed"), key: z.string(), revision: z.number() }),
+    positionSchema.extend({ kind: z.literal("removed"), key: z.string() }),
 ]);
-const updateSchema = z.object({ after: z.number(), revision: z.number(), changes: z.array(changeSchema).optional() });
-const pullSchema = z.object({ revision: z.number(), full: z.boolean() });
+const updateSchema = positionSchema.extend({ after: positionSchema, changes: z.array(changeSchema).optional() });
+const pullSchema = positionSchema.extend({ full: z.boolean() });
 
-/** Response to a pull: the peer's revision and, if requested and newer, a snapshot of its replica. */
-interface PullResponse {
-    revision: number;
+/** Response to a pull: the peer's position and, if requested and newer, a snapshot of its replica. */
+interface PullResponse extends StorePosition {
     /** Time in milliseconds since the peer's replica was last confirmed. */
     age: number;
     /** Whether the peer's last read of the store succeeded. */
@@ -69,7 +76,7 @@
      */
     constructor(private readonly options: ReplicaExchangeOptions) {
         const { server } = options;
-        server.handle("replica.pull", pullSchema, async ({ revision, full }) => this.#respondToPull(revision, full));
+        server.handle("replica.pull", pullSchema, async ({ full, ...position }) => this.#respondToPull(position, full));
         server.handle("replica.changes", updateSchema, async update => this.#applyUpdate(update));
     }
 
@@ -140,11 +147,13 @@
 
     #applyUpdate(update: z.infer<typeof updateSchema>): void {
         const { replica } = this.options;
-        if (update.changes && update.after <= replica.revision) {
-            replica.apply(update.changes as ItemChange[], update.revision);
+        const canApply = update.after.era === replica.position.era
+            && comparePositions(update.after, replica.position) <= 0;
+        if (update.changes && canApply) {
+            replica.apply(update.changes as ItemChange[], update);
         }
-        else if (update.revision > replica.revision) {
-            this.options.onNewerRevision(update.revision);
+        else if (comparePositions(update, replica.position) > 0) {
+            this.options.onNewerPosition(positionOf(update));
         }
     }
 
@@ -202,7 +211,7 @@
         this.#pendingPulls.add(peer.name);
         const { clock, pool, members, replica, readsStore } = this.options;
         const requestedAt = clock.now();
-        const params = { revision: replica.revision, full: !readsStore() || replica.revision === 0 };
+        const params = { ...replica.position, full: !readsStore() || !replica.isFilled };
         const response = await pool.call<PullResponse>(peer, "replica.pull", params, PULL_TIMEOUT_MILLISECONDS);
         this.#pendingPulls.delete(peer.name);
         if (response.isErr() || !response.value.readsStore) {
@@ -216,7 +225,7 @@
     async #pullFromSeed(address: string): Promise<void> {
         const { clock, pool, replica } = this.options;
         const requestedAt = clock.now();
-        const params = { revision: replica.revision, full: true };
+        const params = { ...replica.position, full: true };
         const response = await pool.callAddress<PullResponse>(address, "replica.pull", params);
         if (response.isOk()) {
             this.#applyPullResponse(response.value, requestedAt, address);
@@ -224,26 +233,27 @@
     }
 
     #applyPullResponse(response: PullResponse, requestedAt: number, from: string): void {
-        const { replica, logger, metrics } = this.options;
+        const { replica, logger, metrics, onNewerPosition } = this.options;
         const confirmedAt = requestedAt - response.age;
-        if (response.snapshot && response.revision > replica.revision) {
-            logger.info("items taken from a peer", { peer: from, revision: response.revision, age: response.age });
+        if (response.snapshot && comparePositions(response, replica.position) > 0) {
+            logger.info("items taken from a peer", { peer: from, ...positionOf(response), age: response.age });
             metrics.increment("replica_snapshots_from_peers_total");
             replica.replace(response.snapshot, confirmedAt);
         }
-        replica.confirm(response.revision, confirmedAt);
-        if (response.revision > replica.revision) {
-            this.options.onNewerRevision(response.revision);
+        replica.confirm(response, confirmedAt);
+        if (comparePositions(response, replica.position) > 0) {
+            onNewerPosition(positionOf(response));
         }
     }
 
-    #respondToPull(revision: number, full: boolean): PullResponse {
+    #respondToPull(position: StorePosition, full: boolean): PullResponse {
         const { clock, replica, readsStore } = this.options;
+        const now = clock.now();
         // JSON cannot encode the infinite age of a replica that was never confirmed.
-        const age = Math.min(1e9, clock.now() - replica.confirmedAt);
-        const includesSnapshot = full && replica.revision > revision;
+        const age = Math.min(1e9, now - replica.confirmedAt);
+        const includesSnapshot = full && comparePositions(replica.position, position) > 0;
         return {
-            revision: replica.revision,
+            ...replica.position,
             age,
             readsStore: readsStore(),
             ...includesSnapshot ? { snapshot: replica.snapshot() } : {},
--- a/packages/peers/replica_exchange_options.ts
+++ b/packages/peers/replica_exchange_options.ts
@@ -2,7 +2,7 @@
 import type { InstancePool, InstanceServer } from "../instances/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import type { ItemReplica } from "../replica/mod.ts";
+import type { ItemReplica, StorePosition } from "../replica/mod.ts";
 import type { MemberList } from "./member_list.ts";
 import type { Peer } from "./peer.ts";
 
@@ -20,6 +20,6 @@
     logger: Logger;
     /** Whether this instance's last read of the store succeeded. */
     readsStore(): boolean;
-    /** Called when a peer has a newer revision whose changes have not arrived. */
-    onNewerRevision(revision: number): void;
+    /** Called when a peer has a newer position whose changes have not arrived. */
+    onNewerPosition(position: StorePosition): void;
 }
--- a/packages/replica/item_replica.ts
+++ b/packages/replica/item_replica.ts
@@ -1,38 +1,62 @@
+import { ConfirmationTimes } from "./_confirmation_times.ts";
+import { isSameWrite } from "./_is_same_write.ts";
+import { ItemHistory } from "./_item_history.ts";
+import { mergeCopy } from "./_merge_copy.ts";
+import { RetainedItems } from "./_retained_items.ts";
+import { comparePositions } from "./compare_positions.ts";
+import type { EraChange } from "./era_change.ts";
 import type { ItemChange } from "./item_change.ts";
 import type { ItemSnapshot } from "./item_snapshot.ts";
+import { positionOf } from "./position_of.ts";
+import type { RetainedItem } from "./retained_item.ts";
+import type { StorePosition } from "./store_position.ts";
 import type { StoredItem } from "./stored_item.ts";
 
-/** Time without a confirmation after which leased items may have expired although their owners still run. */
-const OUTAGE_MILLISECONDS = 2_000;
-/** Time after an outage within which the owners of expired items write them again. */
-const RECOVERY_MILLISECONDS = 2_300;
+/** Time after a return from an older copy within which whoever wrote what the copy lacks writes it again. */
+const RETENTION_MILLISECONDS = 5_000;
 
 /**
- * Replica of the store's items, complete up to a revision that never decreases.
+ * Replica of the store's items, complete up to a position that never decreases. When the store comes back from an older
+ * copy, what the replica knows and the copy lacks is kept until it is written again, for a limited time.
  *
  * @example
  * ```ts
  * const replica = new ItemReplica();
  * replica.onChange(change => console.log(change.kind));
- * replica.replace({ items: [{ key: "a", value: "1", revision: 4 }], revision: 4 }, performance.now());
- * replica.revision; // 4
+ * replica.replace({ items: [{ key: "a", value: "1", era: 1, revision: 4 }], era: 1, revision: 4 }, performance.now());
+ * replica.position; // { era: 1, revision: 4 }
  * ```
  */
 export class ItemReplica {
-    readonly #items = new Map<string, StoredItem>();
+    /** What the store has at the position. */
+    #stored = new Map<string, StoredItem>();
+    /** What is newer than the store. */
+    readonly #retained = new RetainedItems();
+    readonly #history = new ItemHistory();
     readonly #listeners: ((change: ItemChange) => void)[] = [];
-    #revision = 0;
-    #confirmedAt = Number.NEGATIVE_INFINITY;
-    #outageEndedAt = Number.NEGATIVE_INFINITY;
+    readonly #eraListeners: ((change: EraChange) => void)[] = [];
+    #position: StorePosition = { era: 0, revision: 0 };
+    readonly #times = new ConfirmationTimes();
+    #eraEnteredAt = Number.NEGATIVE_INFINITY;
 
-    /** Revision of the store up to which the replica is complete; 0 before the first snapshot. */
-    get revision(): number {
-        return this.#revision;
+    /** Position of the store up to which the replica is complete. */
+    get position(): StorePosition {
+        return this.#position;
+    }
+
+    /** Whether there has been a snapshot. */
+    get isFilled(): boolean {
+        return this.#position.revision > 0;
     }
 
     /** Start of the read that last confirmed the replica, in milliseconds on the caller's clock. */
     get confirmedAt(): number {
-        return this.#confirmedAt;
+        return this.#times.confirmedAt;
+    }
+
+    /** Start of the read with which the replica entered the present era, in milliseconds on the caller's clock. */
+    get eraEnteredAt(): number {
+        return this.#eraEnteredAt;
     }
 
     /**
@@ -43,7 +67,7 @@
      * @returns Whether it is or was.
      */
     isRecovering(now: number): boolean {
-        return now - this.#confirmedAt > OUTAGE_MILLISECONDS || now - this.#outageEndedAt < RECOVERY_MILLISECONDS;
+        return this.#times.isRecovering(now);
     }
 
     /**
@@ -56,12 +80,40 @@
     }
 
     /**
-     * Returns all items.
+     * Registers a function that is called when the replica has followed the store into another era.
      *
-     * @returns The items with the replica's revision.
+     * @param listener The function.
+     */
+    onEraChange(listener: (change: EraChange) => void): void {
+        this.#eraListeners.push(listener);
+    }
+
+    /**
+     * Returns what the store has at the replica's position.
+     *
+     * @returns The items, without the retained states.
      */
     snapshot(): ItemSnapshot {
-        return { items: [...this.#items.values()], revision: this.#revision };
+        return { items: [...this.#stored.values()], ...this.#position };
+    }
+
+    /**
+     * Returns the states that are kept although the store does not have them in its present era.
+     *
+     * @returns The states.
+     */
+    retained(): RetainedItem[] {
+        return this.#retained.all();
+    }
+
+    /**
+     * Reads one item as the store has it, without regard to what is retained.
+     *
+     * @param key Its key.
+     * @returns The item, or undefined.
+     */
+    getStored(key: string): StoredItem | undefined {
+        return this.#stored.get(key);
     }
 
     /**
@@ -71,7 +123,8 @@
      * @returns The item, or undefined.
      */
     get(key: string): StoredItem | undefined {
-        return this.#items.get(key);
+        const state = this.#retained.get(key);
+        return state ? state.item : this.#stored.get(key);
     }
 
     /**
@@ -81,95 +134,167 @@
      * @param readAt Time before the snapshot was requested.
      */
     replace(snapshot: ItemSnapshot, readAt: number): void {
-        if (snapshot.revision < this.#revision) {
+        if (comparePositions(snapshot, this.#position) < 0) {
             return;
         }
-        const snapshotKeys = new Set(snapshot.items.map(item => item.key));
-        for (const item of snapshot.items) {
-            this.#writeItem(item);
+        if (this.isFilled && snapshot.era !== this.#position.era) {
+            this.#enterEra(snapshot, readAt);
         }
-        for (const { key, revision } of [...this.#items.values()]) {
-            if (!snapshotKeys.has(key) && revision <= snapshot.revision) {
-                this.#removeItem(key, snapshot.revision);
+        else {
+            this.#eraEnteredAt = this.isFilled ? this.#eraEnteredAt : readAt;
+            const snapshotKeys = new Set(snapshot.items.map(item => item.key));
+            for (const item of snapshot.items) {
+                this.#writeItem(item);
+            }
+            for (const key of [...this.#stored.keys()].filter(key => !snapshotKeys.has(key))) {
+                this.#removeItem(key, snapshot);
             }
         }
-        this.#advance(snapshot.revision, readAt);
+        this.#advance(snapshot, readAt);
     }
 
     /**
-     * Applies the changes after the replica's revision; older ones have no effect.
+     * Applies the changes after the replica's position; older ones and those of another era have no effect.
      *
      * @param changes The changes, in order.
-     * @param revision Revision up to which they are complete.
+     * @param position Position up to which they are complete.
      * @param readAt Time before they were requested; undefined if unknown, so that they do not confirm the replica.
      */
-    apply(changes: ItemChange[], revision: number, readAt?: number): void {
-        const knownRevision = this.#revision;
+    apply(changes: ItemChange[], position: StorePosition, readAt?: number): void {
+        if (position.era !== this.#position.era) {
+            return;
+        }
         for (const change of changes) {
-            if (revisionOf(change) <= knownRevision) {
+            const { revision } = change.kind === "written" ? change.item : change;
+            if (revision <= this.#position.revision) {
                 continue;
             }
             if (change.kind === "written") {
                 this.#writeItem(change.item);
+                continue;
             }
-            else {
-                this.#removeItem(change.key, change.revision);
-            }
+            this.#removeItem(change.key, change);
         }
-        this.#advance(revision, readAt);
+        this.#advance(position, readAt);
     }
 
     /**
-     * Records that a replica of the same or an older revision was confirmed on another instance.
+     * Records that a replica of the same or an older position of the era was confirmed on another instance.
      *
-     * @param revision Revision of that replica.
+     * @param position Position of that replica.
      * @param confirmedAt Start of the read that confirmed it, on this instance's clock.
      */
-    confirm(revision: number, confirmedAt: number): void {
-        if (revision > 0 && revision <= this.#revision) {
+    confirm(position: StorePosition, confirmedAt: number): void {
+        const { era, revision } = position;
+        if (revision > 0 && era === this.#position.era && revision <= this.#position.revision) {
             this.#recordConfirmation(confirmedAt);
         }
     }
 
-    #advance(revision: number, readAt: number | undefined): void {
-        if (revision >= this.#revision) {
-            this.#revision = revision;
-            this.#recordConfirmation(readAt ?? this.#confirmedAt);
+    /**
+     * Takes over the states that another instance retains, where they are newer than what this replica knows.
+     *
+     * @param states The states.
+     * @param position Position of that instance's replica; without effect if it is behind this replica.
+     * @param now Current time in milliseconds.
+     */
+    retain(states: RetainedItem[], position: StorePosition, now: number): void {
+        const isLate = now - this.#eraEnteredAt >= RETENTION_MILLISECONDS;
+        if (isLate || position.era !== this.#position.era || comparePositions(position, this.#position) < 0) {
+            return;
+        }
+        for (const state of states) {
+            const known = this.get(state.key);
+            const storedRevision = this.#stored.get(state.key)?.revision ?? 0;
+            if (storedRevision !== state.copiedRevision || !this.#retained.add(state)) {
+                continue;
+            }
+            if (state.item && !isSameWrite(known, state.item)) {
+                this.#emit({ kind: "written", item: state.item });
+            }
+            if (!state.item && known) {
+                this.#emit({ kind: "removed", key: state.key, ...this.#position });
+            }
+        }
+    }
+
+    /** Follows the store into another era, with a snapshot of a copy that may be older than the replica. */
+    #enterEra(snapshot: ItemSnapshot, readAt: number): void {
+        const from = this.#position;
+        const retainedKeys = this.#retained.all().map(({ key }) => key);
+        const { copiedRevision, retained, changes } = mergeCopy(snapshot, {
+            position: from,
+            keys: [...this.#stored.keys(), ...retainedKeys],
+            get: key => this.get(key),
+            hasSeen: item => isSameWrite(this.#stored.get(item.key), item) || this.#history.includes(item),
+        }, readAt + RETENTION_MILLISECONDS);
+        const former = this.#stored;
+        this.#stored = new Map(snapshot.items.map(item => [item.key, item]));
+        for (const item of former.values()) {
+            if (!isSameWrite(item, this.#stored.get(item.key))) {
+                this.#history.add(item);
+            }
+        }
+        this.#retained.clear();
+        retained.forEach(state => this.#retained.add(state));
+        this.#position = positionOf(snapshot);
+        this.#eraEnteredAt = readAt;
+        this.#times.endOutage(readAt);
+        const eraChange = { from, to: this.#position, copiedRevision, retained: retained.length };
+        this.#eraListeners.forEach(listener => listener(eraChange));
+        changes.forEach(change => this.#emit(change));
+    }
+
+    #advance(position: StorePosition, readAt: number | undefined): void {
+        if (comparePositions(position, this.#position) >= 0) {
+            this.#position = positionOf(position);
+            this.#recordConfirmation(readAt ?? this.confirmedAt);
         }
     }
 
     #recordConfirmation(confirmedAt: number): void {
-        if (confirmedAt - this.#confirmedAt > OUTAGE_MILLISECONDS) {
-            this.#outageEndedAt = confirmedAt;
+        this.#times.record(confirmedAt);
+        for (const key of this.#retained.expired(this.confirmedAt)) {
+            const known = this.get(key);
+            this.#retained.delete(key);
+            const item = this.#stored.get(key);
+            if (item) {
+                this.#emit({ kind: "written", item });
+            }
+            else if (known) {
+                this.#emit({ kind: "removed", key, ...this.#position });
+            }
         }
-        this.#confirmedAt = Math.max(this.#confirmedAt, confirmedAt);
     }
 
     #writeItem(item: StoredItem): void {
-        const current = this.#items.get(item.key);
-        if (current && current.revision >= item.revision) {
+        const current = this.#stored.get(item.key);
+        if (current && comparePositions(current, item) >= 0) {
             return;
         }
-        this.#items.set(item.key, item);
+        if (current) {
+            this.#history.add(current);
+        }
+        this.#stored.set(item.key, item);
+        this.#retained.delete(item.key);
         this.#emit({ kind: "written", item });
     }
 
-    #removeItem(key: string, revision: number): void {
-        const current = this.#items.get(key);
-        if (!current || current.revision > revision) {
+    #removeItem(key: string, position: StorePosition): void {
+        const current = this.#stored.get(key);
+        if (!current || comparePositions(current, position) > 0) {
             return;
         }
-        this.#items.delete(key);
-        this.#emit({ kind: "removed", key, revision });
+        const known = this.get(key);
+        this.#history.add(current);
+        this.#stored.delete(key);
+        this.#retained.delete(key);
+        if (known) {
+            this.#emit({ kind: "removed", key, ...positionOf(position) });
+        }
     }
 
     #emit(change: ItemChange): void {
-        for (const listener of this.#listeners) {
-            listener(change);
-        }
+        this.#listeners.forEach(listener => listener(change));
     }
 }
-
-function revisionOf(change: ItemChange): number {
-    return change.kind === "written" ? change.item.revision : change.revision;
-}
--- a/packages/replica/replica_follower.ts
+++ b/packages/replica/replica_follower.ts
@@ -1,7 +1,10 @@
 import { PeriodicTask, sleep } from "../clocks/mod.ts";
+import { comparePositions } from "./compare_positions.ts";
 import type { ItemReplica } from "./item_replica.ts";
 import type { ItemSource } from "./item_source.ts";
+import { positionOf } from "./position_of.ts";
 import type { ReplicaFollowerOptions } from "./replica_follower_options.ts";
+import type { StorePosition } from "./store_position.ts";
 
 /** Longest wait of one watch; bounds the time until a lost connection is noticed. */
 const WATCH_WAIT_MILLISECONDS = 800;
@@ -25,13 +28,13 @@
 const MAXIMUM_CONFIRMED_RETRY_MILLISECONDS = 3_000;
 
 /**
- * Keeps a replica up to date from the store: takes a snapshot, then watches for changes after its revision. While peers
+ * Keeps a replica up to date from the store: takes a snapshot, then watches for changes after its position. While peers
  * read the store and forward its changes, this instance does not call the store.
  *
  * @example
  * ```ts
  * const follower = new ReplicaFollower(replica, source, options);
- * follower.catchUpTo(17);
+ * follower.catchUpTo({ era: 1, revision: 17 });
  * await follower.close();
  * ```
  */
@@ -42,7 +45,7 @@
     #retryMilliseconds = 0;
     #connected = false;
     #takeoverUntil = Number.NEGATIVE_INFINITY;
-    #announcedRevision = 0;
+    #announcedPosition: StorePosition = { era: 0, revision: 0 };
     #lastWatchHadChanges = false;
     #lastSnapshotWasOlder = false;
     #wake = new AbortController();
@@ -69,12 +72,14 @@
     }
 
     /**
-     * Reads the store at once if the replica is older than a revision that a peer has announced.
+     * Reads the store at once if the replica is older than a position that a peer has announced.
      *
-     * @param revision The revision.
+     * @param position The position.
      */
-    catchUpTo(revision: number): void {
-        this.#announcedRevision = Math.max(this.#announcedRevision, revision);
+    catchUpTo(position: StorePosition): void {
+        if (comparePositions(position, this.#announcedPosition) > 0) {
+            this.#announcedPosition = positionOf(position);
+        }
         this.#wake.abort();
     }
 
@@ -106,11 +111,11 @@
 
     #mustRead(): boolean {
         const now = this.options.clock.now();
-        if (this.replica.revision > 0 && now - this.replica.confirmedAt > STALE_REPLICA_MILLISECONDS) {
+        if (this.replica.isFilled && now - this.replica.confirmedAt > STALE_REPLICA_MILLISECONDS) {
             this.#takeoverUntil = now + TAKEOVER_MILLISECONDS;
         }
-        return !this.#connected || now < this.#takeoverUntil || this.#announcedRevision > this.replica.revision
-            || this.options.isReader();
+        return !this.#connected || now < this.#takeoverUntil || this.options.isReader()
+            || comparePositions(this.#announcedPosition, this.replica.position) > 0;
     }
 
     async #list(): Promise<void> {
@@ -120,22 +125,25 @@
             this.#fail(listed.error.message);
             return;
         }
-        const after = this.replica.revision;
+        const after = this.replica.position;
         this.replica.replace(listed.value, readAt);
         this.#succeed();
-        this.#needsSnapshot = listed.value.revision < this.replica.revision;
-        this.#reportOlderSnapshot(listed.value.revision);
-        this.options.onRead({ after, revision: listed.value.revision, changes: undefined });
+        this.#needsSnapshot = comparePositions(listed.value, this.replica.position) < 0;
+        if (this.#needsSnapshot) {
+            this.#retryMilliseconds = MINIMUM_RETRY_MILLISECONDS;
+        }
+        this.#reportOlderSnapshot(listed.value);
+        this.options.onRead({ after, ...positionOf(listed.value), changes: undefined });
     }
 
     /** Logs the first of several snapshots in a row that are older than the replica. */
-    #reportOlderSnapshot(revision: number): void {
+    #reportOlderSnapshot(snapshot: StorePosition): void {
         if (this.#needsSnapshot) {
             this.options.metrics.increment("store_older_snapshots_total");
             if (!this.#lastSnapshotWasOlder) {
                 this.options.logger.warn("snapshot is older than the replica", {
-                    snapshot: revision,
-                    revision: this.replica.revision,
+                    snapshot: positionOf(snapshot),
+                    ...this.replica.position,
                 });
             }
         }
@@ -148,7 +156,7 @@
             await sleep(this.#batchDelay(), signal);
         }
         const readAt = this.options.clock.now();
-        const after = this.replica.revision;
+        const after = this.replica.position;
         const response = await this.source.watch(this.options.prefix, after, wait);
         if (response.isErr()) {
             this.#fail(response.error.message);
@@ -157,19 +165,19 @@
         if (response.value.kind === "history-lost") {
             this.options.metrics.increment("store_history_lost_total");
             this.options.logger.warn("store no longer keeps the requested changes; taking a new snapshot", {
-                revision: after,
+                ...after,
             });
             this.#needsSnapshot = true;
             return;
         }
-        const { changes, revision } = response.value;
+        const { changes } = response.value;
         // A watch without changes confirms the replica as of the end of its wait.
         this.#lastWatchHadChanges = changes.length > 0;
         const waitedFully = !this.#lastWatchHadChanges && this.options.clock.now() - readAt >= wait;
-        this.replica.apply(changes, revision, waitedFully ? readAt + wait : readAt);
+        this.replica.apply(changes, response.value, waitedFully ? readAt + wait : readAt);
         this.#succeed();
         if (this.#lastWatchHadChanges) {
-            this.options.onRead({ after, revision, changes });
+            this.options.onRead({ after, ...positionOf(response.value), changes });
         }
     }
 
@@ -183,7 +191,7 @@
         this.#retryMilliseconds = 0;
         if (!this.#connected) {
             this.#connected = true;
-            this.options.logger.info("store regained", { revision: this.replica.revision });
+            this.options.logger.info("store regained", { ...this.replica.position });
         }
     }
 
@@ -200,7 +208,7 @@
             : Math.min(longest, this.#retryMilliseconds * 2);
         if (this.#connected) {
             this.#connected = false;
-            this.options.logger.warn("store lost", { revision: this.replica.revision, error: message });
+            this.options.logger.warn("store lost", { ...this.replica.position, error: message });
         }
     }
 }
--- a/packages/replica/replica_follower_test.ts
+++ b/packages/replica/replica_follower_test.ts
@@ -25,7 +25,7 @@
     };
     const clock = new SuspensionAwareClock(() => performance.now(), () => performance.now());
     const replica = new ItemReplica();
-    replica.replace({ items: [], revision: 5 }, clock.now());
+    replica.replace({ items: [], era: 1, revision: 5 }, clock.now());
     const follower = new ReplicaFollower(replica, { list: reject, watch: reject }, {
         prefix: "",
         clock,
@@ -36,7 +36,7 @@
     });
     for (let passed = 0; passed < milliseconds; passed += 100) {
         if (confirmedByPeers()) {
-            replica.confirm(5, clock.now());
+            replica.confirm({ era: 1, revision: 5 }, clock.now());
         }
         await vi.advanceTimersByTimeAsync(100);
     }
--- a/packages/replica/replica_update.ts
+++ b/packages/replica/replica_update.ts
@@ -1,11 +1,10 @@
 import type { ItemChange } from "./item_change.ts";
+import type { StorePosition } from "./store_position.ts";
 
-/** Result of a read of the store. */
-export interface ReplicaUpdate {
-    /** Revision after which the changes begin. */
-    after: number;
-    /** Revision up to which they are complete. */
-    revision: number;
+/** Result of a read of the store, with the position up to which it is complete. */
+export interface ReplicaUpdate extends StorePosition {
+    /** Position after which the changes begin. */
+    after: StorePosition;
     /** The changes; undefined after a full snapshot. */
     changes: ItemChange[] | undefined;
 }
