Keep leaders apart when the store comes back from an older copy

Cause: the fencing token was the store's revision, which goes back. The copy may lack the leader's item although the leader still acts, and have its former lease number for another instance, so that a renewal keeps the wrong lease. Change: the token follows from era and revision. A leader acts only while the replica is in the era of its lease. Nobody takes the leadership for one lease after a new era, nor after a start other than the first, since the former leader may still act.

--- a/packages/coordination/leadership.ts
+++ b/packages/coordination/leadership.ts
@@ -1,5 +1,6 @@
 import { PeriodicTask, sleep } from "../clocks/mod.ts";
 import { positionOf } from "../replica/mod.ts";
+import { fencingTokenOf } from "./_fencing_token_of.ts";
 import type { LeadershipOptions } from "./leadership_options.ts";
 import type { StoreLease } from "./store_lease.ts";
 
@@ -14,7 +15,8 @@
 /**
  * Elects one instance as the leader through the store. The leader's fencing token follows from the store's position at
  * which it took the leadership, so it grows from leader to leader. A new leader does not act for the length of one
- * lease, so that everything the previous leader sent has arrived by then.
+ * lease, so that everything the previous leader sent has arrived by then. A store that has come back from an older copy
+ * may lack the item of a leader that still acts, so nobody takes the leadership for one lease from then on.
  *
  * @example
  * ```ts
@@ -27,6 +29,7 @@
     readonly #task: PeriodicTask;
     #lease: StoreLease | undefined;
     #fence = 0;
+    #attemptsFrom: number;
     #actsFrom = 0;
     #actsUntil = 0;
 
@@ -34,6 +37,10 @@
      * @param options Dependencies and settings of the leadership.
      */
     constructor(private readonly options: LeadershipOptions) {
+        const { replica, clock, isFirstStart, leaseMilliseconds } = options;
+        // An instance that starts cannot know whether the store has just come back.
+        this.#attemptsFrom = isFirstStart ? Number.NEGATIVE_INFINITY : clock.now() + leaseMilliseconds;
+        replica.onEraChange(() => this.#attemptsFrom = clock.now() + leaseMilliseconds);
         this.#task = new PeriodicTask(0, signal => this.#step(signal), error => {
             options.logger.error("leadership task failed", { error: String(error) });
         });
@@ -46,7 +53,8 @@
      */
     fence(): number | undefined {
         const now = this.options.clock.now();
-        return this.#lease !== undefined && now >= this.#actsFrom && now < this.#actsUntil ? this.#fence : undefined;
+        const isValid = this.#lease?.era === this.options.replica.position.era;
+        return isValid && now >= this.#actsFrom && now < this.#actsUntil ? this.#fence : undefined;
     }
 
     /**
@@ -92,8 +100,8 @@
     }
 
     #isVacant(): boolean {
-        const { replica, key } = this.options;
-        return replica.isFilled && !replica.getStored(key);
+        const { replica, key, clock } = this.options;
+        return replica.isFilled && !replica.getStored(key) && clock.now() >= this.#attemptsFrom;
     }
 
     async #acquire(): Promise<void> {
@@ -116,7 +124,7 @@
             await store.remove(key, position);
             return;
         }
-        this.#fence = position.revision;
+        this.#fence = fencingTokenOf(position);
         this.#lease = lease.value;
         this.#actsFrom = clock.now() + leaseMilliseconds;
         this.#actsUntil = sentAt + leaseMilliseconds * ACTING_FRACTION;
--- a/packages/coordination/leadership_options.ts
+++ b/packages/coordination/leadership_options.ts
@@ -11,6 +11,8 @@
     self: string;
     /** Time in milliseconds after which a leader that does not renew its lease loses the leadership. */
     leaseMilliseconds: number;
+    /** Whether all instances start for the first time, so that no former leader can act. */
+    isFirstStart: boolean;
     /** Number of instances that may become the leader, this one included. */
     instanceCount(): number;
     store: CoordinationStore;
--- a/packages/coordination/leadership_test.ts
+++ b/packages/coordination/leadership_test.ts
@@ -65,6 +65,7 @@
             key: KEY,
             self: name,
             leaseMilliseconds: LEASE_MILLISECONDS,
+            isFirstStart: true,
             instanceCount: () => 2,
             store,
             replica,
@@ -127,6 +128,7 @@
         key: KEY,
         self: "a",
         leaseMilliseconds: LEASE_MILLISECONDS,
+        isFirstStart: true,
         instanceCount: () => 1,
         store: {
             createLease: async () => ok({ id: 1, era: 0 }),
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -201,6 +201,7 @@
             key: STAGE_LEADER_KEY,
             self: this.settings.name,
             leaseMilliseconds: this.settings.bounds.leaseMilliseconds,
+            isFirstStart: this.settings.firstStart,
             instanceCount: () => this.instances,
             store: this.#store,
             replica: this.#replica,
