Register instances again when the store comes back from an older copy

What operators saw: instances whose registrations the copy lacked were missing in the store for up to 20 s, until they renewed their leases, and for good where the lease's number had been given out again; former processes stood in their place. Cause: an instance wrote its registration again only if its removal was read, or its lease had ended. A copy that lacks it reports no removal. Evidence: two tests of platform/restored_store_coordination_test.ts failed. Change: each instance registers with a new lease once its replica is in a new era. Result: the test file passes, its call count within what a quiet fleet may make.

--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -96,6 +96,8 @@
         metrics.gauge("fleet_instances", () => this.instanceCount);
         metrics.gauge("fleet_cell_instances", () => this.#mates().length + 1);
         replica.onChange(change => this.#applyRegistration(change));
+        // The copy may have the registration of a former process.
+        replica.onEraChange(() => this.#registration?.renew());
     }
 
     /** Number of instances, this one included. */
