Ask peers what they know before the store is read at a start

What callers saw: an instance that started just after the store had come back from an older copy accepted a revoked API key until it had asked a peer. Cause: it took the copy for the store's present state. Nothing in the store tells how long ago its era began, and peers sent what they keep to nobody. Change: an instance that does not start together with all others first asks the seeds for their replicas, for at most 600 ms, and reads the store then. Responses to pulls carry what the peer keeps, and for 5 s after a new era each instance asks its peers in turn.

--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -137,6 +137,7 @@
                 failureDomain: settings.failureDomain,
             },
             seedAddresses: settings.seedAddresses,
+            isFirstStart: settings.firstStart,
             store: this.#store,
             replica: this.#replica,
             clock: this.#clock,
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -150,10 +150,10 @@
     }
 
     /**
-     * Opens the port for other instances and registers this one.
+     * Opens the port for other instances, registers this one and asks the seeds for what they know of the store.
      *
      * @param address IP address and port.
-     * @returns A promise that resolves once the port is open.
+     * @returns A promise that resolves once the port is open and the seeds have been asked.
      * @throws {Error} If the port is in use.
      */
     async start(address: string): Promise<void> {
@@ -173,7 +173,7 @@
             pool: this.#pool,
             isResponsible: () => this.#cells.isPrimary && this.options.readsStore(),
         });
-        this.#exchange.start();
+        await this.#exchange.start();
     }
 
     /**
--- a/packages/peers/peer_mesh_options.ts
+++ b/packages/peers/peer_mesh_options.ts
@@ -12,6 +12,8 @@
     self: Peer;
     /** Addresses of instances to pull from before the store has responded. */
     seedAddresses: string[];
+    /** Whether all instances start for the first time, so that no other one knows anything. */
+    isFirstStart: boolean;
     store: CoordinationStore;
     replica: ItemReplica;
     clock: SuspensionAwareClock;
--- a/packages/peers/replica_exchange.ts
+++ b/packages/peers/replica_exchange.ts
@@ -1,5 +1,5 @@
 import * as z from "zod";
-import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
+import { monotonicMilliseconds, PeriodicTask, sleep } from "../clocks/mod.ts";
 import { instanceId } from "../instances/mod.ts";
 import { selectMembers } from "../membership/mod.ts";
 import {
@@ -8,6 +8,7 @@
     type ItemSnapshot,
     positionOf,
     type ReplicaUpdate,
+    type RetainedItem,
     type StorePosition,
 } from "../replica/mod.ts";
 import type { KnownPeer } from "./known_peer.ts";
@@ -30,6 +31,8 @@
 const PULL_TIMEOUT_MILLISECONDS = 600;
 /** Age of the replica above which it is pulled from any peer, not only from readers. */
 const STALE_REPLICA_MILLISECONDS = 1_600;
+/** Time after entering an era in which every instance, readers too, asks peers for what the store lacks. */
+const ERA_START_MILLISECONDS = 5_000;
 /** Maximum bytes that a reader sends to all peers for one update; for a larger one, peers read the store. */
 const PUSH_BUDGET_BYTES = 200_000;
 
@@ -49,6 +52,8 @@
     /** Whether the peer's last read of the store succeeded. */
     readsStore: boolean;
     snapshot?: ItemSnapshot;
+    /** States that the peer retains, with the remaining milliseconds as `until`. */
+    retained?: RetainedItem[];
 }
 
 /**
@@ -59,7 +64,7 @@
  * @example
  * ```ts
  * const exchange = new ReplicaExchange(options);
- * exchange.start();
+ * await exchange.start();
  * exchange.isReader(); // true while no peer is known
  * await exchange.close();
  * ```
@@ -80,10 +85,22 @@
         server.handle("replica.changes", updateSchema, async update => this.#applyUpdate(update));
     }
 
-    /** Starts to pull from readers. */
-    start(): void {
+    /**
+     * Asks the seeds for what they know, since the store may have come back from an older copy, and starts to pull from
+     * readers.
+     *
+     * @returns A promise that resolves once one of the seeds has responded, or none of them did in time.
+     */
+    async start(): Promise<void> {
+        const { self, isFirstStart, seedAddresses, logger } = this.options;
+        if (!isFirstStart) {
+            const noneResponded = sleep(PULL_TIMEOUT_MILLISECONDS);
+            const seeds = seedAddresses.filter(address => address !== self.address);
+            const responses = seeds.map(async seed => await this.#pullFromSeed(seed) || await noneResponded);
+            await Promise.race([noneResponded, ...responses]);
+        }
         this.#pullTask = new PeriodicTask(PULL_PERIOD_MILLISECONDS, async () => this.#step(), error => {
-            this.options.logger.error("replica exchange failed", { error: String(error) });
+            logger.error("replica exchange failed", { error: String(error) });
         });
     }
 
@@ -164,6 +181,9 @@
             this.#pullFromAnyPeer();
             return;
         }
+        if (clock.now() - replica.eraEnteredAt < ERA_START_MILLISECONDS) {
+            this.#pullFromAnyPeer();
+        }
         const period = Math.min(
             MAXIMUM_PULL_PERIOD_MILLISECONDS,
             this.#groupPeers().length / PULLS_PER_SECOND * MILLISECONDS_PER_SECOND,
@@ -222,7 +242,8 @@
         }
     }
 
-    async #pullFromSeed(address: string): Promise<void> {
+    /** Returns whether the seed has responded. */
+    async #pullFromSeed(address: string): Promise<boolean> {
         const { clock, pool, replica } = this.options;
         const requestedAt = clock.now();
         const params = { ...replica.position, full: true };
@@ -230,16 +251,20 @@
         if (response.isOk()) {
             this.#applyPullResponse(response.value, requestedAt, address);
         }
+        return response.isOk();
     }
 
     #applyPullResponse(response: PullResponse, requestedAt: number, from: string): void {
-        const { replica, logger, metrics, onNewerPosition } = this.options;
+        const { clock, replica, logger, metrics, onNewerPosition } = this.options;
         const confirmedAt = requestedAt - response.age;
         if (response.snapshot && comparePositions(response, replica.position) > 0) {
             logger.info("items taken from a peer", { peer: from, ...positionOf(response), age: response.age });
             metrics.increment("replica_snapshots_from_peers_total");
             replica.replace(response.snapshot, confirmedAt);
         }
+        if (response.retained) {
+            replica.retain(shiftTimes(response.retained, requestedAt), response, clock.now());
+        }
         replica.confirm(response, confirmedAt);
         if (comparePositions(response, replica.position) > 0) {
             onNewerPosition(positionOf(response));
@@ -252,11 +277,21 @@
         // JSON cannot encode the infinite age of a replica that was never confirmed.
         const age = Math.min(1e9, now - replica.confirmedAt);
         const includesSnapshot = full && comparePositions(replica.position, position) > 0;
+        const retained = shiftTimes(replica.retained(), -now);
         return {
             ...replica.position,
             age,
             readsStore: readsStore(),
             ...includesSnapshot ? { snapshot: replica.snapshot() } : {},
+            ...retained.length > 0 ? { retained } : {},
         };
     }
 }
+
+/** Converts the times of retained states between a clock and milliseconds from now. */
+function shiftTimes(states: RetainedItem[], milliseconds: number): RetainedItem[] {
+    return states.map(state => ({
+        ...state,
+        until: state.until === undefined ? undefined : state.until + milliseconds,
+    }));
+}
--- a/packages/peers/replica_exchange_options.ts
+++ b/packages/peers/replica_exchange_options.ts
@@ -14,6 +14,8 @@
     members: MemberList;
     /** Addresses of instances to pull from before any peer is known. */
     seedAddresses: string[];
+    /** Whether all instances start for the first time, so that no other one knows anything. */
+    isFirstStart: boolean;
     replica: ItemReplica;
     clock: SuspensionAwareClock;
     metrics: Metrics;
