--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -1,7 +1,7 @@
 import * as z from "zod";
 import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
 import { InstancePool, InstanceServer } from "../instances/mod.ts";
-import type { ItemChange, ReplicaUpdate } from "../replica/mod.ts";
+import { type ItemChange, positionOf, type ReplicaUpdate } from "../replica/mod.ts";
 import { mergeLeaving } from "./_merge_leaving.ts";
 import type { Cell } from "./cell.ts";
 import { CellExchange } from "./cell_exchange.ts";
@@ -96,6 +96,8 @@
         metrics.gauge("fleet_instances", () => this.instanceCount);
         metrics.gauge("fleet_cell_instances", () => this.#mates().length + 1);
         replica.onChange(change => this.#applyRegistration(change));
+        // The copy may have the registration of a former process.
+        replica.onEraChange(() => this.#registration?.renew());
     }
 
     /** Number of instances, this one included. */
@@ -148,10 +150,10 @@
     }
 
     /**
-     * Opens the port for other instances and registers this one.
+     * Opens the port for other instances, registers this one and asks the seeds for what they know of the store.
      *
      * @param address IP address and port.
-     * @returns A promise that resolves once the port is open.
+     * @returns A promise that resolves once the port is open and the seeds have been asked.
      * @throws {Error} If the port is in use.
      */
     async start(address: string): Promise<void> {
@@ -171,7 +173,7 @@
             pool: this.#pool,
             isResponsible: () => this.#cells.isPrimary && this.options.readsStore(),
         });
-        this.#exchange.start();
+        await this.#exchange.start();
     }
 
     /**
@@ -223,20 +225,22 @@
             return;
         }
         const name = key.slice(KEY_PREFIX.length);
-        const { logger } = this.options;
+        const { self, logger } = this.options;
         if (change.kind === "removed") {
             this.#members.unregister(name);
-            logger.info("instance unregistered", { peer: name, revision: change.revision });
-            if (name === this.options.self.name && !this.#closed) {
+            logger.info("instance unregistered", { peer: name, ...positionOf(change) });
+            if (name === self.name) {
                 this.#registration?.renew();
             }
+        }
+        if (change.kind !== "written") {
             return;
         }
         try {
             const peer = peerSchema.parse(JSON.parse(change.item.value ?? ""));
             this.#members.register(peer);
             const { incarnation, address } = peer;
-            logger.info("instance registered", { peer: name, incarnation, address, revision: change.item.revision });
+            logger.info("instance registered", { peer: name, incarnation, address, ...positionOf(change.item) });
         }
         catch (error) {
             logger.warn("cannot parse registered instance", { key, error: String(error) });
