Relay the error of an engine whose body comes late

What callers saw: 502 (backend-failed) in place of the engine's own answer, on routes whose streams may not be resumed. Cause: the body of an answer other than 200 was given up after 2.5 s, although nothing can replace it: the state of a timer was taken for the end of an answer. During that time the end of the caller and the deadline were not heard either. Evidence: single_server_routes_test.ts on the code before: "an error of the only engine that a route allows is relayed although its body comes late" failed with "status": 502 and the router's body. "a run whose error comes late ends when its caller leaves" passed there after the 2.5 s; without the end by the request's signal it fails with this change. Change: such a body may come until the deadline of its request, and is given up with the request. Where the stream may be resumed, the error is not relayed, and the limit stays.

--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -16,7 +16,7 @@
 const AVOID_MILLISECONDS = 800;
 /** Speed in prompt tokens per millisecond below which a decode engine that computes a prompt itself counts as failed. */
 const SLOWEST_LOCAL_TOKENS_PER_MILLISECOND = 5;
-/** Time in milliseconds allowed for the body of an error response. */
+/** Time in milliseconds allowed for the body of an error response that is not relayed. */
 const ERROR_BODY_MILLISECONDS = 2_500;
 const MAXIMUM_RESPONSE_BYTES = 1_024 * 1_024;
 const NO_HEADERS: ReadonlySet<string> = new Set();
@@ -148,9 +148,15 @@
     }
 
     async #relayErrorResponse(request: GatewayRequest, backendResponse: BackendResponse): Promise<PassOutcome> {
-        const body = await readResponseBody(backendResponse, ERROR_BODY_MILLISECONDS, MAXIMUM_RESPONSE_BYTES);
-        const { response } = request;
-        if (!body || response.headersSent || response.destroyed || request.route.resumable) {
+        const { response, route, signal, deadline } = request;
+        const close = () => backendResponse.close();
+        signal.addEventListener("abort", close, { once: true });
+        // An error that is relayed may come until the deadline; others are read so that their connection can be kept.
+        const remaining = Math.max(1, deadline - monotonicMilliseconds());
+        const timeout = route.resumable ? Math.min(ERROR_BODY_MILLISECONDS, remaining) : remaining;
+        const body = await readResponseBody(backendResponse, timeout, MAXIMUM_RESPONSE_BYTES);
+        signal.removeEventListener("abort", close);
+        if (!body || response.headersSent || response.destroyed || route.resumable) {
             return {
                 kind: "may-have-run",
                 message: `The decode engine answered with status ${backendResponse.status}`,
