Do not cut an answer for later bytes of its connection

What callers saw: an answer was cut in the middle, or the connection closed without one, although the request had been read whole and passed on, when further bytes came on the connection: the beginning of a next request whose headers were late, or bytes that are no request. Cause: the HTTP server reports such bytes as an error of the connection, and the connection was closed at once: its state was taken for the end of the answer. Change: where a whole request is being answered, the rejection of later bytes waits for the end of that answer, and is then sent as after any other.

--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -39,6 +39,8 @@
     reported: boolean;
     /** Status line of the answer to bytes that are no request or did not arrive in time. */
     rejection: string | undefined;
+    /** The whole request that was being answered when later bytes of the connection were rejected. */
+    rejectedDuring: CallerExchange | undefined;
     /** Why the connection failed. */
     end: { by: EndedBy; reason: string; } | undefined;
 }
@@ -151,6 +153,7 @@
             current: undefined,
             reported: false,
             rejection: undefined,
+            rejectedDuring: undefined,
             end: undefined,
         };
         this.#connections.set(socket, connection);
@@ -193,9 +196,17 @@
             return;
         }
         const code = "code" in error ? String(error.code) : error.name;
-        connection.end ??= { by: code === "ERR_HTTP_REQUEST_TIMEOUT" ? "timer" : "caller", reason: code };
         const { current } = connection;
-        // The answer to a whole request that came before on this connection must not be confused with this one.
+        if (current?.incoming.complete && !BROKEN_CONNECTION_CODES.has(code)) {
+            // The bytes belong to a later request; the answer to this one is still due.
+            if (connection.rejectedDuring !== current.exchange) {
+                connection.rejectedDuring = current.exchange;
+                current.response.once("close", () => this.#reject(socket, error));
+            }
+            return;
+        }
+        connection.end ??= { by: code === "ERR_HTTP_REQUEST_TIMEOUT" ? "timer" : "caller", reason: code };
+        // A refusal that has been written must not be followed by another answer to the same request.
         const answerable = !current || (!current.incoming.complete && !current.response.headersSent);
         if (!socket.writable || BROKEN_CONNECTION_CODES.has(code) || !answerable) {
             socket.destroy();
