Keep a send to a slow server until another one has answered

What callers saw: 502 (backend-failed), or another server's 500, for an idempotent request whose server was slow but sound. Cause: at 45% of its time a send was given up as soon as another server was chosen and a retry spent. That server may refuse, reset or fail, and a further one needs a further retry and, where it ran, a further permitted server: something was given up before its replacement was certain. Change: the request is sent to the other server beside the first one. An answer of the other one below 500 ends the first send, an answer of the first one the other; if one fails, the other is waited for. No more servers run a request than before. The watch now gets the other server once that one has answered, so its test passes a promise; its checks are the same.

--- /dev/null
+++ b/packages/gateway/send_outcome.ts
@@ -0,0 +1,11 @@
+import type { BackendResponse } from "../backends/mod.ts";
+
+/** How one send of a request to a plain service ended. */
+export type SendOutcome =
+    | { kind: "answered"; response: BackendResponse; body: Buffer; }
+    | {
+        kind: "not-run" | "may-have-run";
+        message: string;
+        /** Whether the deadline of the request has passed. */
+        isOutOfTime?: boolean;
+    };
--- a/packages/gateway/slow_server_watch.ts
+++ b/packages/gateway/slow_server_watch.ts
@@ -8,11 +8,11 @@
 
 /**
  * Watches one send of an idempotent request. A server without an answer after a part of the remaining time is slow, which
- * counts as one failure; the send is given up only if another server can take the request at that time.
+ * counts as one failure; the send is given up only once another server has answered.
  *
  * @example
  * ```ts
- * const watch = new SlowServerWatch(request, 2_000, load, () => chooser.choose(request.service.name, tried));
+ * const watch = new SlowServerWatch(request, 2_000, load, () => sendToAnother(request));
  * watch.signal.aborted; // false
  * watch.close();
  * ```
@@ -26,19 +26,19 @@
      * @param request The request.
      * @param remainingMilliseconds Time in milliseconds until the deadline of the request.
      * @param load Load of the server.
-     * @param findSuccessor Chooses another server and spends a retry.
+     * @param findSuccessor Called if the server is slow; resolves to another server once that one has answered.
      */
     constructor(
         request: GatewayRequest,
         remainingMilliseconds: number,
         load: ServerLoad,
-        findSuccessor: () => RegisteredServer | undefined,
+        findSuccessor: () => Promise<RegisteredServer | undefined>,
     ) {
-        const onSilence = () => {
+        const onSilence = async () => {
             this.#isSlow = true;
             load.recordFailure();
-            this.#successor = findSuccessor();
-            return Promise.resolve(this.#successor !== undefined);
+            this.#successor = await findSuccessor();
+            return this.#successor !== undefined;
         };
         // A second silence would end after the deadline.
         this.#watch = new SilenceWatch(
@@ -59,7 +59,7 @@
         return this.#isSlow;
     }
 
-    /** The server for which the send was given up, with a retry spent. */
+    /** The server that has answered, for which the send was given up. */
     get successor(): RegisteredServer | undefined {
         return this.#watch.isGivenUp ? this.#successor : undefined;
     }
--- a/packages/gateway/slow_server_watch_test.ts
+++ b/packages/gateway/slow_server_watch_test.ts
@@ -21,7 +21,12 @@
 
 function watchSend(successor?: RegisteredServer): SlowServerWatch {
     const { signal } = request;
-    return new SlowServerWatch({ signal } as GatewayRequest, REMAINING_MILLISECONDS, load, () => successor);
+    return new SlowServerWatch(
+        { signal } as GatewayRequest,
+        REMAINING_MILLISECONDS,
+        load,
+        () => Promise.resolve(successor),
+    );
 }
 
 // Guards against slow servers that count as sound, or more than once, where the send goes on.
