--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -123,7 +123,8 @@
             const signal = AbortSignal.any([request.signal, firstAnswered.signal]);
             const outcome = this.#plainSend.run({ ...request, signal }, other);
             others.push({ server: other, outcome });
-            return isUsable(await outcome) ? other : undefined;
+            // An error inside the router is reported with the other outcomes below.
+            return await outcome.then(isUsable, () => false) ? other : undefined;
         };
         const outcome = await this.#plainSend.run(request, server, mayRepeat ? findSuccessor : undefined);
         if (isUsable(outcome)) {
