Let a stream that broke off wait for another engine until its deadline

Cause: a resumable stream whose engine had crashed waited 0.54 s for memory of another engine, and not at all while all others asked for a pause, as if it could still be refused. Its answer had begun, so the caller got a part of it and a closed connection, seconds before its deadline. In the queue it came last, since its first event was long past the target latency.

Change: a request whose answer has begun waits for memory until it ends, goes first, and is not refused for pauses.

--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -13,7 +13,7 @@
 const CHECK_MILLISECONDS = 25;
 /** Fraction of the maximum output tokens that is reserved; an engine that needs more preempts its newest request. */
 const OUTPUT_FRACTION = 0.45;
-/** Longest time in milliseconds that a request waits for memory. */
+/** Longest time in milliseconds that a request waits for memory before its answer has begun. */
 const MAXIMUM_WAIT_MILLISECONDS = 540;
 /** Expected time in milliseconds from the end of a prefill to the first event. */
 const FIRST_EVENT_MILLISECONDS = 120;
@@ -38,11 +38,21 @@
     /** Whether the first event can no longer meet the route's target latency. */
     late: boolean;
     excluded: ReadonlySet<string>;
+    /** Whether a part of the answer has been sent, so that the request can no longer be refused. */
+    answerBegun: boolean;
     /** Whether the memory is still of use. */
     isWanted: () => boolean;
     resolve: (result: Result<DecodeReservation, GatewayRefusal>) => void;
 }
 
+/** Properties of a wait for memory. */
+interface AcquireOptions {
+    /** Whether a part of the answer has been sent; then the wait goes first and lasts as long as the request. */
+    answerBegun?: boolean;
+    /** Whether the memory is still of use; the wait ends soon after it returns false. Default: always. */
+    isWanted?: () => boolean;
+}
+
 /**
  * Queue of model requests that wait for memory of a decode engine. The engine itself grants each reservation, so that
  * instances need not coordinate; the queue tries only engines that are expected to have enough free memory.
@@ -82,14 +92,15 @@
      *
      * @param request The request.
      * @param excluded Ids of engines that must not be used.
-     * @param isWanted Whether the memory is still of use; the wait ends soon after it returns false. Default: always.
+     * @param options Properties that differ from those of a request that can be refused.
      * @returns The reservation, or a refusal.
      */
     acquire(
         request: GatewayRequest,
         excluded: ReadonlySet<string>,
-        isWanted: () => boolean = () => true,
+        options: AcquireOptions = {},
     ): Promise<Result<DecodeReservation, GatewayRefusal>> {
+        const { answerBegun = false, isWanted = () => true } = options;
         return new Promise(resolve => {
             const since = monotonicMilliseconds();
             this.#waiters.push({
@@ -97,8 +108,11 @@
                 tokens: Math.ceil(request.promptTokens + OUTPUT_FRACTION * request.outputTokens),
                 since,
                 late: false,
-                giveUpAt: Math.min(request.deadline, since + MAXIMUM_WAIT_MILLISECONDS),
+                giveUpAt: answerBegun
+                    ? Number.POSITIVE_INFINITY
+                    : Math.min(request.deadline, since + MAXIMUM_WAIT_MILLISECONDS),
                 excluded,
+                answerBegun,
                 isWanted,
                 resolve,
             });
@@ -120,7 +134,7 @@
             const service = waiter.request.service.name;
             const isBlocked = blockedServices.has(service);
             const server = isBlocked ? undefined : this.#choose(waiter, now);
-            const refusal = server || isBlocked ? undefined : this.#findRefusal(waiter);
+            const refusal = server || isBlocked || waiter.answerBegun ? undefined : this.#findRefusal(waiter);
             if (refusal) {
                 waiter.resolve(err(refusal));
                 continue;
@@ -143,7 +157,10 @@
         }
     }
 
-    /** Sorts requests by priority; those that can no longer meet their target latency go last. */
+    /**
+     * Sorts requests by priority; those whose answer has begun go first, and those that can no longer meet their target
+     * latency last.
+     */
     #sortWaiters(now: number): void {
         if (this.#waiters.length < 2) {
             return;
@@ -155,7 +172,8 @@
             waiter.late = now + neededMilliseconds > receivedAt + route.targetLatencyMilliseconds;
         }
         this.#waiters.sort((left, right) =>
-            Number(left.late) - Number(right.late)
+            Number(right.answerBegun) - Number(left.answerBegun)
+            || Number(left.late) - Number(right.late)
             || left.request.priority - right.request.priority
             || left.since - right.since
         );
--- a/packages/gateway/decode_queue_test.ts
+++ b/packages/gateway/decode_queue_test.ts
@@ -10,6 +10,8 @@
 const SILENT = "silent";
 /** Longer than the period after which the queue is checked, and shorter than the longest wait. */
 const CHECKED_MILLISECONDS = 100;
+/** Longer than the longest wait of a request that can be refused. */
+const REFUSED_MILLISECONDS = 1_000;
 
 let queue: DecodeQueue;
 
@@ -84,7 +86,7 @@
 // Guards against searches that wait for memory, and may take it, when the silent engine has gone on.
 test("a search leaves the queue once it is no longer wanted", async () => {
     let isWanted = true;
-    const search = queue.acquire(createRequest("search"), new Set([SILENT]), () => isWanted);
+    const search = queue.acquire(createRequest("search"), new Set([SILENT]), { isWanted: () => isWanted });
     await vi.advanceTimersByTimeAsync(CHECKED_MILLISECONDS);
     expect(queue.length).toBe(1);
     isWanted = false;
@@ -92,3 +94,18 @@
     expect(queue.length).toBe(0);
     expect((await search).isErr()).toBe(true);
 });
+
+// Guards against streams that broke off and are cut while later requests take the memory that becomes free.
+test("a request whose answer has begun waits longer than others and goes first", async () => {
+    const excluded = new Set(["full", SILENT]);
+    const request = { ...createRequest("begun", MEMORY_TOKENS), receivedAt: monotonicMilliseconds() - 5_000 };
+    const begun = queue.acquire(request, excluded, { answerBegun: true });
+    const refused = queue.acquire(createRequest("refused"), excluded);
+    await vi.advanceTimersByTimeAsync(REFUSED_MILLISECONDS);
+    expect((await refused).isErr()).toBe(true);
+    void queue.acquire(createRequest("later", MEMORY_TOKENS), excluded);
+    excluded.delete(SILENT);
+    await vi.advanceTimersByTimeAsync(CHECKED_MILLISECONDS);
+    expect((await begun).isOk()).toBe(true);
+    expect(queue.length).toBe(1);
+});
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -77,7 +77,10 @@
                 refusal ??= createStreamRefusal("retry-budget-spent", "not-run", "Too many requests are being retried");
                 break;
             }
-            const reservation = successor ? ok(successor) : await this.queue.acquire(request, progress.excluded);
+            const answerBegun = progress.lastEventId !== undefined;
+            const reservation = successor
+                ? ok(successor)
+                : await this.queue.acquire(request, progress.excluded, { answerBegun });
             if (reservation.isErr()) {
                 refusal ??= reservation.error;
                 if (progress.mustGoOn) {
--- a/packages/gateway/successor_search.ts
+++ b/packages/gateway/successor_search.ts
@@ -47,7 +47,7 @@
             return false;
         }
         const excluded = new Set([...progress.excluded, current.server.id]);
-        const reservation = await this.queue.acquire(request, excluded, isStillSilent);
+        const reservation = await this.queue.acquire(request, excluded, { isWanted: isStillSilent });
         if (reservation.isErr()) {
             return false;
         }
