Let a stream that broke off wait for the retry budget

Cause: a resumable stream whose engine had crashed while the retries of its service were spent was cut at once, although its answer had begun, its deadline was seconds away, and the budget allows a retry again as requests arrive.

Change: a request whose answer has begun waits for the budget until it ends; the budget itself is kept to as before.

Measured: the test of this case in platform/resumed_streams_test.ts failed before and passes.

--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -4,6 +4,7 @@
 import { chooseFinalRefusal } from "./_choose_final_refusal.ts";
 import { createPassProgress } from "./_create_pass_progress.ts";
 import { createStreamRefusal } from "./_create_stream_refusal.ts";
+import { spendRetry } from "./_spend_retry.ts";
 import { CrashEvidence } from "./crash_evidence.ts";
 import { DecodePass } from "./decode_pass.ts";
 import type { DecodeQueue } from "./decode_queue.ts";
@@ -73,7 +74,7 @@
             const { successor } = progress;
             progress.successor = undefined;
             progress.mustGoOn ||= successor !== undefined;
-            if (pass > 0 && !successor && !this.context.retryBudget.trySpend(request.service.name, progress.mustGoOn)) {
+            if (pass > 0 && !successor && !await spendRetry(request, progress, this.context.retryBudget)) {
                 refusal ??= createStreamRefusal("retry-budget-spent", "not-run", "Too many requests are being retried");
                 break;
             }
