Say which requests cross the close of their connection

Change: an idle connection is closed on the router's side and read on for up to 2 s or 1 MB; a request that arrives then leaves a line with its id, and counts as an incomplete answer. Nothing else is decided otherwise.

--- /dev/null
+++ b/packages/gateway/_close_after_reading.ts
@@ -0,0 +1,33 @@
+import type { Socket } from "node:net";
+
+/** Bytes that are read, and time in milliseconds that passes, before the connection is closed. */
+const MAXIMUM_DISCARDED_BYTES = 1_024 * 1_024;
+const CLOSE_DELAY_MILLISECONDS = 2_000;
+
+/**
+ * Closes a connection once its caller has closed it, or after a while. Bytes that arrive after the close would reset the
+ * connection, and the caller could lose what was sent last.
+ */
+export function closeAfterReading(socket: Socket, onData: (chunk: Buffer) => void = () => {}): void {
+    socket.removeAllListeners("data");
+    if (socket.readableEnded) {
+        socket.destroySoon();
+        return;
+    }
+    let discardedBytes = 0;
+    const close = () => {
+        clearTimeout(timer);
+        socket.removeAllListeners("data");
+        socket.destroySoon();
+    };
+    const timer = setTimeout(close, CLOSE_DELAY_MILLISECONDS);
+    socket.on("data", (chunk: Buffer) => {
+        discardedBytes += chunk.length;
+        onData(chunk);
+        if (discardedBytes > MAXIMUM_DISCARDED_BYTES) {
+            close();
+        }
+    });
+    socket.on("end", close);
+    socket.on("close", () => clearTimeout(timer));
+}
--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -1,6 +1,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { closeAfterReading } from "./_close_after_reading.ts";
+import { findRequestId } from "./_find_request_id.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { EndedBy } from "./ended_by.ts";
 import type { GatewayContext } from "./gateway_context.ts";
@@ -15,9 +17,6 @@
     ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
 const DEFAULT_PARSER_RESPONSE = "400 Bad Request";
-/** Bytes that are read, and time in milliseconds that passes, after such an answer before the connection is closed. */
-const MAXIMUM_DISCARDED_BYTES = 1_024 * 1_024;
-const CLOSE_DELAY_MILLISECONDS = 2_000;
 /** Codes of errors after which nothing can be sent to the caller. */
 const BROKEN_CONNECTION_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE", "ETIMEDOUT"]);
 
@@ -39,6 +38,8 @@
     reported: boolean;
     /** Status line of the answer to bytes that are no request or did not arrive in time. */
     rejection: string | undefined;
+    /** Whether the router has closed its side, since the connection was idle. */
+    closing: boolean;
     /** Why the connection failed. */
     end: { by: EndedBy; reason: string; } | undefined;
 }
@@ -124,18 +125,27 @@
         return exchange;
     }
 
-    /** From now on, connections are closed because the instance shuts down. */
+    /** Logs which connections are still open at the end; all are about to be closed. */
     beginShutdown(): void {
         this.#shuttingDown = true;
+        const open = [...this.#connections];
+        this.context.logger.info("connections of callers closed", {
+            connections: open.length,
+            withoutRequest: open.filter(([, { requests }]) => requests === 0).length,
+            withRequest: open.filter(([, { current }]) => current).length,
+            closedBefore: open.filter(([, { closing }]) => closing).length,
+            bytesUnsent: open.reduce((sum, [socket]) => sum + socket.writableLength, 0),
+        });
     }
 
     /** Closes the connections that have no request under way and no answer that is still being sent. */
     closeIdle(): void {
-        for (const [socket, { requests, current, bodyPending, wholeBytes }] of this.#connections) {
+        for (const [socket, connection] of this.#connections) {
+            const { requests, current, bodyPending, wholeBytes } = connection;
             const idle = !current && !bodyPending && socket.bytesRead === wholeBytes && socket.writableLength === 0;
             // The first request of a new connection may be on its way.
             if (idle && requests > 0) {
-                socket.destroy();
+                this.#closeIdleConnection(socket, connection, "shutdown");
             }
         }
     }
@@ -151,6 +161,7 @@
             current: undefined,
             reported: false,
             rejection: undefined,
+            closing: false,
             end: undefined,
         };
         this.#connections.set(socket, connection);
@@ -182,9 +193,35 @@
             socket.setTimeout(Math.max(1, limit - idleMilliseconds));
             return;
         }
+        if (connection?.requests && !connection.current) {
+            this.#closeIdleConnection(socket, connection, "timer");
+            return;
+        }
         socket.destroy();
     }
 
+    /** Closes the router's side and reads on, which shows whether a request was on its way. */
+    #closeIdleConnection(socket: Socket, connection: CallerConnection, by: EndedBy): void {
+        if (connection.closing) {
+            return;
+        }
+        connection.closing = true;
+        const closedAt = monotonicMilliseconds();
+        socket.end();
+        closeAfterReading(socket, chunk => {
+            if (connection.reported) {
+                return;
+            }
+            connection.reported = true;
+            this.#report("request crossed the close of its connection", { by, reason: "idle" }, {
+                request: findRequestId(chunk, this.context.headers.requestId),
+                requestsOfConnection: connection.requests,
+                bytesRead: chunk.length,
+                afterMilliseconds: Math.round(monotonicMilliseconds() - closedAt),
+            });
+        });
+    }
+
     /** Answers bytes that are no request, and requests that are not received in time, and closes their connection. */
     #reject(socket: Socket, error: Error): void {
         const connection = this.#connections.get(socket);
@@ -203,7 +240,7 @@
         }
         connection.rejection = PARSER_RESPONSES[code] ?? DEFAULT_PARSER_RESPONSE;
         socket.write(`HTTP/1.1 ${connection.rejection}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-        closeLater(socket);
+        closeAfterReading(socket);
     }
 
     #endOf(connection: CallerConnection): { by: EndedBy; reason: string; } {
@@ -220,30 +257,3 @@
         });
     }
 }
-
-/**
- * Closes a connection once its caller has closed it, or after a while. Bytes that arrive after the close would reset the
- * connection, and the caller could lose the answer.
- */
-function closeLater(socket: Socket): void {
-    socket.removeAllListeners("data");
-    if (socket.readableEnded) {
-        socket.destroySoon();
-        return;
-    }
-    let discardedBytes = 0;
-    const close = () => {
-        clearTimeout(timer);
-        socket.removeAllListeners("data");
-        socket.destroySoon();
-    };
-    const timer = setTimeout(close, CLOSE_DELAY_MILLISECONDS);
-    socket.on("data", (chunk: Buffer) => {
-        discardedBytes += chunk.length;
-        if (discardedBytes > MAXIMUM_DISCARDED_BYTES) {
-            close();
-        }
-    });
-    socket.on("end", close);
-    socket.on("close", () => clearTimeout(timer));
-}
