Read what has arrived before a connection is closed as idle

Cause: an idle connection was closed by what had been read of it. A request that had arrived but lay in the kernel's buffer was lost without an answer, at SIGTERM and at the idle limit.

Change: before connections are closed as idle, the event loop polls once more; those with a request then stay open until its answer. At the end of a shutdown the router waits up to 0.2 s for callers to close idle connections, and refuses what arrives until then.

Measured: leaving_instances_test.ts, first test: failed before, passes now.

--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { closeAfterReading } from "./_close_after_reading.ts";
 import { findRequestId } from "./_find_request_id.ts";
@@ -64,9 +65,9 @@
      */
     constructor(private readonly context: GatewayContext, private readonly server: Server) {
         // The server's own method, which its close() calls too, cuts answers that have been written but not sent.
-        server.closeIdleConnections = () => this.closeIdle();
+        server.closeIdleConnections = () => void this.closeIdle();
         server.on("connection", (socket: Socket) => this.#watch(socket));
-        server.on("timeout", (socket: Socket) => this.#closeIfIdle(socket));
+        server.on("timeout", (socket: Socket) => void this.#closeIfIdle(socket));
         server.on("clientError", (error: Error, socket: Socket) => this.#reject(socket, error));
     }
 
@@ -125,6 +126,11 @@
         return exchange;
     }
 
+    /** Number of idle connections that the router has closed and their callers have not. */
+    get closing(): number {
+        return [...this.#connections.values()].filter(({ closing }) => closing).length;
+    }
+
     /** Logs which connections are still open at the end; all are about to be closed. */
     beginShutdown(): void {
         this.#shuttingDown = true;
@@ -138,13 +144,15 @@
         });
     }
 
-    /** Closes the connections that have no request under way and no answer that is still being sent. */
-    closeIdle(): void {
+    /**
+     * Closes the connections that have no request under way and no answer that is still being sent.
+     *
+     * @returns A promise that resolves once they are being closed.
+     */
+    async closeIdle(): Promise<void> {
+        await readArrivedBytes();
         for (const [socket, connection] of this.#connections) {
-            const { requests, current, bodyPending, wholeBytes } = connection;
-            const idle = !current && !bodyPending && socket.bytesRead === wholeBytes && socket.writableLength === 0;
-            // The first request of a new connection may be on its way.
-            if (idle && requests > 0) {
+            if (isIdle(socket, connection)) {
                 this.#closeIdleConnection(socket, connection, "shutdown");
             }
         }
@@ -184,7 +192,7 @@
      * Closes a connection that has been idle for longer than both the limit that its last answer announced and the present
      * one. Callers go by either while a change of the limit spreads.
      */
-    #closeIfIdle(socket: Socket): void {
+    async #closeIfIdle(socket: Socket): Promise<void> {
         const connection = this.#connections.get(socket);
         const idleMilliseconds = monotonicMilliseconds() - (connection?.idleSince ?? 0);
         const limit = Math.max(connection?.announcedIdleMilliseconds ?? 0, this.server.keepAliveTimeout)
@@ -193,18 +201,18 @@
             socket.setTimeout(Math.max(1, limit - idleMilliseconds));
             return;
         }
-        if (connection?.requests && !connection.current) {
-            this.#closeIdleConnection(socket, connection, "timer");
+        if (!connection || !isIdle(socket, connection)) {
+            socket.destroy();
             return;
         }
-        socket.destroy();
+        await readArrivedBytes();
+        if (isIdle(socket, connection)) {
+            this.#closeIdleConnection(socket, connection, "timer");
+        }
     }
 
     /** Closes the router's side and reads on, which shows whether a request was on its way. */
     #closeIdleConnection(socket: Socket, connection: CallerConnection, by: EndedBy): void {
-        if (connection.closing) {
-            return;
-        }
         connection.closing = true;
         const closedAt = monotonicMilliseconds();
         socket.end();
@@ -257,3 +265,20 @@
         });
     }
 }
+
+/** Whether a connection has served requests and neither a request nor an answer is under way. */
+function isIdle(socket: Socket, connection: CallerConnection): boolean {
+    // The first request of a new connection may be on its way.
+    return connection.requests > 0 && !connection.current && !connection.bodyPending && !connection.closing
+        && socket.bytesRead === connection.wholeBytes && socket.writableLength === 0;
+}
+
+/**
+ * Waits until the event loop has polled the connections once more. A request that has arrived meanwhile lies in the
+ * kernel's buffer until then: closing its connection would lose it, although it came in time.
+ */
+async function readArrivedBytes(): Promise<void> {
+    // The first turn may be the one that has polled already.
+    await setImmediate();
+    await setImmediate();
+}
--- a/packages/gateway/drain_callers.ts
+++ b/packages/gateway/drain_callers.ts
@@ -5,7 +5,10 @@
 /** Time in milliseconds after the shutdown signal during which the load balancer may still open connections. */
 const DRAIN_MILLISECONDS = 2_900;
 const DRAIN_STEP_MILLISECONDS = 25;
-/** Time in milliseconds allowed for the refusals of requests that are aborted at the end of a shutdown. */
+/**
+ * Time in milliseconds allowed at the end of a shutdown for the refusals of requests that are aborted, and for callers to
+ * close idle connections after the router.
+ */
 const LAST_ANSWERS_MILLISECONDS = 200;
 
 /**
@@ -16,7 +19,8 @@
  * @param startedAt Monotonic time in milliseconds of the shutdown signal.
  * @param abortAt Monotonic time in milliseconds at which the remaining requests are aborted.
  * @param logger Logs how many requests are cut.
- * @returns A promise that resolves once no request is active, or shortly after the abort.
+ * @returns A promise that resolves once no request is active and no idle connection is being closed, or shortly after the
+ *     abort.
  * @example
  * ```ts
  * await drainCallers(server, startedAt, startedAt + 7_000, logger);
@@ -31,8 +35,7 @@
     while (monotonicMilliseconds() < abortAt) {
         // Closes the connections of callers that are idle or whose last response began before the signal, so that they
         // connect to another instance.
-        server.closeIdle();
-        await sleep(DRAIN_STEP_MILLISECONDS);
+        await server.closeIdle();
         const drainPeriodOver = monotonicMilliseconds() - startedAt > DRAIN_MILLISECONDS;
         if (drainPeriodOver && server.active === 0) {
             break;
@@ -40,11 +43,14 @@
         if (drainPeriodOver) {
             server.refuseDeadlinesAfter(abortAt);
         }
+        await sleep(DRAIN_STEP_MILLISECONDS);
     }
+    // Requests that still arrive would be cut soon.
+    server.refuseDeadlinesAfter(startedAt);
     server.stopAccepting();
     logger.info("shut down", { requestsCut: server.active });
     server.abortActive();
-    for (let waited = 0; server.active > 0 && waited < LAST_ANSWERS_MILLISECONDS;) {
+    for (let waited = 0; (server.active > 0 || server.closing > 0) && waited < LAST_ANSWERS_MILLISECONDS;) {
         await sleep(DRAIN_STEP_MILLISECONDS);
         waited += DRAIN_STEP_MILLISECONDS;
     }
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -82,6 +82,11 @@
         return this.#active;
     }
 
+    /** Number of idle connections that the router has closed and their callers have not. */
+    get closing(): number {
+        return this.#connections.closing;
+    }
+
     /**
      * Opens the port.
      *
@@ -100,10 +105,9 @@
         this.#keepAliveDisabled = true;
     }
 
-    /** Stops accepting connections and closes the idle ones. */
+    /** Stops accepting connections and begins to close the idle ones. */
     stopAccepting(): void {
         this.#server.close();
-        this.closeIdle();
     }
 
     /**
@@ -115,9 +119,13 @@
         this.#admission.latestDeadline = latestDeadline;
     }
 
-    /** Closes idle connections. */
-    closeIdle(): void {
-        this.#connections.closeIdle();
+    /**
+     * Closes idle connections.
+     *
+     * @returns A promise that resolves once they are being closed.
+     */
+    closeIdle(): Promise<void> {
+        return this.#connections.closeIdle();
     }
 
     /** Ends the active requests; those without a response so far get a refusal. */
