--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -1,6 +1,9 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { setImmediate } from "node:timers/promises";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { closeAfterReading } from "./_close_after_reading.ts";
+import { findRequestId } from "./_find_request_id.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { EndedBy } from "./ended_by.ts";
 import type { GatewayContext } from "./gateway_context.ts";
@@ -15,9 +18,6 @@
     ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
 const DEFAULT_PARSER_RESPONSE = "400 Bad Request";
-/** Bytes that are read, and time in milliseconds that passes, after such an answer before the connection is closed. */
-const MAXIMUM_DISCARDED_BYTES = 1_024 * 1_024;
-const CLOSE_DELAY_MILLISECONDS = 2_000;
 /** Codes of errors after which nothing can be sent to the caller. */
 const BROKEN_CONNECTION_CODES: ReadonlySet<string> = new Set(["ECONNRESET", "EPIPE", "ETIMEDOUT"]);
 
@@ -41,6 +41,8 @@
     rejection: string | undefined;
     /** The whole request that was being answered when later bytes of the connection were rejected. */
     rejectedDuring: CallerExchange | undefined;
+    /** Whether the router has closed its side, since the connection was idle. */
+    closing: boolean;
     /** Why the connection failed. */
     end: { by: EndedBy; reason: string; } | undefined;
 }
@@ -65,9 +67,9 @@
      */
     constructor(private readonly context: GatewayContext, private readonly server: Server) {
         // The server's own method, which its close() calls too, cuts answers that have been written but not sent.
-        server.closeIdleConnections = () => this.closeIdle();
+        server.closeIdleConnections = () => void this.closeIdle();
         server.on("connection", (socket: Socket) => this.#watch(socket));
-        server.on("timeout", (socket: Socket) => this.#closeIfIdle(socket));
+        server.on("timeout", (socket: Socket) => void this.#closeIfIdle(socket));
         server.on("clientError", (error: Error, socket: Socket) => this.#reject(socket, error));
     }
 
@@ -126,18 +128,34 @@
         return exchange;
     }
 
-    /** From now on, connections are closed because the instance shuts down. */
+    /** Number of idle connections that the router has closed and their callers have not. */
+    get closing(): number {
+        return [...this.#connections.values()].filter(({ closing }) => closing).length;
+    }
+
+    /** Logs which connections are still open at the end; all are about to be closed. */
     beginShutdown(): void {
         this.#shuttingDown = true;
+        const open = [...this.#connections];
+        this.context.logger.info("connections of callers closed", {
+            connections: open.length,
+            withoutRequest: open.filter(([, { requests }]) => requests === 0).length,
+            withRequest: open.filter(([, { current }]) => current).length,
+            closedBefore: open.filter(([, { closing }]) => closing).length,
+            bytesUnsent: open.reduce((sum, [socket]) => sum + socket.writableLength, 0),
+        });
     }
 
-    /** Closes the connections that have no request under way and no answer that is still being sent. */
-    closeIdle(): void {
-        for (const [socket, { requests, current, bodyPending, wholeBytes }] of this.#connections) {
-            const idle = !current && !bodyPending && socket.bytesRead === wholeBytes && socket.writableLength === 0;
-            // The first request of a new connection may be on its way.
-            if (idle && requests > 0) {
-                socket.destroy();
+    /**
+     * Closes the connections that have no request under way and no answer that is still being sent.
+     *
+     * @returns A promise that resolves once they are being closed.
+     */
+    async closeIdle(): Promise<void> {
+        await readArrivedBytes();
+        for (const [socket, connection] of this.#connections) {
+            if (isIdle(socket, connection)) {
+                this.#closeIdleConnection(socket, connection, "shutdown");
             }
         }
     }
@@ -154,6 +172,7 @@
             reported: false,
             rejection: undefined,
             rejectedDuring: undefined,
+            closing: false,
             end: undefined,
         };
         this.#connections.set(socket, connection);
@@ -176,7 +195,7 @@
      * Closes a connection that has been idle for longer than both the limit that its last answer announced and the present
      * one. Callers go by either while a change of the limit spreads.
      */
-    #closeIfIdle(socket: Socket): void {
+    async #closeIfIdle(socket: Socket): Promise<void> {
         const connection = this.#connections.get(socket);
         const idleMilliseconds = monotonicMilliseconds() - (connection?.idleSince ?? 0);
         const limit = Math.max(connection?.announcedIdleMilliseconds ?? 0, this.server.keepAliveTimeout)
@@ -185,7 +204,33 @@
             socket.setTimeout(Math.max(1, limit - idleMilliseconds));
             return;
         }
-        socket.destroy();
+        if (!connection || !isIdle(socket, connection)) {
+            socket.destroy();
+            return;
+        }
+        await readArrivedBytes();
+        if (isIdle(socket, connection)) {
+            this.#closeIdleConnection(socket, connection, "timer");
+        }
+    }
+
+    /** Closes the router's side and reads on, which shows whether a request was on its way. */
+    #closeIdleConnection(socket: Socket, connection: CallerConnection, by: EndedBy): void {
+        connection.closing = true;
+        const closedAt = monotonicMilliseconds();
+        socket.end();
+        closeAfterReading(socket, chunk => {
+            if (connection.reported) {
+                return;
+            }
+            connection.reported = true;
+            this.#report("request crossed the close of its connection", { by, reason: "idle" }, {
+                request: findRequestId(chunk, this.context.headers.requestId),
+                requestsOfConnection: connection.requests,
+                bytesRead: chunk.length,
+                afterMilliseconds: Math.round(monotonicMilliseconds() - closedAt),
+            });
+        });
     }
 
     /** Answers bytes that are no request, and requests that are not received in time, and closes their connection. */
@@ -214,7 +259,7 @@
         }
         connection.rejection = PARSER_RESPONSES[code] ?? DEFAULT_PARSER_RESPONSE;
         socket.write(`HTTP/1.1 ${connection.rejection}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-        closeLater(socket);
+        closeAfterReading(socket);
     }
 
     #endOf(connection: CallerConnection): { by: EndedBy; reason: string; } {
@@ -232,29 +277,19 @@
     }
 }
 
+/** Whether a connection has served requests and neither a request nor an answer is under way. */
+function isIdle(socket: Socket, connection: CallerConnection): boolean {
+    // The first request of a new connection may be on its way.
+    return connection.requests > 0 && !connection.current && !connection.bodyPending && !connection.closing
+        && socket.bytesRead === connection.wholeBytes && socket.writableLength === 0;
+}
+
 /**
- * Closes a connection once its caller has closed it, or after a while. Bytes that arrive after the close would reset the
- * connection, and the caller could lose the answer.
+ * Waits until the event loop has polled the connections once more. A request that has arrived meanwhile lies in the
+ * kernel's buffer until then: closing its connection would lose it, although it came in time.
  */
-function closeLater(socket: Socket): void {
-    socket.removeAllListeners("data");
-    if (socket.readableEnded) {
-        socket.destroySoon();
-        return;
-    }
-    let discardedBytes = 0;
-    const close = () => {
-        clearTimeout(timer);
-        socket.removeAllListeners("data");
-        socket.destroySoon();
-    };
-    const timer = setTimeout(close, CLOSE_DELAY_MILLISECONDS);
-    socket.on("data", (chunk: Buffer) => {
-        discardedBytes += chunk.length;
-        if (discardedBytes > MAXIMUM_DISCARDED_BYTES) {
-            close();
-        }
-    });
-    socket.on("end", close);
-    socket.on("close", () => clearTimeout(timer));
+async function readArrivedBytes(): Promise<void> {
+    // The first turn may be the one that has polled already.
+    await setImmediate();
+    await setImmediate();
 }
