Remove servers that the copy lacks only after a read that shows it

What callers saw: by reading, servers were out of use if the store went away again before they could register: their removal took place while nothing was read. An instance that heard of an era from a peer could watch for 0.8 s after a revision of the era before. Change: a removal that is due waits for a confirmation of the replica that is younger. Result: directory_updater_test.ts failed before; it passes.

--- a/packages/directory/removal_delay.ts
+++ b/packages/directory/removal_delay.ts
@@ -20,8 +20,13 @@
 
     /**
      * @param remove Removes a server.
+     * @param mayRemove Whether a removal that is due for some milliseconds may take place, since the store has been read
+     * again in that time. Default: always.
      */
-    constructor(private readonly remove: (id: string) => void) {
+    constructor(
+        private readonly remove: (id: string) => void,
+        private readonly mayRemove: (overdueMilliseconds: number) => boolean = () => true,
+    ) {
         this.#timer = setInterval(() => this.#removeDue(), CHECK_MILLISECONDS);
     }
 
@@ -52,7 +57,7 @@
     #removeDue(): void {
         const now = monotonicMilliseconds();
         for (const [id, dueAt] of this.#pending) {
-            if (now >= dueAt) {
+            if (now >= dueAt && this.mayRemove(now - dueAt)) {
                 this.#pending.delete(id);
                 this.remove(id);
             }
--- a/packages/gateway/directory_updater.ts
+++ b/packages/gateway/directory_updater.ts
@@ -47,7 +47,10 @@
      */
     constructor(private readonly options: DirectoryUpdaterOptions) {
         const { replica } = options;
-        this.#removals = new RemovalDelay(id => this.#applyEvent({ kind: "server-removed", id }));
+        this.#removals = new RemovalDelay(
+            id => this.#applyEvent({ kind: "server-removed", id }),
+            overdueMilliseconds => this.age <= overdueMilliseconds,
+        );
         replica.onChange(change => this.#applyChange(change));
         replica.onEraChange(({ from, to, copiedRevision, retained }) => {
             options.metrics.increment("store_returns_total");
--- /dev/null
+++ b/packages/gateway/directory_updater_test.ts
@@ -0,0 +1,66 @@
+import { PassThrough } from "node:stream";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { SuspensionAwareClock } from "../clocks/mod.ts";
+import { Directory } from "../directory/mod.ts";
+import { createLogger } from "../logs/mod.ts";
+import { Metrics } from "../metrics/mod.ts";
+import { ItemReplica } from "../replica/mod.ts";
+import { DirectoryUpdater } from "./directory_updater.ts";
+import { gatewaySettingsSchema } from "./gateway_settings_schema.ts";
+
+const STEP_MILLISECONDS = 100;
+
+beforeEach(() => {
+    vi.useFakeTimers();
+});
+
+afterEach(() => {
+    vi.useRealTimers();
+});
+
+/** An instance that knows one server, and reads the store while `connected` is true. */
+function createUpdater() {
+    const clock = new SuspensionAwareClock(() => performance.now(), () => performance.now());
+    const replica = new ItemReplica();
+    const directory = new Directory();
+    const server = { service: "orders", address: "127.0.0.1:1", failureDomain: "north", slots: 1 };
+    const state = { leaving: false, stage: undefined, coldMilliseconds: 0, startedAt: 1 };
+    const updater = new DirectoryUpdater({
+        decodeItem: change =>
+            change.kind === "written"
+                ? { kind: "server", server: { id: change.item.key, ...server, ...state } }
+                : { kind: "server-removed", id: change.key },
+        replica,
+        directory,
+        clock,
+        bounds: () => gatewaySettingsSchema.shape.bounds.parse({}),
+        metrics: new Metrics(),
+        logger: createLogger("test", new PassThrough().resume()),
+    });
+    replica.replace({ items: [{ key: "a", value: "1", era: 1, revision: 5 }], era: 1, revision: 5 }, clock.now());
+    const pass = async (milliseconds: number, connected: boolean) => {
+        for (let passed = 0; passed < milliseconds; passed += STEP_MILLISECONDS) {
+            if (connected) {
+                replica.confirm(replica.position, clock.now());
+            }
+            await vi.advanceTimersByTimeAsync(STEP_MILLISECONDS);
+        }
+    };
+    return { replica, directory, clock, updater, pass };
+}
+
+// Guards against servers that are out of use since the store went away again before they could register.
+test("a server that the copy lacks is kept while the store is away again, and removed after its return", async () => {
+    const { replica, directory, clock, updater, pass } = createUpdater();
+    await pass(1_000, true);
+    replica.replace({ items: [], era: 2, revision: 4 }, clock.now());
+    await pass(500, true);
+    await pass(4_000, false);
+    expect(directory.servers.has("a")).toBe(true);
+    replica.replace({ items: [], era: 3, revision: 4 }, clock.now());
+    await pass(1_500, true);
+    expect(directory.servers.has("a")).toBe(true);
+    await pass(1_000, true);
+    expect(directory.servers.has("a")).toBe(false);
+    updater.close();
+});
--- a/packages/replica/replica_follower.ts
+++ b/packages/replica/replica_follower.ts
@@ -79,6 +79,8 @@
     catchUpTo(position: StorePosition): void {
         if (comparePositions(position, this.#announcedPosition) > 0) {
             this.#announcedPosition = positionOf(position);
+            // A watch would wait for changes after a revision of the era before.
+            this.#needsSnapshot ||= position.era > this.replica.position.era;
         }
         this.#wake.abort();
     }
