Believe what was seen before only for the item itself

Cause: all items below the highest one that a replica had seen before were taken for the copy's. Registrations are written again with the same value, and get the same revision again: everything new below it was hidden for 5 s, at confirmed replicas. Instances that were behind passed on what they kept to those who knew better, and an item that was missing after one return and there after the next one left its removal waiting. Ruled out: to stop at the first unseen item also fails, as a copy may have unseen items below seen ones. Change: only an item that was itself seen before, with its key, revision and value, counts as the copy's, for 30 s at most, since that can be another write. A state that is older than what a replica knew when it left the era before is not taken over. An item that is no longer missing is reported. An instance registers again only if the store has another registration, and each asks its peers from another one on. Answers of peers without an era are ignored. The test of a state that was inferred to be older is replaced: what it asked for hides changes.

--- a/packages/gateway/directory_updater.ts
+++ b/packages/gateway/directory_updater.ts
@@ -52,9 +52,9 @@
             overdueMilliseconds => this.age <= overdueMilliseconds,
         );
         replica.onChange(change => this.#applyChange(change));
-        replica.onEraChange(({ from, to, copiedRevision, retained }) => {
+        replica.onEraChange(({ from, to, retained }) => {
             options.metrics.increment("store_returns_total");
-            options.logger.warn("store has come back from an older copy", { from, to, copiedRevision, retained });
+            options.logger.warn("store has come back from an older copy", { from, to, retained });
         });
     }
 
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -96,8 +96,7 @@
         metrics.gauge("fleet_instances", () => this.instanceCount);
         metrics.gauge("fleet_cell_instances", () => this.#mates().length + 1);
         replica.onChange(change => this.#applyRegistration(change));
-        // The copy may have the registration of a former process.
-        replica.onEraChange(() => this.#registration?.renew());
+        replica.onEraChange(() => this.#registration?.renewUnless(replica.getStored(KEY_PREFIX + self.name)?.value));
     }
 
     /** Number of instances, this one included. */
--- a/packages/peers/registration.ts
+++ b/packages/peers/registration.ts
@@ -55,12 +55,24 @@
         }
     }
 
-    /** Writes the item again, since it was removed or the store has come back from an older copy. */
+    /** Writes the item again, since it was removed although this process still runs. */
     renew(): void {
         this.#lease = undefined;
         this.#wake.abort();
     }
 
+    /**
+     * Writes the item again unless the store has it, since it may lack the item or have that of a former process after it
+     * has come back from an older copy.
+     *
+     * @param stored Value of the item in the store; undefined if there is none.
+     */
+    renewUnless(stored: string | undefined): void {
+        if (stored !== this.value) {
+            this.renew();
+        }
+    }
+
     async #step(signal: AbortSignal): Promise<void> {
         const renewed = this.#lease === undefined ? await this.#register() : await this.#renew(this.#lease);
         this.#retryMilliseconds = renewed
--- a/packages/peers/replica_exchange.ts
+++ b/packages/peers/replica_exchange.ts
@@ -11,6 +11,7 @@
     type RetainedItem,
     type StorePosition,
 } from "../replica/mod.ts";
+import { shiftTimes } from "./_shift_times.ts";
 import type { KnownPeer } from "./known_peer.ts";
 import type { Peer } from "./peer.ts";
 import type { ReplicaExchangeOptions } from "./replica_exchange_options.ts";
@@ -36,7 +37,8 @@
 /** Maximum bytes that a reader sends to all peers for one update; for a larger one, peers read the store. */
 const PUSH_BUDGET_BYTES = 200_000;
 
-const positionSchema = z.object({ era: z.number(), revision: z.number() });
+/** Instances of a version without eras send none; what they know then counts as older. */
+const positionSchema = z.object({ era: z.number().default(0), revision: z.number() });
 const itemSchema = positionSchema.extend({ key: z.string(), value: z.string().optional() });
 const changeSchema = z.union([
     z.object({ kind: z.literal("written"), item: itemSchema }),
@@ -72,7 +74,8 @@
 export class ReplicaExchange {
     readonly #pendingPulls = new Set<string>();
     #pullTask: PeriodicTask | undefined;
-    #pullCount = 0;
+    /** Begins anywhere, so that instances that start together ask different peers. */
+    #pullCount = Math.floor(Math.random() * PULLS_PER_SECOND);
     #wasReader = false;
     #lastPullAt = Number.NEGATIVE_INFINITY;
 
@@ -256,6 +259,10 @@
 
     #applyPullResponse(response: PullResponse, requestedAt: number, from: string): void {
         const { clock, replica, logger, metrics, onNewerPosition } = this.options;
+        if (!Number.isInteger(response.era)) {
+            // The peer's version has no eras.
+            return;
+        }
         const confirmedAt = requestedAt - response.age;
         if (response.snapshot && comparePositions(response, replica.position) > 0) {
             logger.info("items taken from a peer", { peer: from, ...positionOf(response), age: response.age });
@@ -287,11 +294,3 @@
         };
     }
 }
-
-/** Converts the times of retained states between a clock and milliseconds from now. */
-function shiftTimes(states: RetainedItem[], milliseconds: number): RetainedItem[] {
-    return states.map(state => ({
-        ...state,
-        until: state.until === undefined ? undefined : state.until + milliseconds,
-    }));
-}
--- a/packages/replica/_merge_copy.ts
+++ b/packages/replica/_merge_copy.ts
@@ -6,20 +6,28 @@
 import type { StorePosition } from "./store_position.ts";
 import type { StoredItem } from "./stored_item.ts";
 
+/** Time within which whoever wrote what the copy lacks writes it again. */
+const MISSING_RETENTION_MILLISECONDS = 5_000;
+/**
+ * Time within which what the copy has again is written or removed once more: longer than the store needs to remove a
+ * server that has ended, and bounded, since a revision and value can be those of another write.
+ */
+const OLDER_RETENTION_MILLISECONDS = 30_000;
+
 /** What a replica knows when the store comes back from an older copy. */
 interface ReplicaState {
     position: StorePosition;
     /** Keys of all items and retained states. */
     keys: Iterable<string>;
     get(key: string): StoredItem | undefined;
+    /** Whether the store had an item with the key. */
+    hasStored(key: string): boolean;
     /** Whether the store had exactly this item at some time. */
     hasSeen(item: StoredItem): boolean;
 }
 
 /** Result of {@linkcode mergeCopy}. */
 interface MergedCopy {
-    /** Highest revision known to come from the copy; changes after it belong to the new era. */
-    copiedRevision: number;
     /** States that are newer than the copy. */
     retained: RetainedItem[];
     /** Changes of the new era, and items that the copy lacks. */
@@ -27,50 +35,44 @@
 }
 
 /**
- * Compares the first snapshot of a new era with what a replica knows. Items of the copy are older than the replica;
- * those written after the store came back are newer.
+ * Compares the first snapshot of a new era with what a replica knows. Items that the replica has seen before come from
+ * the copy and are older; others count as written since the store came back.
  *
  * @param snapshot The snapshot.
  * @param replica The replica's state before.
- * @param until Time until which states are kept that the copy lacks, or whose items in the copy were never seen.
+ * @param readAt Time before the snapshot was requested.
  * @returns What is kept and what changes.
  */
-export function mergeCopy(snapshot: ItemSnapshot, replica: ReplicaState, until: number): MergedCopy {
-    const copiedRevision = findCopiedRevision(snapshot, replica);
+export function mergeCopy(snapshot: ItemSnapshot, replica: ReplicaState, readAt: number): MergedCopy {
     const items = new Map(snapshot.items.map(item => [item.key, item]));
-    const merged: MergedCopy = { copiedRevision, retained: [], changes: [] };
-    for (const key of new Set([...replica.keys, ...items.keys()])) {
-        const known = replica.get(key);
-        const item = items.get(key);
-        if (isSameWrite(known, item)) {
-            continue;
-        }
-        if (item && item.revision > copiedRevision) {
-            merged.changes.push({ kind: "written", item });
-            continue;
-        }
+    const merged: MergedCopy = { retained: [], changes: [] };
+    const retain = (key: string, known: StoredItem | undefined, copiedRevision: number, milliseconds: number) =>
         merged.retained.push({
             key,
             item: known,
-            copiedRevision: item?.revision ?? 0,
+            copiedRevision,
             ...positionOf(known ?? replica.position),
-            // What was seen before is older beyond doubt. The rest is inferred, or may be gone for good.
-            until: item && replica.hasSeen(item) ? undefined : until,
+            until: readAt + milliseconds,
         });
+    for (const key of new Set([...replica.keys, ...items.keys()])) {
+        const known = replica.get(key);
+        const item = items.get(key);
         if (!item) {
-            merged.changes.push({ kind: "missing", key, ...positionOf(snapshot) });
+            if (known) {
+                retain(key, known, 0, MISSING_RETENTION_MILLISECONDS);
+                merged.changes.push({ kind: "missing", key, ...positionOf(snapshot) });
+            }
         }
-    }
-    return merged;
-}
-
-/** Returns the highest revision, at most the replica's own, of an item that the store had before it came back. */
-function findCopiedRevision({ items }: ItemSnapshot, { position, hasSeen }: ReplicaState): number {
-    let copiedRevision = 0;
-    for (const item of items) {
-        if (item.revision > copiedRevision && item.revision <= position.revision && hasSeen(item)) {
-            copiedRevision = item.revision;
+        else if (isSameWrite(known, item)) {
+            // An item that was missing in the era before is no longer.
+            merged.changes.push(...replica.hasStored(key) ? [] : [{ kind: "written" as const, item }]);
+        }
+        else if (replica.hasSeen(item)) {
+            retain(key, known, item.revision, OLDER_RETENTION_MILLISECONDS);
+        }
+        else {
+            merged.changes.push({ kind: "written", item });
         }
     }
-    return copiedRevision;
+    return merged;
 }
--- a/packages/replica/_retained_items.ts
+++ b/packages/replica/_retained_items.ts
@@ -69,7 +69,7 @@
      * @returns The keys.
      */
     expired(now: number): string[] {
-        return this.all().filter(({ until }) => until !== undefined && now >= until).map(({ key }) => key);
+        return this.all().filter(({ until }) => now >= until).map(({ key }) => key);
     }
 
     /** Ends all retentions. */
--- a/packages/replica/era_change.ts
+++ b/packages/replica/era_change.ts
@@ -6,8 +6,6 @@
     from: StorePosition;
     /** Position of the first snapshot of the new era. */
     to: StorePosition;
-    /** Highest revision known to come from the copy; changes after it belong to the new era. */
-    copiedRevision: number;
     /** Number of items whose former state is kept, since it is newer than the copy. */
     retained: number;
 }
--- a/packages/replica/item_replica.ts
+++ b/packages/replica/item_replica.ts
@@ -12,8 +12,8 @@
 import type { StorePosition } from "./store_position.ts";
 import type { StoredItem } from "./stored_item.ts";
 
-/** Time after a return from an older copy within which whoever wrote what the copy lacks writes it again. */
-const RETENTION_MILLISECONDS = 5_000;
+/** Time after entering an era in which another instance may know better. */
+const ERA_START_MILLISECONDS = 5_000;
 
 /**
  * Replica of the store's items, complete up to a position that never decreases. When the store comes back from an older
@@ -28,14 +28,14 @@
  * ```
  */
 export class ItemReplica {
-    /** What the store has at the position. */
     #stored = new Map<string, StoredItem>();
-    /** What is newer than the store. */
     readonly #retained = new RetainedItems();
     readonly #history = new ItemHistory();
     readonly #listeners: ((change: ItemChange) => void)[] = [];
     readonly #eraListeners: ((change: EraChange) => void)[] = [];
     #position: StorePosition = { era: 0, revision: 0 };
+    /** Position at which the replica left the era before; its knowledge was complete up to there. */
+    #leftAt: StorePosition = { era: 0, revision: 0 };
     readonly #times = new ConfirmationTimes();
     #eraEnteredAt = Number.NEGATIVE_INFINITY;
 
@@ -199,49 +199,45 @@
      * @param now Current time in milliseconds.
      */
     retain(states: RetainedItem[], position: StorePosition, now: number): void {
-        const isLate = now - this.#eraEnteredAt >= RETENTION_MILLISECONDS;
-        if (isLate || position.era !== this.#position.era || comparePositions(position, this.#position) < 0) {
+        const isBehind = position.era !== this.#position.era || comparePositions(position, this.#position) < 0;
+        if (isBehind || now - this.#eraEnteredAt >= ERA_START_MILLISECONDS) {
             return;
         }
         for (const state of states) {
             const known = this.get(state.key);
             const storedRevision = this.#stored.get(state.key)?.revision ?? 0;
-            if (storedRevision !== state.copiedRevision || !this.#retained.add(state)) {
+            if (
+                comparePositions(state, this.#leftAt) < 0 || storedRevision !== state.copiedRevision
+                || !this.#retained.add(state)
+            ) {
                 continue;
             }
-            if (state.item && !isSameWrite(known, state.item)) {
-                this.#emit({ kind: "written", item: state.item });
-            }
-            if (!state.item && known) {
-                this.#emit({ kind: "removed", key: state.key, ...this.#position });
-            }
+            this.#emitDifference(state.key, known);
         }
     }
 
     /** Follows the store into another era, with a snapshot of a copy that may be older than the replica. */
     #enterEra(snapshot: ItemSnapshot, readAt: number): void {
         const from = this.#position;
+        this.#leftAt = from;
         const retainedKeys = this.#retained.all().map(({ key }) => key);
-        const { copiedRevision, retained, changes } = mergeCopy(snapshot, {
+        const { retained, changes } = mergeCopy(snapshot, {
             position: from,
             keys: [...this.#stored.keys(), ...retainedKeys],
             get: key => this.get(key),
+            hasStored: key => this.#stored.has(key),
             hasSeen: item => isSameWrite(this.#stored.get(item.key), item) || this.#history.includes(item),
-        }, readAt + RETENTION_MILLISECONDS);
+        }, readAt);
         const former = this.#stored;
         this.#stored = new Map(snapshot.items.map(item => [item.key, item]));
-        for (const item of former.values()) {
-            if (!isSameWrite(item, this.#stored.get(item.key))) {
-                this.#history.add(item);
-            }
-        }
+        [...former.values()].filter(item => !isSameWrite(item, this.#stored.get(item.key)))
+            .forEach(item => this.#history.add(item));
         this.#retained.clear();
         retained.forEach(state => this.#retained.add(state));
         this.#position = positionOf(snapshot);
         this.#eraEnteredAt = readAt;
         this.#times.endOutage(readAt);
-        const eraChange = { from, to: this.#position, copiedRevision, retained: retained.length };
-        this.#eraListeners.forEach(listener => listener(eraChange));
+        this.#eraListeners.forEach(listener => listener({ from, to: this.#position, retained: retained.length }));
         changes.forEach(change => this.#emit(change));
     }
 
@@ -257,13 +253,17 @@
         for (const key of this.#retained.expired(this.confirmedAt)) {
             const known = this.get(key);
             this.#retained.delete(key);
-            const item = this.#stored.get(key);
-            if (item) {
-                this.#emit({ kind: "written", item });
-            }
-            else if (known) {
-                this.#emit({ kind: "removed", key, ...this.#position });
-            }
+            this.#emitDifference(key, known);
+        }
+    }
+
+    #emitDifference(key: string, known: StoredItem | undefined): void {
+        const item = this.get(key);
+        if (item && !isSameWrite(known, item)) {
+            this.#emit({ kind: "written", item });
+        }
+        if (!item && known) {
+            this.#emit({ kind: "removed", key, ...this.#position });
         }
     }
 
--- a/packages/replica/item_replica_eras_test.ts
+++ b/packages/replica/item_replica_eras_test.ts
@@ -4,6 +4,7 @@
 import type { StoredItem } from "./stored_item.ts";
 
 const RETENTION_MILLISECONDS = 5_000;
+const OLDER_RETENTION_MILLISECONDS = 30_000;
 const item = (key: string, value: string, era: number, revision: number): StoredItem => ({ key, value, era, revision });
 
 /** A replica at revision 30 of era 1, and its changes since then as short texts. */
@@ -87,19 +88,44 @@
     expect(changes.slice(2)).toEqual(["b=b", "removed a"]);
 });
 
-// Guards against a state that is kept for ever although the store's one may be newer.
-test("a state yields to the store's one after a time, unless the replica has seen that one before", () => {
-    const { replica, changes } = createReplica([
-        item("a", "old", 1, 5),
-        item("b", "b", 1, 28),
-        item("c", "same", 1, 20),
-    ]);
+// Guards against a state that is kept for ever although nobody writes it again.
+test("a state that is newer than the copy yields to the copy's one after a time", () => {
+    const { replica, changes } = createReplica([item("a", "old", 1, 5), item("b", "same", 1, 20)]);
     replica.apply([{ kind: "removed", key: "a", era: 1, revision: 31 }], { era: 1, revision: 31 }, 1_500);
-    const copy = [item("a", "old", 2, 5), item("b", "never seen", 2, 19), item("c", "same", 2, 20)];
-    replica.replace({ items: copy, era: 2, revision: 20 }, 2_000);
-    expect([replica.get("a"), replica.get("b")?.value]).toEqual([undefined, "b"]);
+    replica.replace({ items: [item("a", "old", 2, 5), item("b", "same", 2, 20)], era: 2, revision: 20 }, 2_000);
     replica.confirm({ era: 2, revision: 20 }, 2_000 + RETENTION_MILLISECONDS);
-    expect(changes).toEqual(["removed a", "b=never seen"]);
+    expect(changes).toEqual(["removed a"]);
+    replica.confirm({ era: 2, revision: 20 }, 2_000 + OLDER_RETENTION_MILLISECONDS);
+    expect(changes).toEqual(["removed a", "a=old"]);
+});
+
+// Guards against a change that is hidden because another item was written again at the revision that it had before.
+test("an item never seen is taken although one with a higher revision was seen before", () => {
+    const { replica, changes } = createReplica([item("a", "old", 1, 5), item("b", "again", 1, 30)]);
+    replica.replace({ items: [item("a", "new", 2, 29), item("b", "again", 2, 30)], era: 2, revision: 30 }, 2_000);
+    expect(changes).toEqual(["a=new"]);
+});
+
+// Guards against an instance that was behind and brings back what others know to be removed.
+test("what an instance that was behind keeps is not taken over", () => {
+    const { replica, changes } = createReplica([item("a", "a", 1, 10), item("b", "same", 1, 20)]);
+    const behind = new ItemReplica();
+    behind.replace(replica.snapshot(), 1_000);
+    replica.apply([{ kind: "removed", key: "a", era: 1, revision: 31 }], { era: 1, revision: 31 }, 1_500);
+    const copy = { items: [item("b", "same", 2, 20)], era: 2, revision: 32 };
+    replica.replace(copy, 2_000);
+    behind.replace(copy, 3_000);
+    replica.retain(behind.retained(), behind.position, 3_100);
+    expect(behind.retained()).toHaveLength(1);
+    expect(changes).toEqual(["removed a"]);
+});
+
+// Guards against the removal of a server that the first copy lacks and the second one has.
+test("an item that is missing after one return and there after the next one is reported as written", () => {
+    const { replica, changes } = createReplica([item("a", "a", 1, 25), item("b", "same", 1, 20)]);
+    replica.replace({ items: [item("b", "same", 2, 20)], era: 2, revision: 20 }, 2_000);
+    replica.replace({ items: [item("a", "a", 3, 25), item("b", "same", 3, 20)], era: 3, revision: 25 }, 3_000);
+    expect(changes).toEqual(["missing a", "a=a"]);
 });
 
 // Guards against a second return, during the first one's recovery, that brings back what the first one did not.
--- a/packages/replica/retained_item.ts
+++ b/packages/replica/retained_item.ts
@@ -11,6 +11,6 @@
     item: StoredItem | undefined;
     /** Revision of the item in the copy; 0 if the copy lacks it. */
     copiedRevision: number;
-    /** Time until which the state is kept, in milliseconds on the replica's clock; undefined without a limit. */
-    until: number | undefined;
+    /** Time until which the state is kept, in milliseconds on the replica's clock. */
+    until: number;
 }
