Deny no key that the returned store may lack

Callers whose key or route was written just before the store came back from an older copy, and which no instance had read, were answered 401 or 404 as soon as the copy was read.

Cause: a read of the copy counts as fresh, and what a fresh read lacks counts as unknown.

Change: after the store's return, an unknown route or key is answered 503 with the usual time to come back until a configuration of the new era has been read, or for the 2 s within which the operator writes again.

--- a/packages/gateway/directory_updater.ts
+++ b/packages/gateway/directory_updater.ts
@@ -12,8 +12,8 @@
 const MAXIMUM_DENIAL_AGE_MILLISECONDS = 1_900;
 /** Time in milliseconds by which the removal of a server is delayed while the store is recovering. */
 const REMOVAL_DELAY_MILLISECONDS = 1_700;
-/** Time in milliseconds within which a server that the store's copy lacks registers again if it runs. */
-const REGISTRATION_MILLISECONDS = 2_000;
+/** Time in milliseconds after the store's return within which operators and servers write again what its copy lacks. */
+const WRITE_AGAIN_MILLISECONDS = 2_000;
 /** Age of a replica that was never confirmed; log lines need a finite number. */
 const UNCONFIRMED_AGE_MILLISECONDS = 1e9;
 
@@ -41,6 +41,8 @@
  */
 export class DirectoryUpdater {
     readonly #removals: RemovalDelay;
+    /** Time until which the operator may write a configuration again that the store's copy lacks. */
+    #copyInDoubtUntil = Number.NEGATIVE_INFINITY;
 
     /**
      * @param options Dependencies of the updater.
@@ -53,6 +55,7 @@
         );
         replica.onChange(change => this.#applyChange(change));
         replica.onEraChange(({ from, to, retained }) => {
+            this.#copyInDoubtUntil = options.clock.now() + WRITE_AGAIN_MILLISECONDS;
             options.metrics.increment("store_returns_total");
             options.logger.warn("store has come back from an older copy", { from, to, retained });
         });
@@ -97,12 +100,14 @@
     }
 
     /**
-     * Returns whether the replica is recent enough to deny routes and API keys that it lacks.
+     * Returns whether the replica is recent enough to deny routes and API keys that it lacks. It is not while the store's
+     * copy may lack a configuration that the operator has yet to write again.
      *
      * @returns Whether they may be denied.
      */
     canDenyUnknown(): boolean {
-        return this.age < MAXIMUM_DENIAL_AGE_MILLISECONDS;
+        return this.age < MAXIMUM_DENIAL_AGE_MILLISECONDS
+            && this.options.clock.now() >= this.#copyInDoubtUntil;
     }
 
     /** Cancels delayed removals. */
@@ -113,7 +118,7 @@
     #applyChange(change: ItemChange): void {
         const { decodeItem, clock, replica, metrics, logger } = this.options;
         if (change.kind === "missing") {
-            this.#holdBackRemoval(decodeItem({ ...change, kind: "removed" }), REGISTRATION_MILLISECONDS);
+            this.#holdBackRemoval(decodeItem({ ...change, kind: "removed" }), WRITE_AGAIN_MILLISECONDS);
             return;
         }
         const event = decodeItem(change);
@@ -137,6 +142,10 @@
             this.#removals.cancel(event.server.id);
         }
         this.#applyEvent(event);
+        const isOfEra = change.kind === "written" && change.item.era === replica.position.era;
+        if (event.kind === "configuration" && isOfEra) {
+            this.#copyInDoubtUntil = Number.NEGATIVE_INFINITY;
+        }
     }
 
     #holdBackRemoval(event: DirectoryEvent | undefined, milliseconds: number): void {
