Do not take a configuration of the copy for a later one

Callers whose key the returned store lacks were answered 401 where the copy held a configuration that the instance had not read, although the one after it, with their key, was lost.

Cause: any configuration of the new era that an instance had not read counted as written after the return. It can stand in the copy.

Change: the doubt is a concept of its own, CopyDoubt. It ends with a configuration that has certainly been written since: the version in force once more, or a later one at a revision that the era before would have shown, or that came after the first read. A version below the one in force does not end it. Otherwise it ends with the first read that begins 2 s after the return, and no longer without a read.

--- a/packages/gateway/directory_updater.ts
+++ b/packages/gateway/directory_updater.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { ItemChange, ItemReplica } from "../replica/mod.ts";
+import { CopyDoubt } from "./copy_doubt.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 
@@ -12,8 +13,8 @@
 const MAXIMUM_DENIAL_AGE_MILLISECONDS = 1_900;
 /** Time in milliseconds by which the removal of a server is delayed while the store is recovering. */
 const REMOVAL_DELAY_MILLISECONDS = 1_700;
-/** Time in milliseconds after the store's return within which operators and servers write again what its copy lacks. */
-const WRITE_AGAIN_MILLISECONDS = 2_000;
+/** Time in milliseconds within which a server that the store's copy lacks registers again if it runs. */
+const REGISTRATION_MILLISECONDS = 2_000;
 /** Age of a replica that was never confirmed; log lines need a finite number. */
 const UNCONFIRMED_AGE_MILLISECONDS = 1e9;
 
@@ -41,21 +42,20 @@
  */
 export class DirectoryUpdater {
     readonly #removals: RemovalDelay;
-    /** Time until which the operator may write a configuration again that the store's copy lacks. */
-    #copyInDoubtUntil = Number.NEGATIVE_INFINITY;
+    readonly #copyDoubt: CopyDoubt;
 
     /**
      * @param options Dependencies of the updater.
      */
     constructor(private readonly options: DirectoryUpdaterOptions) {
-        const { replica } = options;
+        const { replica, clock } = options;
+        this.#copyDoubt = new CopyDoubt(replica, () => clock.now());
         this.#removals = new RemovalDelay(
             id => this.#applyEvent({ kind: "server-removed", id }),
             overdueMilliseconds => this.age <= overdueMilliseconds,
         );
         replica.onChange(change => this.#applyChange(change));
         replica.onEraChange(({ from, to, retained }) => {
-            this.#copyInDoubtUntil = options.clock.now() + WRITE_AGAIN_MILLISECONDS;
             options.metrics.increment("store_returns_total");
             options.logger.warn("store has come back from an older copy", { from, to, retained });
         });
@@ -106,8 +106,7 @@
      * @returns Whether they may be denied.
      */
     canDenyUnknown(): boolean {
-        return this.age < MAXIMUM_DENIAL_AGE_MILLISECONDS
-            && this.options.clock.now() >= this.#copyInDoubtUntil;
+        return this.age < MAXIMUM_DENIAL_AGE_MILLISECONDS && !this.#copyDoubt.isOpen;
     }
 
     /** Cancels delayed removals. */
@@ -116,9 +115,9 @@
     }
 
     #applyChange(change: ItemChange): void {
-        const { decodeItem, clock, replica, metrics, logger } = this.options;
+        const { decodeItem, clock, directory, replica, metrics, logger } = this.options;
         if (change.kind === "missing") {
-            this.#holdBackRemoval(decodeItem({ ...change, kind: "removed" }), WRITE_AGAIN_MILLISECONDS);
+            this.#holdBackRemoval(decodeItem({ ...change, kind: "removed" }), REGISTRATION_MILLISECONDS);
             return;
         }
         const event = decodeItem(change);
@@ -141,11 +140,14 @@
         if (event.kind === "server") {
             this.#removals.cancel(event.server.id);
         }
-        this.#applyEvent(event);
-        const isOfEra = change.kind === "written" && change.item.era === replica.position.era;
-        if (event.kind === "configuration" && isOfEra) {
-            this.#copyInDoubtUntil = Number.NEGATIVE_INFINITY;
+        if (event.kind === "configuration" && change.kind === "written") {
+            this.#copyDoubt.observe({
+                version: event.configuration.version,
+                position: change.item,
+                versionInForce: directory.configuration?.version,
+            });
         }
+        this.#applyEvent(event);
     }
 
     #holdBackRemoval(event: DirectoryEvent | undefined, milliseconds: number): void {
