Accept no key by the returned copy alone

A key whose revocation was acknowledged, but read by no instance before the store went away, was refused (503) after the time allowed for revocations and served again once the copy was read: 5.3 s after the revocation with 5 s allowed.

Cause: a read of the copy confirmed the configuration, although the copy lacks what was written last.

Change: while the copy is in doubt, the age of the configuration counts from the last read before the return.

--- a/packages/gateway/copy_doubt.ts
+++ b/packages/gateway/copy_doubt.ts
@@ -13,7 +13,7 @@
 
 /**
  * Tells whether the store has come back from a copy that may lack a configuration which the operator has yet to write
- * again. Until a later one has been read, the copy does not confirm that an API key or a route is absent.
+ * again. Until a later one has been read, the copy confirms neither API keys nor their absence.
  *
  * @example
  * ```ts
@@ -24,6 +24,7 @@
 export class CopyDoubt {
     #change: EraChange | undefined;
     #until = Number.NEGATIVE_INFINITY;
+    #confirmedBefore = Number.NEGATIVE_INFINITY;
 
     /**
      * @param replica The replica.
@@ -34,6 +35,7 @@
         now: () => number,
     ) {
         replica.onEraChange(change => {
+            this.#confirmedBefore = this.confirmedAt;
             this.#change = change;
             this.#until = now() + WRITE_AGAIN_MILLISECONDS;
         });
@@ -44,6 +46,11 @@
         return this.replica.confirmedAt < this.#until;
     }
 
+    /** Start of the last read that confirmed the configuration, in milliseconds. */
+    get confirmedAt(): number {
+        return this.isOpen ? this.#confirmedBefore : this.replica.confirmedAt;
+    }
+
     /**
      * Ends the doubt if a configuration has certainly been written after the store's return.
      *
--- a/packages/gateway/directory_updater.ts
+++ b/packages/gateway/directory_updater.ts
@@ -84,7 +84,8 @@
      */
     canAcceptKeys(): boolean {
         const { failClosed, revokeMilliseconds } = this.options.bounds();
-        return !failClosed || this.age < revokeMilliseconds * MAXIMUM_KEY_AGE_FRACTION;
+        const age = this.options.clock.now() - this.#copyDoubt.confirmedAt;
+        return !failClosed || age < revokeMilliseconds * MAXIMUM_KEY_AGE_FRACTION;
     }
 
     /**
