End pipelined responses with their connection

A shutdown of an instance waited until its abort, 7.5 s after the signal, once a caller had closed a connection on which it had sent a request before it had the answer to the one before. Such a request was not given up either, and left no line.

Cause: the HTTP server emits "close" only for the response whose turn it is. The count of active requests, the abort of a request whose caller has gone and its line all hang on that event.

Change: each connection keeps the responses that have not ended, and ends those that wait for their turn when the connection closes.

--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -1,13 +1,14 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
-import { setImmediate } from "node:timers/promises";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { closeAfterReading } from "./_close_after_reading.ts";
 import { findRequestId } from "./_find_request_id.ts";
+import { readArrivedBytes } from "./_read_arrived_bytes.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { EndedBy } from "./ended_by.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { headerOf } from "./header_of.ts";
+import { ResponseQueue } from "./response_queue.ts";
 
 /** Time in milliseconds for which an idle connection stays open beyond the limit, since a request may be on its way. */
 const IDLE_MARGIN_MILLISECONDS = 1_000;
@@ -25,6 +26,7 @@
 interface CallerConnection {
     /** Number of requests whose headers were received. */
     requests: number;
+    responses: ResponseQueue;
     /** Idle limit in milliseconds that the last answer announced. */
     announcedIdleMilliseconds: number;
     /** Monotonic time in milliseconds at which the last answer ended. */
@@ -98,7 +100,11 @@
         connection.announcedIdleMilliseconds = this.server.keepAliveTimeout;
         connection.current = { exchange, incoming, response };
         const requestOfConnection = connection.requests;
-        const bytesWrittenBefore = socket.bytesWritten;
+        connection.responses.add(response, exchange);
+        let bytesWrittenBefore = socket.bytesWritten;
+        response.on("socket", () => {
+            bytesWrittenBefore = socket.bytesWritten;
+        });
         incoming.on("end", () => {
             connection.wholeBytes = socket.bytesRead;
             connection.bodyPending = false;
@@ -113,15 +119,16 @@
                 return;
             }
             connection.reported = true;
+            const hasHadTurn = Boolean(response.socket);
             this.#report("request ended without a complete answer", exchange.end ?? this.#endOf(connection), {
                 request: exchange.id,
                 requestOfConnection,
                 bodyBytesRead: exchange.bodyBytes,
                 bodyBytesDeclared: incoming.headers["content-length"] ?? incoming.headers["transfer-encoding"] ?? 0,
                 requestWhole: incoming.complete,
-                answer: connection.rejection ?? (response.headersSent ? "part" : "nothing"),
+                answer: connection.rejection ?? (hasHadTurn && response.headersSent ? "part" : "nothing"),
                 events: exchange.events,
-                bytesSent: socket.bytesWritten - bytesWrittenBefore,
+                bytesSent: hasHadTurn ? socket.bytesWritten - bytesWrittenBefore : 0,
                 afterMilliseconds: Math.round(monotonicMilliseconds() - exchange.receivedAt),
             });
         });
@@ -164,6 +171,7 @@
         const openedAt = monotonicMilliseconds();
         const connection: CallerConnection = {
             requests: 0,
+            responses: new ResponseQueue(),
             announcedIdleMilliseconds: 0,
             idleSince: openedAt,
             wholeBytes: 0,
@@ -178,6 +186,7 @@
         this.#connections.set(socket, connection);
         socket.on("close", () => {
             this.#connections.delete(socket);
+            connection.responses.endWaiting();
             const unreadBytes = socket.bytesRead - connection.wholeBytes;
             if (connection.reported || connection.bodyPending || (unreadBytes === 0 && !connection.rejection)) {
                 return;
@@ -283,13 +292,3 @@
     return connection.requests > 0 && !connection.current && !connection.bodyPending && !connection.closing
         && socket.bytesRead === connection.wholeBytes && socket.writableLength === 0;
 }
-
-/**
- * Waits until the event loop has polled the connections once more. A request that has arrived meanwhile lies in the
- * kernel's buffer until then: closing its connection would lose it, although it came in time.
- */
-async function readArrivedBytes(): Promise<void> {
-    // The first turn may be the one that has polled already.
-    await setImmediate();
-    await setImmediate();
-}
