Answer pipelined requests while an instance leaves

A caller that sent requests before it had the answer to an earlier one got no answer to them from an instance that was shutting down: they were run, and the connection was closed after the answer before them.

Cause: each answer from the signal on said "Connection: close", and the HTTP server closes the connection after it, whatever has been read since.

Change: only the last request received announces the close, as long as the answers before it have not begun. A request that arrives after an answer has begun that announces the close crosses the close: it is not run, and leaves a line.

--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -80,7 +80,8 @@
      *
      * @param incoming The request.
      * @param response Its response.
-     * @returns The record, to be kept up to date while the request is served.
+     * @returns The record, to be kept up to date while the request is served. If it has an end already, the connection is
+     *     about to be closed, and the request must not run.
      */
     begin(incoming: IncomingMessage, response: ServerResponse): CallerExchange {
         const exchange: CallerExchange = {
@@ -100,6 +101,9 @@
         connection.announcedIdleMilliseconds = this.server.keepAliveTimeout;
         connection.current = { exchange, incoming, response };
         const requestOfConnection = connection.requests;
+        if (connection.responses.announcesClose) {
+            exchange.end = { by: "router", reason: "connection-closing" };
+        }
         connection.responses.add(response, exchange);
         let bytesWrittenBefore = socket.bytesWritten;
         response.on("socket", () => {
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -162,6 +162,10 @@
         });
         response.on("error", () => {});
         const exchange = this.#connections.begin(incoming, response);
+        if (exchange.end) {
+            incoming.resume();
+            return;
+        }
         const { id, receivedAt } = exchange;
         this.#serve(incoming, response, exchange).catch((error: unknown) => {
             const message = error instanceof Error ? error.stack ?? error.message : String(error);
--- a/packages/gateway/response_queue.ts
+++ b/packages/gateway/response_queue.ts
@@ -15,13 +15,21 @@
 export class ResponseQueue {
     readonly #exchanges = new Map<ServerResponse, CallerExchange>();
 
+    /** Whether an answer that has begun says that the connection will be closed, so that no later one can be sent. */
+    get announcesClose(): boolean {
+        return [...this.#exchanges.keys()].some(response => response.headersSent && !response.shouldKeepAlive);
+    }
+
     /**
-     * Adds a response until it emits "close".
+     * Adds a response until it emits "close". The responses before it that have not begun no longer close the connection.
      *
      * @param response The response.
      * @param exchange Record of its request.
      */
     add(response: ServerResponse, exchange: CallerExchange): void {
+        for (const earlier of this.#exchanges.keys()) {
+            earlier.shouldKeepAlive ||= !earlier.headersSent;
+        }
         this.#exchanges.set(response, exchange);
         response.on("close", () => this.#exchanges.delete(response));
     }
