Tell one life of the stand-alone router's store from the next

After that store came back from an older copy, a write with a revision that had been given out again replaced what others had written since, and a watch waited to its end.

Cause: a revision alone ordered two states of a key.

Change: each answer carries an era, 0 if absent; the position of packages/replica takes the place of the bare revision in the client. Writes and watches name the era that they rest on, so that the store refuses or answers them at once in another one. The stand-in comes back from a copy, with revisions given out again.

--- a/packages/fleet/configuration_follower.ts
+++ b/packages/fleet/configuration_follower.ts
@@ -10,6 +10,7 @@
 } from "../configuration/mod.ts";
 import { instanceId } from "../instances/mod.ts";
 import { selectMembers } from "../membership/mod.ts";
+import { positionOf, type StorePosition } from "../replica/mod.ts";
 import { type StoredValue, type StoreFailure, updateValue } from "../store/mod.ts";
 import type { ConfigurationFollowerOptions } from "./configuration_follower_options.ts";
 
@@ -46,7 +47,7 @@
  */
 export class ConfigurationFollower {
     #task: PeriodicTask | undefined;
-    #revision = 0;
+    #position: StorePosition = { era: 0, revision: 0 };
     #hasReadStore = false;
 
     /**
@@ -120,7 +121,7 @@
             return;
         }
         const value = this.#isWatcher() && this.#hasReadStore
-            ? await store.watch(CONFIGURATION_KEY, this.#revision, WATCH_TIMEOUT_MILLISECONDS, signal)
+            ? await store.watch(CONFIGURATION_KEY, this.#position, WATCH_TIMEOUT_MILLISECONDS, signal)
             : await store.read(CONFIGURATION_KEY);
         if (value.isErr()) {
             await sleep(FAILURE_PAUSE_MILLISECONDS * (0.5 + Math.random()), signal);
@@ -141,7 +142,7 @@
     #applyStored(value: StoredValue): void {
         const { configuration } = this.options;
         const stored = parseStored(value);
-        this.#revision = value.revision;
+        this.#position = positionOf(value);
         this.#hasReadStore = true;
         configuration.applySnapshot(stored);
         configuration.confirmLatest(stored.version, 0);
--- a/packages/stand_ins/memory_store.ts
+++ b/packages/stand_ins/memory_store.ts
@@ -1,4 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
+import type { StorePosition } from "../replica/mod.ts";
 import { type CompareAndSwapOutcome, type Store, type StoredValue, StoreFailure } from "../store/mod.ts";
 
 /** Outcome of a call. */
@@ -34,7 +35,7 @@
     /** @inheritdoc */
     async compareAndSwap(
         key: string,
-        expectedRevision: number,
+        { revision: expectedRevision }: StorePosition,
         value: unknown,
     ): Promise<Result<CompareAndSwapOutcome, StoreFailure>> {
         await Promise.resolve();
@@ -66,7 +67,9 @@
 
     #get(key: string): StoredValue {
         const entry = this.#values.get(key);
-        return entry ? { revision: entry.revision, value: JSON.parse(entry.text) } : { revision: 0, value: undefined };
+        return entry
+            ? { era: 0, revision: entry.revision, value: JSON.parse(entry.text) }
+            : { era: 0, revision: 0, value: undefined };
     }
 
     #swap(key: string, expectedRevision: number, text: string): CompareAndSwapOutcome {
@@ -75,6 +78,6 @@
             return { kind: "conflict", current: this.#get(key) };
         }
         this.#values.set(key, { revision: revision + 1, text });
-        return { kind: "stored", revision: revision + 1 };
+        return { kind: "stored", position: { era: 0, revision: revision + 1 } };
     }
 }
--- a/packages/stand_ins/store_stand_in.ts
+++ b/packages/stand_ins/store_stand_in.ts
@@ -11,6 +11,9 @@
     previous: { revision: number; value: unknown; replacedAt: number; } | undefined;
 }
 
+/** State of the store at a moment. */
+type StoreCopy = ReadonlyMap<string, Entry>;
+
 type Request = Parameters<StoreStandIn["answer"]>[0];
 
 /**
@@ -18,7 +21,7 @@
  *
  * Faults: `outage` (closes every connection), `delayMilliseconds`, `loseAnswers` (probability that the response to a
  * write is dropped after the write took effect), `readLagMilliseconds` (time for which reads return the previous value
- * after a write).
+ * after a write). Every JSON response carries the store's era, which rises when the store comes back from a copy.
  *
  * @example
  * ```ts
@@ -30,11 +33,33 @@
     readonly #entries = new Map<string, Entry>();
     readonly #watchers = new Map<string, Set<() => void>>();
     readonly #counts = { reads: 0, writes: 0, watches: 0, conflicts: 0, lostAnswers: 0, outageCalls: 0, limited: 0 };
+    #era = 1;
     #second = 0;
     #readsThisSecond = 0;
     #writesThisSecond = 0;
     #mostWritesInASecond = 0;
 
+    /**
+     * Copies the state of the store.
+     *
+     * @returns The copy.
+     */
+    copy(): StoreCopy {
+        return new Map(this.#entries);
+    }
+
+    /**
+     * Returns to a copy and begins a new era, in which revisions given out since the copy are given out again.
+     *
+     * @param copy The copy.
+     */
+    restore(copy: StoreCopy): void {
+        this.#entries.clear();
+        copy.forEach((entry, key) => this.#entries.set(key, entry));
+        this.#era++;
+        this.#watchers.forEach(watchers => watchers.forEach(endWait => endWait()));
+    }
+
     /** @inheritdoc */
     async answer(request: Parameters<StandInServer["answer"]>[0]): Promise<void> {
         const { response } = request;
@@ -75,6 +100,11 @@
         }
     }
 
+    /** @inheritdoc */
+    protected override reply(response: Request["response"], status: number, body: object): void {
+        super.reply(response, status, { era: this.#era, ...body });
+    }
+
     #isWithinRateLimit(write: boolean): boolean {
         const second = Math.floor(performance.now() / 1_000);
         if (second !== this.#second) {
@@ -102,6 +132,11 @@
         return { revision: entry.revision, value: entry.value };
     }
 
+    /** Whether a request names an era that is not the present one. */
+    #isOfAnotherEra(query: URLSearchParams): boolean {
+        return Number(query.get("era") ?? this.#era) !== this.#era;
+    }
+
     #write(key: string, { body, query, response }: Request): void {
         this.#counts.writes++;
         const entry = this.#entries.get(key);
@@ -110,7 +145,7 @@
             this.reply(response, 413, { error: "value too large" });
             return;
         }
-        if (Number(query.get("revision")) !== revision) {
+        if (Number(query.get("revision")) !== revision || this.#isOfAnotherEra(query)) {
             this.#counts.conflicts++;
             this.reply(response, 409, { revision, value: entry?.value });
             return;
@@ -131,7 +166,7 @@
     async #watch(key: string, { query, response }: Request): Promise<void> {
         this.#counts.watches++;
         const after = Number(query.get("after"));
-        if (this.#read(key).revision <= after) {
+        if (this.#read(key).revision <= after && !this.#isOfAnotherEra(query)) {
             const stop = new AbortController();
             const endWait = () => stop.abort();
             const watchers = this.#watchers.get(key) ?? new Set();
--- a/packages/store/http_store.ts
+++ b/packages/store/http_store.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { errors, Pool } from "undici";
+import type { StorePosition } from "../replica/mod.ts";
 import type { Verdict } from "../verdicts/mod.ts";
 import type { CompareAndSwapOutcome } from "./compare_and_swap_outcome.ts";
 import type { HttpStoreOptions } from "./http_store_options.ts";
@@ -51,10 +52,10 @@
     /** @inheritdoc */
     async compareAndSwap(
         key: string,
-        expectedRevision: number,
+        expected: StorePosition,
         value: unknown,
     ): Promise<Result<CompareAndSwapOutcome, StoreFailure>> {
-        const path = `${valuePath(key)}?revision=${expectedRevision}`;
+        const path = `${valuePath(key)}?revision=${expected.revision}&era=${expected.era}`;
         const response = await this.#call("write", "PUT", path, this.#timeoutMilliseconds, JSON.stringify(value));
         return response.andThen(parseOutcome);
     }
@@ -62,11 +63,11 @@
     /** @inheritdoc */
     async watch(
         key: string,
-        afterRevision: number,
+        after: StorePosition,
         waitMilliseconds: number,
         signal?: AbortSignal,
     ): Promise<Result<StoredValue, StoreFailure>> {
-        const path = `${valuePath(key)}?after=${afterRevision}&wait=${waitMilliseconds}`;
+        const path = `${valuePath(key)}?after=${after.revision}&era=${after.era}&wait=${waitMilliseconds}`;
         const timeout = waitMilliseconds + this.#timeoutMilliseconds;
         const response = await this.#call("watch", "GET", path, timeout, undefined, signal);
         return response.andThen(parseStoredValue);
@@ -129,20 +130,28 @@
 }
 
 function parseStoredValue(response: StoreResponse): Result<StoredValue, StoreFailure> {
-    const body = response.body as Partial<StoredValue>;
-    if (response.status !== 200 || typeof body?.revision !== "number") {
-        return err(new StoreFailure("may-have-run", "The store's answer has no revision"));
+    if (response.status !== 200) {
+        return err(new StoreFailure("may-have-run", `The store answered a read with status ${response.status}`));
     }
-    return ok({ revision: body.revision, value: body.value });
+    return parsePosition(response).map(position => ({ ...position, value: valueOf(response) }));
 }
 
 function parseOutcome(response: StoreResponse): Result<CompareAndSwapOutcome, StoreFailure> {
-    const body = response.body as Partial<StoredValue>;
-    if (typeof body?.revision !== "number") {
-        return err(new StoreFailure("may-have-run", "The store's answer has no revision"));
-    }
-    if (response.status === 409) {
-        return ok({ kind: "conflict", current: { revision: body.revision, value: body.value } });
+    return parsePosition(response).map(position =>
+        response.status === 409
+            ? { kind: "conflict", current: { ...position, value: valueOf(response) } }
+            : { kind: "stored", position }
+    );
+}
+
+function parsePosition({ body }: StoreResponse): Result<StorePosition, StoreFailure> {
+    const { era = 0, revision } = (body ?? {}) as Partial<StoredValue>;
+    if (typeof revision !== "number" || typeof era !== "number") {
+        return err(new StoreFailure("may-have-run", "The store's answer has no revision, or an era that is no number"));
     }
-    return ok({ kind: "stored", revision: body.revision });
+    return ok({ era, revision });
+}
+
+function valueOf({ body }: StoreResponse): unknown {
+    return (body as Partial<StoredValue>).value;
 }
--- a/packages/store/store.ts
+++ b/packages/store/store.ts
@@ -1,4 +1,5 @@
 import type { Result } from "neverthrow";
+import type { StorePosition } from "../replica/mod.ts";
 import type { CompareAndSwapOutcome } from "./compare_and_swap_outcome.ts";
 import type { StoreFailure } from "./store_failure.ts";
 import type { StoredValue } from "./stored_value.ts";
@@ -7,16 +8,16 @@
 export interface Store {
     /** Reads a key. A key that does not exist has revision 0. */
     read(key: string): Promise<Result<StoredValue, StoreFailure>>;
-    /** Writes a key if its revision is `expectedRevision`; 0 means that the key must not exist. */
+    /** Writes a key if it is at the position `expected` still; revision 0 means that the key must not exist. */
     compareAndSwap(
         key: string,
-        expectedRevision: number,
+        expected: StorePosition,
         value: unknown,
     ): Promise<Result<CompareAndSwapOutcome, StoreFailure>>;
-    /** Returns the current value once its revision is above `afterRevision`, or when the wait is over. */
+    /** Returns the current value once its revision is above that of `after`, in another era, or when the wait is over. */
     watch(
         key: string,
-        afterRevision: number,
+        after: StorePosition,
         waitMilliseconds: number,
         signal?: AbortSignal,
     ): Promise<Result<StoredValue, StoreFailure>>;
--- a/packages/store/stored_value.ts
+++ b/packages/store/stored_value.ts
@@ -1,7 +1,10 @@
-/** A value of the store with the revision at which it was written. */
-export interface StoredValue {
-    /** Revision of the key, which increases with each write; 0 means that the key does not exist. */
-    revision: number;
+import type { StorePosition } from "../replica/mod.ts";
+
+/**
+ * A value of the store with the position at which it was read. The revision is that of the key and increases with each
+ * write of an era; 0 means that the key does not exist.
+ */
+export interface StoredValue extends StorePosition {
     /** The JSON value. */
     value: unknown;
 }
--- a/packages/store/update_value.ts
+++ b/packages/store/update_value.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
+import { positionOf } from "../replica/mod.ts";
 import type { Store } from "./store.ts";
 import { StoreFailure } from "./store_failure.ts";
 import type { StoredValue } from "./stored_value.ts";
@@ -57,7 +58,7 @@
         if (decision.kind === "done") {
             return ok(current);
         }
-        const written = await store.compareAndSwap(key, current.revision, decision.value);
+        const written = await store.compareAndSwap(key, positionOf(current), decision.value);
         if (written.isErr()) {
             writeMayHaveRun ||= written.error.verdict === "may-have-run";
             lastMessage = written.error.message;
@@ -67,7 +68,7 @@
             continue;
         }
         if (written.value.kind === "stored") {
-            return ok({ revision: written.value.revision, value: decision.value });
+            return ok({ ...written.value.position, value: decision.value });
         }
         current = written.value.current;
     }
