Keep the configuration when the stand-alone router's store comes back older

After a return, what had been confirmed was missing from the store for good: members in which it was in force refused keys, and instances that started took the older one. The next change was built on the copy and got a version that members already had with other contents.

Cause: the store was taken to keep what it had acknowledged, and the revision of the configuration to name one state.

Change: a watcher whose version is higher writes its configuration back by compare-and-swap. The stored configuration names the era of the last change; the first change of an era starts from the newest that any member knows, and is refused as not run while a member does not respond that is not known to have left or terminated.

--- a/packages/configuration/stored_configuration.ts
+++ b/packages/configuration/stored_configuration.ts
@@ -9,4 +9,6 @@
     document: ConfigurationDocument;
     /** Most recent changes, oldest first, for instances that are a few versions behind. */
     recent: ConfigurationChange[];
+    /** Era of the store in which an operator last changed it; absent if the store announces none, or between instances. */
+    era?: number | undefined;
 }
--- a/packages/configuration/stored_configuration_schema.ts
+++ b/packages/configuration/stored_configuration_schema.ts
@@ -16,4 +16,5 @@
     version: z.int().min(0),
     document,
     recent: z.array(configurationChangeSchema),
+    era: z.int().min(0).optional(),
 }) as unknown as z.ZodType<StoredConfiguration>;
--- a/packages/fleet/configuration_follower.ts
+++ b/packages/fleet/configuration_follower.ts
@@ -10,7 +10,7 @@
 } from "../configuration/mod.ts";
 import { instanceId } from "../instances/mod.ts";
 import { selectMembers } from "../membership/mod.ts";
-import { positionOf, type StorePosition } from "../replica/mod.ts";
+import { comparePositions, positionOf, type StorePosition } from "../replica/mod.ts";
 import { type StoredValue, type StoreFailure, updateValue } from "../store/mod.ts";
 import type { ConfigurationFollowerOptions } from "./configuration_follower_options.ts";
 
@@ -86,21 +86,25 @@
             CONFIGURATION_KEY,
             undefined,
             CHANGE_DEADLINE_MILLISECONDS,
-            current => {
-                const stored = parseStored(current);
-                const existing = stored.recent.find(change => change.attempt === attempt);
+            async current => {
+                const latest = await this.#findLatest(current);
+                if (!latest) {
+                    return { kind: "wait", reason: "another member may know a configuration that the store has lost" };
+                }
+                const existing = latest.recent.find(change => change.attempt === attempt);
                 if (existing) {
                     outcome = { kind: "stored", version: existing.version };
                     return { kind: "done" };
                 }
-                if (baseVersion !== undefined && stored.version !== baseVersion) {
-                    const changes = stored.recent.filter(change => change.version > baseVersion);
-                    outcome = { kind: "raced", version: stored.version, changes };
+                if (baseVersion !== undefined && latest.version !== baseVersion) {
+                    const changes = latest.recent.filter(change => change.version > baseVersion);
+                    outcome = { kind: "raced", version: latest.version, changes };
                     return { kind: "done" };
                 }
-                const version = stored.version + 1;
+                const version = latest.version + 1;
                 outcome = { kind: "stored", version };
-                return { kind: "write", value: nextConfiguration(stored, { version, attempt, operations }) };
+                const next = nextConfiguration(latest, { version, attempt, operations });
+                return { kind: "write", value: { ...next, era: current.era } };
             },
         );
         if (result.isErr()) {
@@ -128,6 +132,41 @@
             return;
         }
         this.#applyStored(value.value);
+        if (parseStored(value.value).version < configuration.version) {
+            await this.#writeBack(value.value);
+        }
+    }
+
+    /** Writes the configuration in force to a store that came back without it. A lagging read only causes a conflict. */
+    async #writeBack(value: StoredValue): Promise<void> {
+        const { configuration, logger, store } = this.options;
+        const result = await updateValue(store, CONFIGURATION_KEY, value, CHANGE_DEADLINE_MILLISECONDS, current => {
+            const stored = parseStored(current);
+            return stored.version < configuration.version
+                // Keeps the era of the last change: another member may know a configuration that is newer still.
+                ? { kind: "write", value: { ...configuration.snapshot(), era: stored.era } }
+                : { kind: "done" };
+        });
+        if (result.isErr()) {
+            logger.warn("cannot write the configuration back", { error: result.error.message });
+            return;
+        }
+        this.#applyStored(result.value);
+    }
+
+    /**
+     * Finds the newest configuration for a change to start from. After the store came back from an older copy, two
+     * documents would get one version if the first change of the era did not start from what every member knows.
+     *
+     * @returns The configuration, or undefined while a member that may know a newer one does not respond.
+     */
+    async #findLatest(current: StoredValue): Promise<StoredConfiguration | undefined> {
+        const { configuration, heartbeats } = this.options;
+        const stored = parseStored(current);
+        if ((stored.era ?? 0) !== current.era && !await heartbeats.collectConfiguration()) {
+            return undefined;
+        }
+        return stored.version < configuration.version ? configuration.snapshot() : stored;
     }
 
     #isWatcher(): boolean {
@@ -142,7 +181,9 @@
     #applyStored(value: StoredValue): void {
         const { configuration } = this.options;
         const stored = parseStored(value);
-        this.#position = positionOf(value);
+        if (comparePositions(value, this.#position) > 0) {
+            this.#position = positionOf(value);
+        }
         this.#hasReadStore = true;
         configuration.applySnapshot(stored);
         configuration.confirmLatest(stored.version, 0);
--- a/packages/fleet/heartbeats.ts
+++ b/packages/fleet/heartbeats.ts
@@ -86,6 +86,21 @@
         }));
     }
 
+    /**
+     * Takes over the newest configuration of the other members.
+     *
+     * @returns Whether none of them can know a newer one: each has responded, left or terminated.
+     */
+    async collectConfiguration(): Promise<boolean> {
+        const { membership, configuration } = this.options;
+        const members = membership.otherMembers;
+        const heartbeats = await Promise.all(members.map(member => this.#sendHeartbeat(member)));
+        return members.every((member, index) =>
+            (heartbeats[index]?.version ?? Infinity) <= configuration.version
+            || membership.hasLeftOrTerminated(instanceId(member))
+        );
+    }
+
     /** Stops the task. */
     async close(): Promise<void> {
         await this.#task?.close();
--- a/packages/runtime/instance.ts
+++ b/packages/runtime/instance.ts
@@ -108,8 +108,8 @@
             metrics,
             logger,
         };
-        this.#follower = new ConfigurationFollower(dependencies);
         this.#heartbeats = new Heartbeats(dependencies);
+        this.#follower = new ConfigurationFollower({ ...dependencies, heartbeats: this.#heartbeats });
         const limitShares = new HomedLimitShares(this.#configuration, this.#server, invariants);
         const suspects = new SuspectRegistry(dependencies);
         this.#serverLedgers = new HomedServerLedgers({
--- a/packages/store/update_value.ts
+++ b/packages/store/update_value.ts
@@ -8,8 +8,8 @@
 const INITIAL_DELAY_MILLISECONDS = 20;
 const MAXIMUM_DELAY_MILLISECONDS = 500;
 
-/** Decision of an update function about the current value. */
-type Decision<Value> = { kind: "write"; value: Value; } | { kind: "done"; };
+/** Decision of an update function about the current value; after `"wait"` it is read again. */
+type Decision<Value> = { kind: "write"; value: Value; } | { kind: "done"; } | { kind: "wait"; reason: string; };
 
 /**
  * Updates a value by compare-and-swap; retries until a write succeeds, `decide` returns `"done"` or the time limit
@@ -23,7 +23,8 @@
  * @param key Key of the value.
  * @param initial Value to start from, if one was read before; it saves one read.
  * @param timeoutMilliseconds Time limit in milliseconds; no attempt begins after it.
- * @param decide Returns the value to write in place of the current one, or `"done"` if no write is needed.
+ * @param decide Returns the value to write in place of the current one; or `"done"` if no write is needed, or `"wait"`
+ * if it cannot be decided yet.
  * @returns The value now stored; or a failure, with the verdict `"not-run"` only if no write can have taken effect.
  * @example
  * ```ts
@@ -36,7 +37,7 @@
     key: string,
     initial: StoredValue | undefined,
     timeoutMilliseconds: number,
-    decide: (current: StoredValue) => Decision<Value>,
+    decide: (current: StoredValue) => Decision<Value> | Promise<Decision<Value>>,
 ): Promise<Result<StoredValue, StoreFailure>> {
     const deadline = monotonicMilliseconds() + timeoutMilliseconds;
     let current = initial;
@@ -54,10 +55,17 @@
             }
             current = read.value;
         }
-        const decision = decide(current);
+        const decision = await decide(current);
         if (decision.kind === "done") {
             return ok(current);
         }
+        if (decision.kind === "wait") {
+            lastMessage = decision.reason;
+            current = undefined;
+            await sleep(jitter(delay));
+            delay = Math.min(delay * 2, MAXIMUM_DELAY_MILLISECONDS);
+            continue;
+        }
         const written = await store.compareAndSwap(key, positionOf(current), decision.value);
         if (written.isErr()) {
             writeMayHaveRun ||= written.error.verdict === "may-have-run";
