Never give out an epoch twice after the stand-alone router's store comes back older

After a return, an instance that joined got by the copy an epoch that the members had already adopted with other members; both went on with their own record, so that a key could have two homes. A member that the copy lacked was in the store no more.

Cause: the epoch in the store was taken to be the highest that was ever adopted.

Change: the record names the era of the store in which it was written. The first change in another era starts from the newest record of all members and of listed instances, and waits until each member of it has responded, left or terminated. The members that watch the store notice a new era and write a lost record again, at a higher epoch.

--- a/packages/fleet/configuration_follower.ts
+++ b/packages/fleet/configuration_follower.ts
@@ -179,8 +179,9 @@
     }
 
     #applyStored(value: StoredValue): void {
-        const { configuration } = this.options;
+        const { configuration, membership } = this.options;
         const stored = parseStored(value);
+        membership.noticeStoreEra(value.era);
         if (comparePositions(value, this.#position) > 0) {
             this.#position = positionOf(value);
         }
--- a/packages/fleet/configuration_follower_test.ts
+++ b/packages/fleet/configuration_follower_test.ts
@@ -28,7 +28,7 @@
         const options = {
             store,
             configuration: this.configuration,
-            membership: { isMember: false } as never,
+            membership: { isMember: false, noticeStoreEra: () => {} } as never,
             logger: noopLogger,
             heartbeats: {
                 collectConfiguration: async () => {
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -1,6 +1,7 @@
 import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
 import { instanceId } from "../instances/mod.ts";
 import { type StoredValue, updateValue } from "../store/mod.ts";
+import { PeerRecords } from "./_peer_records.ts";
 import type { HomeKey } from "./home_key.ts";
 import type { Member } from "./member.ts";
 import type { MembershipOptions } from "./membership_options.ts";
@@ -44,6 +45,10 @@
     #maintainTask: PeriodicTask | undefined;
     #listCheckTask: PeriodicTask | undefined;
     #leaving = false;
+    /** Latest era of the store that was noticed, and the latest one in which its record was compared with this one. */
+    #storeEra = 0;
+    #comparedEra = 0;
+    readonly #peerRecords: PeerRecords;
 
     /**
      * @param self This instance as a member.
@@ -53,6 +58,7 @@
         readonly self: Member,
         private readonly options: MembershipOptions,
     ) {
+        this.#peerRecords = new PeerRecords(this, options);
         options.pool.onTermination(target => this.#markTerminated(target));
     }
 
@@ -124,6 +130,15 @@
         }
     }
 
+    /**
+     * Notices an era of the store. In a new one, the record that this instance knows is written again if it is lost.
+     *
+     * @param era The era.
+     */
+    noticeStoreEra(era: number): void {
+        this.#storeEra = Math.max(this.#storeEra, era);
+    }
+
     /**
      * Records which epoch another member has adopted.
      *
@@ -220,6 +235,9 @@
         if (terminated.length > 0 && this.isMember) {
             await this.#remove(terminated);
         }
+        if (this.#storeEra > this.#comparedEra && this.isMember && !this.#leaving) {
+            await this.#change(members => members);
+        }
     }
 
     async #join(): Promise<void> {
@@ -233,32 +251,7 @@
             this.options.logger.info("joined the fleet", { epoch: this.#record.epoch });
         }
         else {
-            await this.#fetchRecordFromPeers();
-        }
-    }
-
-    /** Without the store an instance cannot join, but it can serve callers with a membership record from its peers. */
-    async #fetchRecordFromPeers(): Promise<void> {
-        const listed = await this.options.instanceList.fetch();
-        if (listed.isErr()) {
-            return;
-        }
-        for (const { name, address } of listed.value) {
-            if (address === this.self.address) {
-                continue;
-            }
-            const knownMember = this.#record.members.find(member => member.name === name && member.address === address);
-            if (!knownMember) {
-                await this.#fetchRecord(address);
-            }
-        }
-    }
-
-    async #fetchRecord(address: string): Promise<void> {
-        const response = await this.options.pool.callAddress(address, "membership.record", {});
-        const record = response.isOk() ? membershipRecordSchema.safeParse(response.value) : undefined;
-        if (record?.success) {
-            this.adopt(record.data);
+            await this.#peerRecords.fetchFromList();
         }
     }
 
@@ -310,28 +303,33 @@
             return false;
         }
         this.adopt(membershipRecordSchema.parse(result.value.value));
+        this.#comparedEra = Math.max(this.#comparedEra, result.value.era);
         this.options.metrics.increment("epoch_changes_total");
         await this.#broadcastRecord();
         return true;
     }
 
-    #createNextRecord(
+    async #createNextRecord(
         current: StoredValue,
         update: (members: Member[]) => Member[],
-    ): { kind: "write"; value: MembershipRecord; } | { kind: "done"; } {
-        const record = current.revision === 0 ? EMPTY_RECORD : membershipRecordSchema.parse(current.value);
+    ): Promise<{ kind: "write"; value: MembershipRecord; } | { kind: "done"; } | { kind: "wait"; reason: string; }> {
+        const stored = current.revision === 0 ? EMPTY_RECORD : membershipRecordSchema.parse(current.value);
         // Adopted before the history is trimmed, so that earlier epochs need not be kept for this instance.
-        this.adopt(record);
+        this.adopt(stored);
+        if ((stored.era ?? 0) !== current.era && !await this.#peerRecords.collect()) {
+            return { kind: "wait", reason: "another member may know a record that the store has lost" };
+        }
+        const record = this.#record;
         const members = update(record.members);
         const unchanged = members.length === record.members.length
             && members.every((member, index) => member === record.members[index]);
-        if (unchanged) {
+        if (unchanged && record.epoch <= stored.epoch) {
             return { kind: "done" };
         }
         const entry = { epoch: record.epoch, members: record.members.map(instanceId) };
         const adopted = members.map(member => this.#adoptedEpochOf(instanceId(member)));
         const history = trimHistory([...record.history, entry], adopted);
-        return { kind: "write", value: { epoch: record.epoch + 1, members, history } };
+        return { kind: "write", value: { epoch: record.epoch + 1, members, history, era: current.era } };
     }
 
     #adoptedEpochOf(id: string): number | undefined {
--- a/packages/membership/membership_record.ts
+++ b/packages/membership/membership_record.ts
@@ -8,4 +8,6 @@
     members: Member[];
     /** Member ids of earlier epochs that some member may still act on, oldest first. */
     history: { epoch: number; members: string[]; }[];
+    /** Era of the store in which it was written; absent if the store announces none. */
+    era?: number | undefined;
 }
--- a/packages/membership/membership_record_schema.ts
+++ b/packages/membership/membership_record_schema.ts
@@ -13,4 +13,5 @@
     epoch: z.int().min(0),
     members: z.array(member).max(10_000),
     history: z.array(z.object({ epoch: z.int().min(0), members: z.array(z.string().max(130)) })),
+    era: z.int().min(0).optional(),
 });
