Run no once-only call twice when the stand-alone router's store comes back older

After a return, a repeated call whose record the copy lacked was begun again, at its home and at any other; outcomes that had been stored were lost.

Cause: a record that the store had acknowledged was taken to stay there, and what a home had cached to be of no use but speed.

Change: a shard names the era of its last change. The first change in another era collects what the members know of the shard, writes lost records again and only then answers; while a member does not respond that is not known to have left or terminated, calls are refused as not run. What a home knows stays when a commit fails.

--- a/packages/once/homed_once_shards.ts
+++ b/packages/once/homed_once_shards.ts
@@ -1,11 +1,14 @@
-import type { InstanceServer } from "../instances/mod.ts";
+import { instanceId, type InstancePool, type InstanceServer } from "../instances/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { Store } from "../store/mod.ts";
 import { CommitRateLimiter } from "./commit_rate_limiter.ts";
 import { onceParameters } from "./once_parameters.ts";
+import type { OnceRecord } from "./once_record.ts";
 import { OnceShard } from "./once_shard.ts";
 import { shardOf } from "./shard_of.ts";
 
+const COLLECT_TIMEOUT_MILLISECONDS = 1_000;
+
 /**
  * Shards of once-only records that this instance serves to all instances.
  *
@@ -14,7 +17,7 @@
  *
  * @example
  * ```ts
- * const shards = new HomedOnceShards(store, server, membership);
+ * const shards = new HomedOnceShards(store, server, membership, pool);
  * shards.count; // 0
  * ```
  */
@@ -25,12 +28,14 @@
     /**
      * @param store Store that holds the shards.
      * @param server Receives calls from other instances.
-     * @param membership Determines how many instances share the fleet's limit of writes.
+     * @param membership Determines the members, which share the fleet's limit of writes.
+     * @param pool Connections to them.
      */
     constructor(
         private readonly store: Store,
         server: InstanceServer,
-        membership: Membership,
+        private readonly membership: Membership,
+        private readonly pool: InstancePool,
     ) {
         this.#commitRateLimiter = new CommitRateLimiter(() => membership.record.members.length);
         server.handle(
@@ -41,6 +46,9 @@
         server.handle("once.finish", onceParameters.finish, async params => {
             return { stored: await this.#findOrCreateShard(params.key).finish(params) };
         });
+        server.handle("once.known", onceParameters.known, async ({ shard }) => {
+            return { records: this.#shards.get(shard)?.knownRecords ?? {} };
+        });
     }
 
     /** Number of shards that were used so far. */
@@ -52,9 +60,27 @@
         const index = shardOf(key);
         let shard = this.#shards.get(index);
         if (!shard) {
-            shard = new OnceShard(this.store, `once/${index}`, { commitRateLimiter: this.#commitRateLimiter });
+            shard = new OnceShard(this.store, `once/${index}`, {
+                commitRateLimiter: this.#commitRateLimiter,
+                collectRecords: () => this.#collectRecords(index),
+            });
             this.#shards.set(index, shard);
         }
         return shard;
     }
+
+    /** Any member may have been a home of the shard in the seconds that the store has lost. */
+    async #collectRecords(shard: number): Promise<Record<string, OnceRecord>[] | undefined> {
+        const { membership, pool } = this;
+        const members = membership.otherMembers;
+        const collected = await Promise.all(members.map(async member => {
+            const response = await pool.call(member, "once.known", { shard }, COLLECT_TIMEOUT_MILLISECONDS);
+            const parsed = onceParameters.knownResponse.safeParse(response.unwrapOr(undefined));
+            return parsed.success ? parsed.data.records : undefined;
+        }));
+        const isComplete = members.every((member, index) =>
+            collected[index] !== undefined || membership.hasLeftOrTerminated(instanceId(member))
+        );
+        return isComplete ? collected.filter(records => records !== undefined) : undefined;
+    }
 }
--- a/packages/once/once_parameters.ts
+++ b/packages/once/once_parameters.ts
@@ -9,6 +9,18 @@
     body: z.string(),
 });
 
+const records = z.record(
+    z.string(),
+    z.object({
+        attempt,
+        fingerprint: z.string(),
+        owner: z.string(),
+        at: z.number(),
+        state: z.enum(["started", "finished", "unknown"]),
+        answer: answer.optional(),
+    }),
+);
+
 /** Schemas of the parameters of calls to the home of a shard, and of the value of a shard in the store. */
 export const onceParameters = {
     /** `once.begin`: records the intent to send a once-only call. */
@@ -21,17 +33,9 @@
         answer: answer.optional(),
     }),
     /** Value of a shard in the store. */
-    shard: z.object({
-        records: z.record(
-            z.string(),
-            z.object({
-                attempt,
-                fingerprint: z.string(),
-                owner: z.string(),
-                at: z.number(),
-                state: z.enum(["started", "finished", "unknown"]),
-                answer: answer.optional(),
-            }),
-        ),
-    }),
+    shard: z.object({ records, era: z.int().min(0).optional() }),
+    /** `once.known`: returns what a member knows of a shard, after the store came back from an older copy. */
+    known: z.object({ shard: z.int().min(0) }),
+    /** Response to `once.known`. */
+    knownResponse: z.object({ records }),
 };
--- a/packages/once/once_shard.ts
+++ b/packages/once/once_shard.ts
@@ -1,6 +1,8 @@
 import type * as z from "zod";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { comparePositions } from "../replica/mod.ts";
 import { type Store, type StoredValue, updateValue } from "../store/mod.ts";
+import { mergeRecords } from "./_merge_records.ts";
 import type { BeginResult } from "./begin_result.ts";
 import { onceParameters } from "./once_parameters.ts";
 import type { OnceRecord } from "./once_record.ts";
@@ -37,7 +39,8 @@
  * One shard of the records of once-only calls: a single value in the store, changed only by compare-and-swap.
  *
  * Calls that arrive during a commit are batched into the next one. A home that was suspended while another home wrote
- * cannot commit, since its revision is no longer the latest.
+ * cannot commit, since its revision is no longer the latest. When the store comes back from an older copy, the first commit
+ * writes again what any home knows and the store has lost.
  *
  * @example
  * ```ts
@@ -50,6 +53,8 @@
     #committing = false;
     #cached: StoredValue | undefined;
     #cachedAt = 0;
+    /** Newest value that the store held; unlike the cached one, it stays when a commit fails. */
+    #known: StoredValue | undefined;
     /** Values that this object created; they need no validation. */
     readonly #ownValues = new WeakSet<object>();
 
@@ -84,6 +89,11 @@
         return new Promise(answer => this.#enqueue({ kind: "finish", params, answer }));
     }
 
+    /** Records that the store held when it last responded. */
+    get knownRecords(): Records {
+        return this.#known ? this.#recordsOf(this.#known) : {};
+    }
+
     #enqueue(pending: PendingCall): void {
         this.#pending.push(pending);
         if (!this.#committing) {
@@ -109,17 +119,26 @@
             this.storeKey,
             cachedStart,
             this.options.commitDeadlineMilliseconds ?? DEFAULT_COMMIT_DEADLINE_MILLISECONDS,
-            current => {
-                applied = this.#apply(this.#recordsOf(current), batch);
+            async current => {
+                const stored = this.#recordsOf(current);
+                const complete = await this.#withLostRecords(current, stored);
+                if (!complete) {
+                    return { kind: "wait", reason: "another member may know records that the store has lost" };
+                }
+                applied = this.#apply(complete, batch);
+                applied.changed ||= complete !== stored;
                 if (!applied.changed) {
                     return { kind: "done" };
                 }
-                const value = { records: applied.records };
+                const value = { records: applied.records, era: current.era };
                 this.#ownValues.add(value);
                 return { kind: "write", value };
             },
         );
         this.#cached = result.isOk() ? result.value : undefined;
+        if (result.isOk() && (!this.#known || comparePositions(result.value, this.#known) >= 0)) {
+            this.#known = result.value;
+        }
         if (!cachedStart || applied?.changed) {
             // A batch that was served from the cache alone does not confirm that the cached value is current.
             this.#cachedAt = monotonicMilliseconds();
@@ -135,6 +154,24 @@
         }
     }
 
+    /**
+     * Adds to the records of a value those that the store has lost, unless a home has done so in this era.
+     *
+     * @returns `records` itself if none is lost, or undefined while a member that may know some does not respond.
+     */
+    async #withLostRecords(current: StoredValue, records: Records): Promise<Records | undefined> {
+        if (this.#eraOf(current) === current.era) {
+            return records;
+        }
+        const collected = this.options.collectRecords ? await this.options.collectRecords() : [];
+        return collected && [this.knownRecords, ...collected].reduce(mergeRecords, records);
+    }
+
+    /** Returns the era in which a value was written. */
+    #eraOf({ revision, value }: StoredValue): number {
+        return revision === 0 ? 0 : (value as { era?: number; }).era ?? 0;
+    }
+
     /** Returns the records in a value. Validates the value against the schema unless this object created it. */
     #recordsOf({ revision, value }: StoredValue): Records {
         if (revision === 0) {
