--- a/packages/runtime/instance.ts
+++ b/packages/runtime/instance.ts
@@ -108,8 +108,8 @@
             metrics,
             logger,
         };
-        this.#follower = new ConfigurationFollower(dependencies);
         this.#heartbeats = new Heartbeats(dependencies);
+        this.#follower = new ConfigurationFollower({ ...dependencies, heartbeats: this.#heartbeats });
         const limitShares = new HomedLimitShares(this.#configuration, this.#server, invariants);
         const suspects = new SuspectRegistry(dependencies);
         this.#serverLedgers = new HomedServerLedgers({
@@ -119,7 +119,7 @@
             },
         });
         this.#homes = new HomeManager([limitShares, this.#serverLedgers], dependencies);
-        const onceShards = new HomedOnceShards(this.#store, this.#server, this.#membership);
+        const onceShards = new HomedOnceShards(this.#store, this.#server, this.#membership, this.#pool);
         this.#once = new OnceClient(this.#membership, this.#pool, logger);
         const reservations = new ReservationClient(this.#membership, this.#pool, this.#server);
         const policy = createPlacementPolicy(settings.policy);
