Refuse late bodies that cannot be served before the end

A request whose headers came up to 2.9 s after SIGTERM and whose body came later was run although the instance could not end it in its grace period: its caller got a part of the answer and a closed connection.

Cause: the latest deadline was checked when the headers arrived, before it was set, and not when the body was whole.

Change: it is checked again before the request is forwarded; what may last longer is refused with 503, leaving, and Retry-After.

Measured: the last test in leaving_instances_test.ts fails without the change and passes with it. The one before it, for new connections and pipelined requests, passes on both.

--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -94,8 +94,9 @@
         const callerDeadline = receivedAt
             + (Number.isFinite(remaining) && remaining >= 0 ? remaining : route.timeoutMilliseconds);
         const deadline = Math.min(callerDeadline, receivedAt + route.timeoutMilliseconds);
-        if (deadline > this.latestDeadline) {
-            return refused(503, "leaving", "The instance is shutting down", SHUTDOWN_RETRY_AFTER_MILLISECONDS);
+        const refusal = this.refuseLateDeadline(deadline);
+        if (refusal) {
+            return { kind: "refused", refusal };
         }
         const [promptTokens, outputTokens] = parseTokenCounts(headerOf(incoming, headers.tokenCounts));
         return {
@@ -123,6 +124,22 @@
         };
     }
 
+    /**
+     * Refuses a request that may last until after the latest deadline.
+     *
+     * @param deadline The request's deadline.
+     * @returns The refusal; undefined if the request may run.
+     */
+    refuseLateDeadline(deadline: number): GatewayRefusal | undefined {
+        return deadline <= this.latestDeadline ? undefined : {
+            status: 503,
+            reason: "leaving",
+            verdict: "not-run",
+            message: "The instance is shutting down",
+            retryAfterMilliseconds: SHUTDOWN_RETRY_AFTER_MILLISECONDS,
+        };
+    }
+
     /** Refuses an unknown route or API key, which a stale directory may lack although it has been added since. */
     #refuseUnknown(status: number, reason: GatewayRefusal["reason"], message: string): Admission {
         return this.context.directoryUpdater.canDenyUnknown()
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -200,7 +200,14 @@
         try {
             const body = await readRequestBody(incoming, this.#maximumBodyBytes(), exchange, abort.signal);
             if (body.kind === "read") {
-                await this.#forward({ ...admission.request, body: body.bytes, exchange });
+                const request = { ...admission.request, body: body.bytes, exchange };
+                // The instance may have begun to leave while the body arrived.
+                const refusal = this.#admission.refuseLateDeadline(deadline);
+                if (refusal) {
+                    sendRefusal(request, refusal, this.context);
+                    return;
+                }
+                await this.#forward(request);
             }
             else if (body.kind === "broken" || abort.signal.reason === "caller-gone") {
                 response.destroy();
