Register the gauges of a process in a file of their own

Change: the gauges of memory and processor time, which need nothing of the instance, are registered by a function of their own. No change of behaviour.

--- a/packages/runtime/instance.ts
+++ b/packages/runtime/instance.ts
@@ -23,6 +23,7 @@
 import { Refusal } from "../verdicts/mod.ts";
 import { LoadReportPoller } from "./_load_report_poller.ts";
 import { registerOperatorCalls } from "./_operator_calls.ts";
+import { registerProcessGauges } from "./_register_process_gauges.ts";
 
 const FRESHNESS_CHECK_MILLISECONDS = 500;
 /** Time without contact to the store and to every peer after which the instance refuses requests with API keys. */
@@ -293,10 +294,6 @@
         metrics.gauge("once_only_shards", () => onceShards.count);
         metrics.gauge("once_only_outcomes_unrecorded", () => this.#once.unrecordedOutcomes);
         metrics.gauge("reservations_held", () => reservations.heldReservations.size);
-        metrics.gauge("resident_memory_bytes", () => process.memoryUsage.rss());
-        metrics.gauge("processor_seconds_total", () => {
-            const { user, system } = process.cpuUsage();
-            return (user + system) / 1_000_000;
-        });
+        registerProcessGauges(metrics);
     }
 }
