Fail a send that cannot start instead of throwing

Callers of a plain route got 500, and model requests no answer at all, when the entry of another writer was chosen for them: Node throws for a port above 65535 or an id that no header can hold, before anything is sent, and the pool passed the error on. No code of the gateway expects a send to reject, so the failure was not recorded either and the server stayed the idlest.

Change: the pool reports such a send as unreachable and not run. The caller of the pool then avoids the server and sends the request elsewhere, as for any server that cannot be reached.

Measured: 4 of 4 rows of backend_connection_pool_test.ts and 5 of 8 of foreign_entries_test.ts fail before (500 in three, no answer in two) and pass now. Three rows, of servers at which nothing listens, passed before as well.

--- a/packages/backends/backend_connection_pool.ts
+++ b/packages/backends/backend_connection_pool.ts
@@ -37,7 +37,12 @@
                 return;
             }
             const agent = this.#getAgent(request.address);
-            const outgoing = startRequest({ ...createRequestOptions(request), agent });
+            const started = startSend(request, agent);
+            if (started.isErr()) {
+                resolve(err(started.error));
+                return;
+            }
+            const outgoing = started.value;
             let connected = false;
             let settled = false;
             let received: IncomingMessage | undefined;
@@ -126,6 +131,17 @@
     }
 }
 
+/** Starts a request; Node throws for an address or header that cannot be used, before anything is sent. */
+function startSend(request: BackendRequest, agent: BackendAgent): Result<ClientRequest, BackendFault> {
+    try {
+        return ok(startRequest({ ...createRequestOptions(request), agent }));
+    }
+    catch (error) {
+        const message = `The request cannot be sent: ${error instanceof Error ? error.message : String(error)}`;
+        return err({ kind: "unreachable", verdict: "not-run", message, portClosed: false });
+    }
+}
+
 function createRequestOptions(request: BackendRequest) {
     const { host, port } = parseAddress(request.address);
     const headers = request.body || request.method === "POST"
