End a request whose reservation of memory fails inside the router

A model request was never answered when an error was thrown while memory was reserved for it: it had left the queue, nobody waited for the reservation, and neither the promise that the request waited for nor the memory that was counted for it was settled. The deadline did not help, since the request waited in no list that is checked. An error while the queue was checked also stopped the check of all other requests.

Reservations have a class of their own, which undoes the account in one place.

Measured: both new tests of decode_queue_test.ts fail before (one waits without end) and pass now.

--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -1,7 +1,8 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
-import type { RegisteredServer, ServiceProfile } from "../directory/mod.ts";
+import type { RegisteredServer } from "../directory/mod.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
+import { DecodeReserver } from "./decode_reserver.ts";
 import type { EngineClient } from "./engine_client.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
@@ -19,11 +20,6 @@
 const FIRST_EVENT_MILLISECONDS = 120;
 /** Longest wait in milliseconds at a prefill engine, without the prefill itself, at which memory is reserved. */
 const MAXIMUM_PREFILL_WAIT_MILLISECONDS = 200;
-const RESERVE_TIMEOUT_MILLISECONDS = 250;
-/** Time in milliseconds that an engine is avoided after it refused a reservation. */
-const REFUSED_AVOID_MILLISECONDS = 120;
-/** Time in milliseconds that an engine is avoided after it did not respond. */
-const UNRESPONSIVE_AVOID_MILLISECONDS = 1_000;
 /** Weight of an engine's failure rate, which reduces the free memory that it is compared by. */
 const FAILURE_PENALTY = 6;
 
@@ -43,6 +39,7 @@
     /** Whether the memory is still of use. */
     isWanted: () => boolean;
     resolve: (result: Result<DecodeReservation, GatewayRefusal>) => void;
+    reject: (error: unknown) => void;
 }
 
 /** Properties of a wait for memory. */
@@ -67,6 +64,7 @@
 export class DecodeQueue {
     #waiters: Waiter[] = [];
     readonly #chooser: ServerChooser;
+    readonly #reserver: DecodeReserver;
     #timer: NodeJS.Timeout | undefined;
 
     /**
@@ -76,10 +74,11 @@
      */
     constructor(
         private readonly context: GatewayContext,
-        private readonly engineClient: EngineClient,
+        engineClient: EngineClient,
         private readonly prefillDispatcher: PrefillDispatcher,
     ) {
         this.#chooser = new ServerChooser(context);
+        this.#reserver = new DecodeReserver(context, engineClient);
     }
 
     /** Number of waiting requests. */
@@ -94,6 +93,7 @@
      * @param excluded Ids of engines that must not be used.
      * @param options Properties that differ from those of a request that can be refused.
      * @returns The reservation, or a refusal.
+     * @throws {Error} If an error inside the router ends the wait.
      */
     acquire(
         request: GatewayRequest,
@@ -101,7 +101,7 @@
         options: AcquireOptions = {},
     ): Promise<Result<DecodeReservation, GatewayRefusal>> {
         const { answerBegun = false, isWanted = () => true } = options;
-        return new Promise(resolve => {
+        return new Promise((resolve, reject) => {
             const since = monotonicMilliseconds();
             this.#waiters.push({
                 request,
@@ -115,6 +115,7 @@
                 answerBegun,
                 isWanted,
                 resolve,
+                reject,
             });
             this.dispatch();
         });
@@ -127,28 +128,14 @@
         const blockedServices = new Set<string>();
         this.#sortWaiters(now);
         for (const waiter of this.#waiters) {
-            if (waiter.request.signal.aborted || now >= waiter.giveUpAt || !waiter.isWanted()) {
-                this.#refuse(waiter);
-                continue;
-            }
-            const service = waiter.request.service.name;
-            const isBlocked = blockedServices.has(service);
-            const server = isBlocked ? undefined : this.#choose(waiter, now);
-            const refusal = server || isBlocked || waiter.answerBegun ? undefined : this.#findRefusal(waiter);
-            if (refusal) {
-                waiter.resolve(err(refusal));
-                continue;
-            }
-            if (!server) {
-                // Later requests must not overtake the first one, which could otherwise wait forever. One that may not
-                // use every engine waits while there is room for others.
-                if (waiter.excluded.size === 0) {
-                    blockedServices.add(service);
+            try {
+                if (this.#mustWait(waiter, now, blockedServices)) {
+                    remaining.push(waiter);
                 }
-                remaining.push(waiter);
-                continue;
             }
-            void this.#reserve(waiter, server);
+            catch (error) {
+                waiter.reject(error);
+            }
         }
         this.#waiters = remaining;
         clearTimeout(this.#timer);
@@ -179,6 +166,32 @@
         );
     }
 
+    /** Refuses a request or starts to reserve memory for it, unless it must wait. */
+    #mustWait(waiter: Waiter, now: number, blockedServices: Set<string>): boolean {
+        if (waiter.request.signal.aborted || now >= waiter.giveUpAt || !waiter.isWanted()) {
+            this.#refuse(waiter);
+            return false;
+        }
+        const service = waiter.request.service.name;
+        const isBlocked = blockedServices.has(service);
+        const server = isBlocked ? undefined : this.#choose(waiter, now);
+        const refusal = server || isBlocked || waiter.answerBegun ? undefined : this.#findRefusal(waiter);
+        if (refusal) {
+            waiter.resolve(err(refusal));
+            return false;
+        }
+        if (!server) {
+            // Later requests must not overtake the first one, which could otherwise wait forever. One that may not
+            // use every engine waits while there is room for others.
+            if (waiter.excluded.size === 0) {
+                blockedServices.add(service);
+            }
+            return true;
+        }
+        this.#reserve(waiter, server).catch((error: unknown) => waiter.reject(error));
+        return false;
+    }
+
     /** Closes the queue and refuses the waiting requests. */
     close(): void {
         clearTimeout(this.#timer);
@@ -227,49 +240,12 @@
     }
 
     async #reserve(waiter: Waiter, server: RegisteredServer): Promise<void> {
-        const { serverLoads, engineProtocol, metrics } = this.context;
-        const load = serverLoads.get(server.id);
-        const { request, tokens } = waiter;
-        const expectedFree = (request.service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
-        load.reservedTokens += tokens;
-        load.active++;
-        const lifetime = getReservationLifetime(request.service);
-        const startedAt = monotonicMilliseconds();
-        const response = await this.engineClient.call(
-            server,
-            engineProtocol.reserve(tokens, lifetime),
-            RESERVE_TIMEOUT_MILLISECONDS,
-        );
-        const reservationId = response.status === 200 ? engineProtocol.parseReservation(response.body) : undefined;
-        const result = reservationId !== undefined ? "granted" : response.status === 0 ? "silent" : "refused";
-        metrics.increment("decode_reservations_total", { result });
-        this.context.logger.info("decode memory asked for", {
-            request: request.id,
-            engine: server.id,
-            tokens,
-            expectedFree,
-            outcome: result,
-            waitedMilliseconds: Math.round(monotonicMilliseconds() - waiter.since),
-        });
-        if (reservationId !== undefined) {
-            metrics.observe("decode_wait", monotonicMilliseconds() - waiter.since);
-            waiter.resolve(
-                ok({ server, reservationId, tokens, requestedAt: startedAt, expiresAt: startedAt + lifetime }),
-            );
+        const { request, tokens, since } = waiter;
+        const reservation = await this.#reserver.reserve({ request, server, tokens, waitingSince: since });
+        if (reservation) {
+            waiter.resolve(ok(reservation));
             return;
         }
-        load.reservedTokens -= tokens;
-        load.active--;
-        const unresponsive = response.status === 0;
-        if (unresponsive) {
-            load.recordFailure();
-        }
-        if (response.status === 421) {
-            serverLoads.markTerminated(server.id);
-            this.context.crashRegistry.recordServerEnd(server.id);
-        }
-        load.avoidedUntil = monotonicMilliseconds()
-            + (unresponsive ? UNRESPONSIVE_AVOID_MILLISECONDS : REFUSED_AVOID_MILLISECONDS);
         this.#waiters.unshift(waiter);
         this.dispatch();
     }
@@ -290,7 +266,3 @@
         }));
     }
 }
-
-function getReservationLifetime(service: ServiceProfile): number {
-    return service.engine?.maximumReservationMilliseconds ?? 0;
-}
--- a/packages/gateway/decode_queue_test.ts
+++ b/packages/gateway/decode_queue_test.ts
@@ -14,9 +14,13 @@
 const REFUSED_MILLISECONDS = 1_000;
 
 let queue: DecodeQueue;
+let loads: Map<string, ServerLoad>;
+/** Answers calls to engines. */
+let callEngine: () => Promise<{ status: number; body: string; }>;
 
 beforeEach(() => {
     vi.useFakeTimers();
+    callEngine = () => Promise.resolve({ status: 200, body: "" });
     queue = createQueue();
 });
 
@@ -26,7 +30,7 @@
 });
 
 function createQueue(): DecodeQueue {
-    const loads = new Map([[SILENT, new ServerLoad()], ["full", new ServerLoad()]]);
+    loads = new Map([[SILENT, new ServerLoad()], ["full", new ServerLoad()]]);
     loads.forEach((load, id) => {
         load.reservedTokens = id === "full" ? MEMORY_TOKENS : 0;
     });
@@ -43,7 +47,7 @@
         metrics: { increment: () => {}, observe: () => {} },
         logger: { info: () => {} },
     } as unknown as GatewayContext;
-    const engineClient = { call: () => Promise.resolve({ status: 200, body: "" }) } as never;
+    const engineClient = { call: () => callEngine() } as never;
     const prefillDispatcher = {
         tokensPerMillisecond: 25,
         estimateMilliseconds: () => 4,
@@ -109,3 +113,29 @@
     expect((await begun).isOk()).toBe(true);
     expect(queue.length).toBe(1);
 });
+
+// Guards against requests that are never answered since an error in a reservation loses them.
+test("an error in a reservation ends the wait and takes the memory back", async () => {
+    callEngine = () => Promise.reject(new Error("The call cannot be sent"));
+    const failed = expect(queue.acquire(createRequest("failed"), new Set())).rejects.toThrow("cannot be sent");
+    await vi.advanceTimersByTimeAsync(CHECKED_MILLISECONDS);
+    await failed;
+    expect(queue.length).toBe(0);
+    expect(loads.get(SILENT)).toMatchObject({ reservedTokens: 0, active: 0 });
+});
+
+// Guards against requests that are never answered since an error while the queue is checked stops all later checks.
+test("an error in the check of one request does not stop the others", async () => {
+    const faulty = createRequest("faulty", MEMORY_TOKENS + 1);
+    const waiting = queue.acquire(faulty, new Set());
+    await vi.advanceTimersByTimeAsync(0);
+    Object.defineProperty(faulty, "service", {
+        get: () => {
+            throw new Error("The service cannot be read");
+        },
+    });
+    const failed = expect(waiting).rejects.toThrow("cannot be read");
+    await vi.advanceTimersByTimeAsync(CHECKED_MILLISECONDS);
+    await failed;
+    expect((await queue.acquire(createRequest("later"), new Set())).isOk()).toBe(true);
+});
