--- a/packages/gateway/decode_reserver.ts
+++ b/packages/gateway/decode_reserver.ts
@@ -45,7 +45,8 @@
      * @returns The reservation; undefined if the engine has not granted it, which is then avoided for a time.
      * @throws {Error} If the router fails; the memory no longer counts as reserved then.
      */
-    async reserve({ request, server, tokens, waitingSince }: MemoryDemand): Promise<DecodeReservation | undefined> {
+    async reserve(demand: MemoryDemand): Promise<DecodeReservation | undefined> {
+        const { request, server, tokens, waitingSince } = demand;
         const load = this.context.serverLoads.get(server.id);
         const expectedFree = (request.service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
         const lifetime = request.service.engine?.maximumReservationMilliseconds ?? 0;
