Keep calls to an instance alive whose registered address is impossible

An item of another writer under the key of an instance made the connection to it throw. The rejected connection was kept, so that every later report, probe and pull to that instance rejected without a handler; a pull that rejected was never repeated, as it stayed in the list of pending pulls. An item whose value names another instance than its key added a member that nobody could remove.

Change: a connection that cannot start counts as unreachable, like one that is refused. Probes and pulls that nobody waits for log their errors, and a pull leaves the list however it ends. A registration must name the instance of its key. Part of the stand-alone router, which uses the same client of instances.

--- a/packages/instances/instance_client.ts
+++ b/packages/instances/instance_client.ts
@@ -135,8 +135,10 @@
     }
 
     async #open(): Promise<Result<Connection, CallFailure>> {
-        const { host, port } = parseAddress(this.address);
-        const socket = connect({ host, port, noDelay: true });
+        const socket = startConnection(this.address);
+        if (socket instanceof CallFailure) {
+            return err(socket);
+        }
         this.#socket = socket;
         const connected = await waitForConnect(socket);
         if (connected.isErr()) {
@@ -245,6 +247,17 @@
     }
 }
 
+/** Starts a connection; Node throws for a port out of range. */
+function startConnection(address: string): Socket | CallFailure {
+    try {
+        return connect({ ...parseAddress(address), noDelay: true });
+    }
+    catch (error) {
+        const message = error instanceof Error ? error.message : String(error);
+        return new CallFailure("unreachable", "not-run", `Cannot connect: ${message}`);
+    }
+}
+
 function waitForConnect(socket: Socket): Promise<Result<void, CallFailure>> {
     return new Promise(resolve => {
         const timer = setTimeout(() => {
--- a/packages/instances/instances_test.ts
+++ b/packages/instances/instances_test.ts
@@ -161,3 +161,13 @@
     const later = await Promise.all(Array.from({ length: 5 }, () => client.call("echo", { text: "later" })));
     expect(later.filter(result => result.isOk()).length).toBe(5);
 });
+
+// Guards against calls that throw, and a client that stays unusable, since an item names an impossible address.
+test.each(["127.0.0.1:99999", "127.0.0.1:-1"])("a call to %s fails as unreachable each time", async address => {
+    const client = createClient(address);
+    for (let attempt = 0; attempt < 2; attempt++) {
+        const result = await client.call("echo", { text: "hello" });
+        expect(result._unsafeUnwrapErr()).toMatchObject({ kind: "unreachable", verdict: "not-run" });
+    }
+    await client.notify("echo", { text: "hello" });
+});
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -1,8 +1,10 @@
 import * as z from "zod";
 import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
 import { InstancePool, InstanceServer } from "../instances/mod.ts";
+import { logFailure } from "../logs/mod.ts";
 import { type ItemChange, positionOf, type ReplicaUpdate } from "../replica/mod.ts";
 import { mergeLeaving } from "./_merge_leaving.ts";
+import { parseRegistration } from "./_parse_registration.ts";
 import type { Cell } from "./cell.ts";
 import { CellExchange } from "./cell_exchange.ts";
 import type { CellState } from "./cell_state.ts";
@@ -13,7 +15,6 @@
 import type { PeerMeshOptions } from "./peer_mesh_options.ts";
 import type { PeerReport } from "./peer_report.ts";
 import { peerReportSchema } from "./peer_report_schema.ts";
-import { peerSchema } from "./peer_schema.ts";
 import { Registration } from "./registration.ts";
 import { ReplicaExchange } from "./replica_exchange.ts";
 
@@ -236,7 +237,7 @@
             return;
         }
         try {
-            const peer = peerSchema.parse(JSON.parse(change.item.value ?? ""));
+            const peer = parseRegistration(name, change.item.value);
             this.#members.register(peer);
             const { incarnation, address } = peer;
             logger.info("instance registered", { peer: name, incarnation, address, ...positionOf(change.item) });
@@ -278,7 +279,7 @@
         for (; this.#probesDue >= 1; this.#probesDue--) {
             const peer = peers[this.#nextProbe++ % Math.max(1, peers.length)];
             if (peer) {
-                void this.#probePeer(peer);
+                this.#probePeer(peer).catch(logFailure(this.options.logger, "peer probe failed", { peer: peer.name }));
             }
         }
     }
--- a/packages/peers/replica_exchange.ts
+++ b/packages/peers/replica_exchange.ts
@@ -1,19 +1,19 @@
 import * as z from "zod";
 import { monotonicMilliseconds, PeriodicTask, sleep } from "../clocks/mod.ts";
 import { instanceId } from "../instances/mod.ts";
+import { logFailure } from "../logs/mod.ts";
 import { selectMembers } from "../membership/mod.ts";
 import {
     comparePositions,
     type ItemChange,
-    type ItemSnapshot,
     positionOf,
     type ReplicaUpdate,
-    type RetainedItem,
     type StorePosition,
 } from "../replica/mod.ts";
 import { shiftTimes } from "./_shift_times.ts";
 import type { KnownPeer } from "./known_peer.ts";
 import type { Peer } from "./peer.ts";
+import type { PullResponse } from "./pull_response.ts";
 import type { ReplicaExchangeOptions } from "./replica_exchange_options.ts";
 
 /** Number of instances that read the store; two, so that updates continue when one of them fails. */
@@ -47,17 +47,6 @@
 const updateSchema = positionSchema.extend({ after: positionSchema, changes: z.array(changeSchema).optional() });
 const pullSchema = positionSchema.extend({ full: z.boolean() });
 
-/** Response to a pull: the peer's position and, if requested and newer, a snapshot of its replica. */
-interface PullResponse extends StorePosition {
-    /** Time in milliseconds since the peer's replica was last confirmed. */
-    age: number;
-    /** Whether the peer's last read of the store succeeded. */
-    readsStore: boolean;
-    snapshot?: ItemSnapshot;
-    /** States that the peer retains, with the remaining milliseconds as `until`. */
-    retained?: RetainedItem[];
-}
-
 /**
  * Divides the reading of the store among the instances of a reader group: few of them read it, send its changes to the
  * others and respond to pulls with the age of their replicas. An instance that the store refuses pulls snapshots from
@@ -198,7 +187,7 @@
         const readers = new Set(this.#readers());
         if (!readers.has(instanceId(this.options.self))) {
             this.#groupPeers().filter(({ peer }) => readers.has(instanceId(peer))).forEach(({ peer }) =>
-                void this.#pullFrom(peer)
+                this.#startPull(peer)
             );
         }
     }
@@ -217,26 +206,31 @@
         const pullIndex = this.#pullCount++;
         const knownPeer = peers[pullIndex % Math.max(1, peers.length)];
         if (knownPeer) {
-            void this.#pullFrom(knownPeer.peer);
+            this.#startPull(knownPeer.peer);
             return;
         }
         const seeds = this.options.seedAddresses.filter(address => address !== this.options.self.address);
         const seed = seeds[pullIndex % Math.max(1, seeds.length)];
         if (seed !== undefined) {
-            void this.#pullFromSeed(seed);
+            const onError = logFailure(this.options.logger, "pull from a seed failed", { seed });
+            this.#pullFromSeed(seed).catch(onError);
         }
     }
 
-    async #pullFrom(peer: Peer): Promise<void> {
-        if (this.#pendingPulls.has(peer.name)) {
-            return;
+    #startPull(peer: Peer): void {
+        if (!this.#pendingPulls.has(peer.name)) {
+            this.#pendingPulls.add(peer.name);
+            this.#pullFrom(peer)
+                .catch(logFailure(this.options.logger, "pull from a peer failed", { peer: peer.name }))
+                .finally(() => this.#pendingPulls.delete(peer.name));
         }
-        this.#pendingPulls.add(peer.name);
+    }
+
+    async #pullFrom(peer: Peer): Promise<void> {
         const { clock, pool, members, replica, readsStore } = this.options;
         const requestedAt = clock.now();
         const params = { ...replica.position, full: !readsStore() || !replica.isFilled };
         const response = await pool.call<PullResponse>(peer, "replica.pull", params, PULL_TIMEOUT_MILLISECONDS);
-        this.#pendingPulls.delete(peer.name);
         if (response.isErr() || !response.value.readsStore) {
             members.suspect(peer.name);
         }
