Answer once-only calls whose shard cannot be read

In the stand-alone router, a value of another writer under the key of a shard left every later once-only call of that shard without an answer: the commit threw, the shard stayed marked as committing, and no later call began a commit. The unhandled rejection also ended the process.

Change: an error in a commit answers the calls of its batch and those that wait as unavailable, is logged with the key of the shard, and the next call reads the store again.

Measured: the new test of once_shard_test.ts fails before (no answer in 8 s, an unhandled rejection) and passes now.

--- a/packages/once/homed_once_shards.ts
+++ b/packages/once/homed_once_shards.ts
@@ -1,4 +1,5 @@
 import { instanceId, type InstancePool, type InstanceServer } from "../instances/mod.ts";
+import type { Logger } from "../logs/mod.ts";
 import type { Membership } from "../membership/mod.ts";
 import type { Store } from "../store/mod.ts";
 import { CommitRateLimiter } from "./commit_rate_limiter.ts";
@@ -17,7 +18,7 @@
  *
  * @example
  * ```ts
- * const shards = new HomedOnceShards(store, server, membership, pool);
+ * const shards = new HomedOnceShards(store, server, membership, pool, logger);
  * shards.count; // 0
  * ```
  */
@@ -30,12 +31,14 @@
      * @param server Receives calls from other instances.
      * @param membership Determines the members, which share the fleet's limit of writes.
      * @param pool Connections to them.
+     * @param logger Receives errors of commits.
      */
     constructor(
         private readonly store: Store,
         server: InstanceServer,
         private readonly membership: Membership,
         private readonly pool: InstancePool,
+        private readonly logger: Logger,
     ) {
         this.#commitRateLimiter = new CommitRateLimiter(() => membership.record.members.length);
         server.handle(
@@ -63,6 +66,7 @@
             shard = new OnceShard(this.store, `once/${index}`, {
                 commitRateLimiter: this.#commitRateLimiter,
                 collectRecords: () => this.#collectRecords(index),
+                logger: this.logger,
             });
             this.#shards.set(index, shard);
         }
--- a/packages/once/once_shard.ts
+++ b/packages/once/once_shard.ts
@@ -97,18 +97,32 @@
     #enqueue(pending: PendingCall): void {
         this.#pending.push(pending);
         if (!this.#committing) {
-            void this.#commitAll();
+            const { logger } = this.options;
+            this.#commitAll().catch((error: unknown) => {
+                logger?.error("once-only calls cannot be recorded", { key: this.storeKey, error: String(error) });
+            });
         }
     }
 
     async #commitAll(): Promise<void> {
         this.#committing = true;
-        while (this.#pending.length > 0) {
-            await this.options.commitRateLimiter?.acquire();
-            const batch = this.#pending.splice(0);
-            await this.#commit(batch);
+        let batch: PendingCall[] = [];
+        try {
+            while (this.#pending.length > 0) {
+                await this.options.commitRateLimiter?.acquire();
+                batch = this.#pending.splice(0);
+                await this.#commit(batch);
+            }
+        }
+        catch (error) {
+            // The value in the store may not be a shard. Calls that were answered before ignore a second answer.
+            this.#cached = undefined;
+            [...batch, ...this.#pending.splice(0)].forEach(answerUnavailable);
+            throw error;
+        }
+        finally {
+            this.#committing = false;
         }
-        this.#committing = false;
     }
 
     async #commit(batch: PendingCall[]): Promise<void> {
@@ -241,6 +255,15 @@
     }
 }
 
+function answerUnavailable(pending: PendingCall): void {
+    if (pending.kind === "begin") {
+        pending.answer({ kind: "unavailable" });
+    }
+    else {
+        pending.answer(false);
+    }
+}
+
 function applyFinish(records: Records, params: FinishParameters): boolean {
     const { key, attempt, state, answer } = params;
     const record = records[key];
--- a/packages/once/once_shard_options.ts
+++ b/packages/once/once_shard_options.ts
@@ -1,3 +1,4 @@
+import type { Logger } from "../logs/mod.ts";
 import type { CommitRateLimiter } from "./commit_rate_limiter.ts";
 import type { OnceRecord } from "./once_record.ts";
 
@@ -12,6 +13,8 @@
      * Default: nobody else knows any.
      */
     collectRecords?: () => Promise<Record<string, OnceRecord>[] | undefined>;
+    /** Receives errors of commits. Default: they are only answered. */
+    logger?: Logger;
     /** Maximum time in milliseconds for a commit. Default: 2,000. */
     commitDeadlineMilliseconds?: number;
 }
--- a/packages/once/once_shard_test.ts
+++ b/packages/once/once_shard_test.ts
@@ -172,3 +172,19 @@
     now = 25 * 3_600_000;
     expect(await begin(0, "b")).toEqual({ kind: "begun" });
 });
+
+// Guards against calls that are never answered since a value of another writer cannot be read as a shard.
+test("calls to a shard whose stored value is another writer's are answered, also once it is gone", async () => {
+    const store = new MemoryStore(() => "answered");
+    const shard = new OnceShard(store, "once/0", { commitDeadlineMilliseconds: 60 });
+    const key = KEYS[0] ?? "";
+    const call = { key, attempt: "1", fingerprint: "f", owner: "instance-1/1" };
+    await store.compareAndSwap("once/0", { era: 0, revision: 0 }, { records: "none" });
+    expect(await Promise.all([shard.begin(call), shard.begin({ ...call, attempt: "2" })])).toEqual([
+        { kind: "unavailable" },
+        { kind: "unavailable" },
+    ]);
+    expect(await shard.finish({ key, attempt: "1", state: "finished" })).toBe(false);
+    await store.compareAndSwap("once/0", { era: 0, revision: 1 }, { records: {}, era: 0 });
+    expect(await shard.begin(call)).toEqual({ kind: "begun" });
+});
--- a/packages/runtime/instance.ts
+++ b/packages/runtime/instance.ts
@@ -120,7 +120,7 @@
             },
         });
         this.#homes = new HomeManager([limitShares, this.#serverLedgers], dependencies);
-        const onceShards = new HomedOnceShards(this.#store, this.#server, this.#membership, this.#pool);
+        const onceShards = new HomedOnceShards(this.#store, this.#server, this.#membership, this.#pool, logger);
         this.#once = new OnceClient(this.#membership, this.#pool, logger);
         const reservations = new ReservationClient(this.#membership, this.#pool, this.#server);
         const policy = createPlacementPolicy(settings.policy);
