Log the errors of work that nobody waits for

Releases, probes of ended engines, searches for another engine or server, heartbeats and the work of server ledgers ran without a handler of their errors: the platform's program logged an unhandled rejection without saying for which request or server, and the stand-alone router ended. A probe that failed also left its server marked as probed, so that its end was never asked for again.

Change: each of them logs its error with the request or server that it was for; a probe leaves the list however it ends. A search that fails counts as one that found nothing, so that the run goes on.

Measured: the new test of server_end_probe_test.ts fails before (one probe of two, nothing logged) and passes now.

--- a/packages/fleet/heartbeats.ts
+++ b/packages/fleet/heartbeats.ts
@@ -2,6 +2,7 @@
 import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
 import { configurationChangeSchema, storedConfigurationSchema } from "../configuration/mod.ts";
 import { type CallContext, instanceId } from "../instances/mod.ts";
+import { logFailure } from "../logs/mod.ts";
 import { type Member, membershipRecordSchema } from "../membership/mod.ts";
 import type { HeartbeatsOptions } from "./heartbeats_options.ts";
 
@@ -44,9 +45,9 @@
      * @param options Dependencies of the heartbeats.
      */
     constructor(private readonly options: HeartbeatsOptions) {
-        const { server, membership, configuration } = options;
+        const { server, membership, configuration, logger } = options;
         server.handle("fleet.heartbeat", heartbeatSchema, async (heartbeat, context) => {
-            void this.#handleHeartbeat(heartbeat, context);
+            this.#handleHeartbeat(heartbeat, context).catch(logFailure(logger, "heartbeat cannot be handled"));
             return this.#createHeartbeat();
         });
         server.handle("membership.record", z.object({}), async () => membership.record);
@@ -58,7 +59,9 @@
             const changes = configuration.changesSince(version);
             return changes ? { changes } : { whole: configuration.snapshot() };
         });
-        configuration.onChange(() => void this.#exchangeWithRandomMembers());
+        configuration.onChange(() => {
+            this.#exchangeWithRandomMembers().catch(logFailure(logger, "heartbeat exchange failed"));
+        });
     }
 
     /** Milliseconds since the last heartbeat of another member or response to one; 0 if there is no other member. */
--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -1,6 +1,7 @@
 import { type BackendResponse, readResponseBody } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
+import { logFailure } from "../logs/mod.ts";
 import { withoutHeaders } from "./_without_headers.ts";
 import { backendHeaders } from "./backend_headers.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
@@ -70,8 +71,9 @@
         const load = this.context.serverLoads.get(reservation.server.id);
         const idleTimeout = engineIdleTimeout(request, findSuccessor !== undefined);
         let recorded = false;
+        const onError = logFailure(this.context.logger, "search for another engine failed", { request: request.id });
         const onSilence = async (isStillSilent: () => boolean) => {
-            const found = await findSuccessor?.(isStillSilent) ?? false;
+            const found = await findSuccessor?.(isStillSilent).catch(onError) ?? false;
             if (!found && !recorded) {
                 recorded = true;
                 load.recordFailure();
--- a/packages/gateway/engine_client.ts
+++ b/packages/gateway/engine_client.ts
@@ -1,8 +1,10 @@
 import { readResponseBody } from "../backends/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
+import { logFailure } from "../logs/mod.ts";
 import type { EngineCall } from "./engine_call.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
+const RELEASE_TIMEOUT_MILLISECONDS = 1_000;
 const MAXIMUM_RESPONSE_BYTES = 1_024 * 1_024;
 
 /**
@@ -66,6 +68,8 @@
      * @param call The call.
      */
     release(server: RegisteredServer, call: EngineCall): void {
-        void this.call(server, call, 1_000);
+        const { logger } = this.context;
+        const fields = { server: server.id, path: call.path };
+        this.call(server, call, RELEASE_TIMEOUT_MILLISECONDS).catch(logFailure(logger, "release failed", fields));
     }
 }
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -2,6 +2,7 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
+import { logFailure } from "../logs/mod.ts";
 import type { Verdict } from "../verdicts/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
@@ -126,7 +127,13 @@
             // An error inside the router is reported with the other outcomes below.
             return await outcome.then(isUsable, () => false) ? other : undefined;
         };
-        const outcome = await this.#plainSend.run(request, server, mayRepeat ? findSuccessor : undefined);
+        const logError = logFailure(this.context.logger, "search for another server failed", { request: request.id });
+        const findOrLog = () =>
+            findSuccessor().catch((error: unknown) => {
+                logError(error);
+                return undefined;
+            });
+        const outcome = await this.#plainSend.run(request, server, mayRepeat ? findOrLog : undefined);
         if (isUsable(outcome)) {
             firstAnswered.abort();
         }
--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -1,7 +1,7 @@
 import { type BackendFault, readResponseBody } from "../backends/mod.ts";
 import { sleep } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
-import type { Logger } from "../logs/mod.ts";
+import { logFailure, type Logger } from "../logs/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
@@ -56,13 +56,28 @@
             this.#recent.set(server.id, true);
         }
         else {
-            void this.#probe(server);
+            const { logger } = this.options;
+            this.#probe(server).catch(logFailure(logger, "probe failed", { server: server.id }));
         }
     }
 
     async #probe(server: RegisteredServer): Promise<void> {
-        const { crashRegistry, serverLoads, logger } = this.options;
         this.#recent.set(server.id, false);
+        try {
+            await this.#recordEnd(server);
+            await sleep(PAUSE_MILLISECONDS);
+        }
+        finally {
+            const hasBrokenAgain = this.#recent.get(server.id) === true;
+            this.#recent.delete(server.id);
+            if (hasBrokenAgain) {
+                this.start(server);
+            }
+        }
+    }
+
+    async #recordEnd(server: RegisteredServer): Promise<void> {
+        const { crashRegistry, serverLoads, logger } = this.options;
         let outcome = await this.#ask(server);
         // A kept connection of an engine that has ended is reset; a new one is refused.
         for (let repetition = 0; outcome === "reset" && repetition < MAXIMUM_REPETITIONS; repetition++) {
@@ -74,12 +89,6 @@
             serverLoads.markTerminated(server.id);
             crashRegistry.recordServerEnd(server.id);
         }
-        await sleep(PAUSE_MILLISECONDS);
-        const hasBrokenAgain = this.#recent.get(server.id) === true;
-        this.#recent.delete(server.id);
-        if (hasBrokenAgain) {
-            this.start(server);
-        }
     }
 
     async #ask(server: RegisteredServer): Promise<BackendFault["kind"] | "ended" | "running"> {
--- a/packages/gateway/server_end_probe_test.ts
+++ b/packages/gateway/server_end_probe_test.ts
@@ -1,7 +1,7 @@
 import { spawn } from "node:child_process";
 import { once } from "node:events";
 import { PassThrough } from "node:stream";
-import { expect, test } from "vitest";
+import { expect, test, vi } from "vitest";
 import { BackendConnectionPool } from "../backends/mod.ts";
 import { sleep } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
@@ -51,3 +51,34 @@
     }
     expect(confirmed).toBe(rounds);
 }, 30_000);
+
+// Guards against a server whose end is never noticed again since an error has ended a probe of it.
+test("a probe that fails is logged and the server can be probed again", async () => {
+    vi.useFakeTimers();
+    const errors: string[] = [];
+    let asked = 0;
+    const probe = new ServerEndProbe({
+        serverClient: {
+            send: () => {
+                asked++;
+                return Promise.reject(new Error("The probe cannot be sent"));
+            },
+        } as never,
+        crashRegistry: {} as never,
+        serverLoads: {} as never,
+        headers: { expectedServer: "expect" } as never,
+        engineProtocol: { report: () => ({ method: "GET", path: "/report" }) } as never,
+        logger: {
+            info: () => {},
+            warn: () => {},
+            error: (message, fields) => errors.push(`${message} ${fields?.["server"]}`),
+        },
+    });
+    for (let attempt = 0; attempt < 2; attempt++) {
+        probe.start({ id: "a", address: "127.0.0.1:9" } as RegisteredServer);
+        await vi.advanceTimersByTimeAsync(0);
+    }
+    vi.useRealTimers();
+    expect(errors).toEqual(["probe failed a", "probe failed a"]);
+    expect(asked).toBe(2);
+});
--- a/packages/reservations/homed_server_ledgers.ts
+++ b/packages/reservations/homed_server_ledgers.ts
@@ -4,7 +4,7 @@
 import type { HomedState } from "../homes/mod.ts";
 import { instanceId, type InstancePool, type InstanceServer } from "../instances/mod.ts";
 import type { Invariants } from "../invariants/mod.ts";
-import type { Logger } from "../logs/mod.ts";
+import { logFailure, type Logger } from "../logs/mod.ts";
 import type { HomeKey, Member, Membership } from "../membership/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import { CrashDetector } from "./_crash_detector.ts";
@@ -100,21 +100,19 @@
         const ledger = new ServerLedger(server.capacity, parseHandover(handover));
         ledger.setDrained(isDrained(this.options.configuration.document, name));
         ledger.onVoid(ids => this.#voidAll(name, ledger, ids));
+        const { logger } = this.options;
+        const onError = logFailure(logger, "failed to reconcile a server ledger with its engine", { server: name });
         const crashDetector = new CrashDetector(() => {
             ledger.pause();
-            void this.#reconcile(name, ledger, crashDetector);
+            this.#reconcile(name, ledger, crashDetector).catch(onError);
         });
         const reconcileTask = new PeriodicTask(
             reservationTimes.reconcileIntervalMilliseconds,
             () => this.#reconcile(name, ledger, crashDetector),
-            error =>
-                this.options.logger.error("failed to reconcile a server ledger with its engine", {
-                    server: name,
-                    error: String(error),
-                }),
+            onError,
         );
         this.#ledgers.set(name, { ledger, reconcileTask, watch: crashDetector });
-        void this.#openLedger(name, ledger);
+        this.#openLedger(name, ledger).catch(logFailure(logger, "failed to open a server ledger", { server: name }));
     }
 
     /** @inheritdoc */
@@ -229,7 +227,8 @@
 
     #voidAll(server: string, ledger: ServerLedger, ids: string[]): void {
         for (const [owner, owned] of groupByOwner(ids)) {
-            void this.#voidOwned(server, ledger, owner, owned);
+            const onError = logFailure(this.options.logger, "failed to void reservations", { server, owner });
+            this.#voidOwned(server, ledger, owner, owned).catch(onError);
         }
     }
 
