Take no time without readers of the store for an outage

Cause: an instance holds back the removal of a server after an outage of the store, since the entry may only have expired. It took each gap of more than 2 s between two confirmations for an outage, so also the time before its first read and a time in which nobody read. A removal was then held back for 1.7 s from the moment it was seen, until a later read had confirmed it: up to 2.9 s in all.

Change: a gap is an outage only if a read of the store has failed in it, here or at an instance that was asked for the store's state. What is held back is held back until 2.3 s after the end of the outage, as the platform says when entries are back, and no longer for removals that are seen late in that time.

--- a/packages/gateway/directory_updater.ts
+++ b/packages/gateway/directory_updater.ts
@@ -11,10 +11,6 @@
 const MAXIMUM_KEY_AGE_FRACTION = 0.65;
 /** Largest age in milliseconds of the replica at which unknown routes and API keys are denied. */
 const MAXIMUM_DENIAL_AGE_MILLISECONDS = 1_900;
-/** Time in milliseconds by which the removal of a server is delayed while the store is recovering. */
-const REMOVAL_DELAY_MILLISECONDS = 1_700;
-/** Time in milliseconds within which a server that the store's copy lacks registers again if it runs. */
-const REGISTRATION_MILLISECONDS = 2_000;
 /** Age of a replica that was never confirmed; log lines need a finite number. */
 const UNCONFIRMED_AGE_MILLISECONDS = 1e9;
 
@@ -118,7 +114,7 @@
     #applyChange(change: ItemChange): void {
         const { decodeItem, clock, directory, replica, metrics, logger } = this.options;
         if (change.kind === "missing") {
-            this.#holdBackRemoval(decodeItem({ ...change, kind: "removed" }), REGISTRATION_MILLISECONDS);
+            this.#holdBackRemoval(decodeItem({ ...change, kind: "removed" }));
             return;
         }
         const event = decodeItem(change);
@@ -134,8 +130,8 @@
             }
             return;
         }
-        if (event.kind === "server-removed" && replica.isRecovering(clock.now())) {
-            this.#holdBackRemoval(event, REMOVAL_DELAY_MILLISECONDS);
+        if (event.kind === "server-removed" && replica.times.isRecovering(clock.now())) {
+            this.#holdBackRemoval(event);
             return;
         }
         if (event.kind === "server") {
@@ -151,9 +147,13 @@
         this.#applyEvent(event);
     }
 
-    #holdBackRemoval(event: DirectoryEvent | undefined, milliseconds: number): void {
-        if (event?.kind === "server-removed" && this.options.directory.servers.has(event.id)) {
-            this.options.logger.info("removal of a server held back", { server: event.id, ...this.logFields() });
+    /** Keeps a server until a read of the store shows that it has not registered again after an outage. */
+    #holdBackRemoval(event: DirectoryEvent | undefined): void {
+        const { clock, directory, replica, logger } = this.options;
+        if (event?.kind === "server-removed" && directory.servers.has(event.id)) {
+            const now = clock.now();
+            const milliseconds = Math.max(0, Math.round(replica.times.recoveredFrom(now) - now));
+            logger.info("removal of a server held back", { server: event.id, milliseconds, ...this.logFields() });
             this.#removals.schedule(event.id, milliseconds);
         }
     }
--- a/packages/gateway/directory_updater_test.ts
+++ b/packages/gateway/directory_updater_test.ts
@@ -64,3 +64,38 @@
     expect(directory.servers.has("a")).toBe(false);
     updater.close();
 });
+
+// Guards against requests to a server that has left, which an instance delays the removal of after its own start.
+test("a server that is removed just after the first read of the store is out of use at once", async () => {
+    const { replica, directory, clock, updater, pass } = createUpdater();
+    await pass(500, true);
+    replica.apply([{ kind: "removed", key: "a", era: 1, revision: 6 }], { era: 1, revision: 6 }, clock.now());
+    expect(directory.servers.has("a")).toBe(false);
+    updater.close();
+});
+
+// Guards against requests to a server that has left, which instances delay the removal of after their readers' end.
+test("a server that is removed while nobody reads the store is out of use with the next read", async () => {
+    const { replica, directory, clock, updater, pass } = createUpdater();
+    await pass(500, true);
+    await pass(2_500, false);
+    replica.replace({ items: [], era: 1, revision: 6 }, clock.now());
+    expect(directory.servers.has("a")).toBe(false);
+    updater.close();
+});
+
+// Guards against servers that are out of use for seconds since their entries expired while the store was away, and against
+// requests to servers whose removal is delayed for longer than their entries take to come back.
+test("a server whose entry expired in an outage is kept until entries would be back, however late it is seen", async () => {
+    const { replica, directory, clock, updater, pass } = createUpdater();
+    await pass(500, true);
+    replica.times.recordFailure(clock.now());
+    await pass(3_000, false);
+    await pass(1_500, true);
+    replica.apply([{ kind: "removed", key: "a", era: 1, revision: 6 }], { era: 1, revision: 6 }, clock.now());
+    await pass(500, true);
+    expect(directory.servers.has("a")).toBe(true);
+    await pass(700, true);
+    expect(directory.servers.has("a")).toBe(false);
+    updater.close();
+});
--- a/packages/replica/item_replica.ts
+++ b/packages/replica/item_replica.ts
@@ -1,9 +1,9 @@
-import { ConfirmationTimes } from "./_confirmation_times.ts";
 import { isSameWrite } from "./_is_same_write.ts";
 import { ItemHistory } from "./_item_history.ts";
 import { mergeCopy } from "./_merge_copy.ts";
 import { RetainedItems } from "./_retained_items.ts";
 import { comparePositions } from "./compare_positions.ts";
+import { ConfirmationTimes } from "./confirmation_times.ts";
 import type { EraChange } from "./era_change.ts";
 import type { ItemChange } from "./item_change.ts";
 import type { ItemSnapshot } from "./item_snapshot.ts";
@@ -28,6 +28,8 @@
  * ```
  */
 export class ItemReplica {
+    /** When the store was read, on the clock of the caller: tells whether items may be missing after an outage. */
+    readonly times = new ConfirmationTimes();
     #stored = new Map<string, StoredItem>();
     readonly #retained = new RetainedItems();
     readonly #history = new ItemHistory();
@@ -36,7 +38,6 @@
     #position: StorePosition = { era: 0, revision: 0 };
     /** Position at which the replica left the era before; its knowledge was complete up to there. */
     #leftAt: StorePosition = { era: 0, revision: 0 };
-    readonly #times = new ConfirmationTimes();
     #eraEnteredAt = Number.NEGATIVE_INFINITY;
 
     /** Position of the store up to which the replica is complete. */
@@ -51,7 +52,7 @@
 
     /** Start of the read that last confirmed the replica, in milliseconds on the caller's clock. */
     get confirmedAt(): number {
-        return this.#times.confirmedAt;
+        return this.times.confirmedAt;
     }
 
     /** Start of the read with which the replica entered the present era, in milliseconds on the caller's clock. */
@@ -59,17 +60,6 @@
         return this.#eraEnteredAt;
     }
 
-    /**
-     * Returns whether the store is unreachable or was so until recently, so that items may be missing although their
-     * owners still run.
-     *
-     * @param now Current time in milliseconds, on the clock of {@linkcode ItemReplica.confirmedAt}.
-     * @returns Whether it is or was.
-     */
-    isRecovering(now: number): boolean {
-        return this.#times.isRecovering(now);
-    }
-
     /**
      * Registers a function that is called for each change.
      *
@@ -142,6 +132,8 @@
         }
         else {
             this.#eraEnteredAt = this.isFilled ? this.#eraEnteredAt : readAt;
+            // Listeners ask whether the removals of the snapshot follow an outage.
+            this.times.record(readAt);
             const snapshotKeys = new Set(snapshot.items.map(item => item.key));
             for (const item of snapshot.items) {
                 this.#writeItem(item);
@@ -236,7 +228,7 @@
         retained.forEach(state => this.#retained.add(state));
         this.#position = positionOf(snapshot);
         this.#eraEnteredAt = readAt;
-        this.#times.endOutage(readAt);
+        this.times.endOutage(readAt);
         this.#eraListeners.forEach(listener => listener({ from, to: this.#position, retained: retained.length }));
         changes.forEach(change => this.#emit(change));
     }
@@ -249,7 +241,7 @@
     }
 
     #recordConfirmation(confirmedAt: number): void {
-        this.#times.record(confirmedAt);
+        this.times.record(confirmedAt);
         for (const key of this.#retained.expired(this.confirmedAt)) {
             const known = this.get(key);
             this.#retained.delete(key);
--- a/packages/replica/replica_follower.ts
+++ b/packages/replica/replica_follower.ts
@@ -201,7 +201,9 @@
         // A watch that failed may have missed changes, so the next call takes a snapshot.
         this.#needsSnapshot = true;
         this.options.metrics.increment("store_follow_failures_total");
-        const age = this.options.clock.now() - this.replica.confirmedAt;
+        const now = this.options.clock.now();
+        this.replica.times.recordFailure(now);
+        const age = now - this.replica.confirmedAt;
         const longest = age < STALE_REPLICA_MILLISECONDS
             ? MAXIMUM_CONFIRMED_RETRY_MILLISECONDS
             : MAXIMUM_RETRY_MILLISECONDS;
