Replace a reader of the store from the first call that it does not answer

When the instances that read the store for all ended together, the others learned of a change only 1.3 s later: they relied on the last report of the dead readers until it was 1.3 s old, although every pull from them had failed since.

Change: a member that has failed to answer is no reader until its next report, which comes within 0.05 to 0.8 s if it runs.

--- a/packages/peers/replica_exchange.ts
+++ b/packages/peers/replica_exchange.ts
@@ -141,10 +141,10 @@
         const cell = new Set(partition.cellOf(self.name)?.members);
         const candidates = this.#groupPeers()
             .filter(({ peer: { name }, readsStore: reads }) =>
-                // Only the members of the cell report regularly; others are relied on until a pull from them fails.
-                cell.has(name)
-                    ? reads && members.hasReportedWithin(name, MAXIMUM_READER_REPORT_AGE_MILLISECONDS)
-                    : !members.isSuspected(name)
+                // One that failed to answer is relied on again after its next report. Only members of the cell report.
+                !members.isSuspected(name)
+                && (!cell.has(name)
+                    || (reads && members.hasReportedWithin(name, MAXIMUM_READER_REPORT_AGE_MILLISECONDS)))
             )
             .map(({ peer }) => instanceId(peer));
         if (readsStore()) {
