Take a peer that has not read the store yet for no outage

Cause: a peer that does not read the store counted as one whose read had failed. One that has just started has not read yet.

Change: only an instance's own failed read is a sign of an outage.

--- a/packages/peers/replica_exchange.ts
+++ b/packages/peers/replica_exchange.ts
@@ -258,9 +258,6 @@
             return;
         }
         const confirmedAt = requestedAt - response.age;
-        if (!response.readsStore) {
-            replica.times.recordFailure(requestedAt);
-        }
         if (response.snapshot && comparePositions(response, replica.position) > 0) {
             logger.info("items taken from a peer", { peer: from, ...positionOf(response), age: response.age });
             metrics.increment("replica_snapshots_from_peers_total");
