Take no second answer of a server for the end of its first

A server that breaks off an answer with a length and sends it again, late, filled up the length of the first answer with the beginning of the second.

Cause: a body counted as whole once its length had arrived, whatever came on the connection.

Change: the pool keeps the bytes that follow a body in the reads that complete it. A body in which another response begins is not whole: with such bytes, one whose status line begins before the body's end; without them, one that also names the request. A connection with such bytes is not used again. Other bytes after a body do not make it false, as the platform says that they belong to no request. The answer of a request that may be repeated is asked for once more elsewhere, as the end of the body may be stray bytes too, and is relayed if nobody else answers; a once-only answer is relayed.

The new tests of untrusted_response_test.ts on answers that break off and on answers without a length fail before and pass now; the four on sound answers need the new function.

--- a/packages/backends/backend_connection_pool.ts
+++ b/packages/backends/backend_connection_pool.ts
@@ -2,6 +2,7 @@
 import { type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
 import { parseAddress } from "../instances/mod.ts";
 import { BackendAgent } from "./_backend_agent.ts";
+import { ResponseBytes } from "./_response_bytes.ts";
 import type { BackendFault } from "./backend_fault.ts";
 import type { BackendRequest } from "./backend_request.ts";
 import type { BackendResponse } from "./backend_response.ts";
@@ -43,6 +44,7 @@
                 return;
             }
             const outgoing = started.value;
+            const bytes = new ResponseBytes(outgoing);
             let connected = false;
             let settled = false;
             let received: IncomingMessage | undefined;
@@ -79,7 +81,7 @@
             outgoing.on("close", () => request.signal?.removeEventListener("abort", abort));
             outgoing.on("response", response => {
                 received = response;
-                const backendResponse = toBackendResponse(response, outgoing);
+                const backendResponse = toBackendResponse(request, response, outgoing, bytes);
                 const mismatched = request.correlation !== undefined
                     && backendResponse.headers[request.correlation.header] !== request.correlation.value;
                 if (mismatched) {
@@ -179,7 +181,12 @@
     return () => reset || Boolean(socket.errored);
 }
 
-function toBackendResponse(response: IncomingMessage, outgoing: ClientRequest): BackendResponse {
+function toBackendResponse(
+    request: BackendRequest,
+    response: IncomingMessage,
+    outgoing: ClientRequest,
+    bytes: ResponseBytes,
+): BackendResponse {
     const headers: Record<string, string> = {};
     for (const [name, value] of Object.entries(response.headers)) {
         headers[name] = Array.isArray(value) ? value.join(", ") : value ?? "";
@@ -187,12 +194,20 @@
     // The "aborted" and "close" events report an incomplete body. An "error" event without a listener would end the
     // process.
     response.on("error", () => {});
+    response.prependListener("end", () => {
+        // What follows on the connection is no response to a later request.
+        if (bytes.trailing().length > 0) {
+            response.socket.destroy();
+        }
+    });
     return {
         status: response.statusCode ?? 0,
         headers,
         rawHeaders: response.rawHeaders,
         body: response,
         wasReset: isFramed(response) ? () => false : watchForReset(response),
+        correlation: request.correlation,
+        trailing: () => bytes.trailing(),
         close: () => outgoing.destroy(),
     };
 }
--- a/packages/backends/backend_response.ts
+++ b/packages/backends/backend_response.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { BackendRequest } from "./backend_request.ts";
 
 /** A response whose headers have arrived and whose body has not been read yet. */
 export interface BackendResponse {
@@ -10,6 +11,10 @@
     body: IncomingMessage;
     /** Returns whether a body without a length was truncated by a connection reset. */
     wasReset: () => boolean;
+    /** Header and value with which the server names the request that it responds to. */
+    correlation: BackendRequest["correlation"];
+    /** Returns the bytes that have followed the body on its connection, which belong to no request. */
+    trailing: () => Buffer;
     /** Closes the connection. */
     close(): void;
 }
--- a/packages/backends/read_response_body.ts
+++ b/packages/backends/read_response_body.ts
@@ -1,3 +1,4 @@
+import { containsSecondAnswer } from "./_contains_second_answer.ts";
 import type { BackendResponse } from "./backend_response.ts";
 import { isResponseComplete } from "./is_response_complete.ts";
 
@@ -7,7 +8,8 @@
  * @param response The response.
  * @param timeoutMilliseconds Time allowed for the body.
  * @param maximumBytes Largest accepted body.
- * @returns The body; undefined if it was incomplete, late or too large, in which case the connection is closed.
+ * @returns The body; undefined if it was incomplete, late or too large, or if another response begins in it; then the
+ *     connection is closed.
  * @example
  * ```ts
  * const body = await readResponseBody(response, 1_000, 65_536);
@@ -37,7 +39,11 @@
             }
             chunks.push(chunk);
         });
-        response.body.on("end", () => finish(isResponseComplete(response) ? Buffer.concat(chunks) : undefined));
-        response.body.on("close", () => finish(isResponseComplete(response) ? Buffer.concat(chunks) : undefined));
+        const end = () => {
+            const body = Buffer.concat(chunks);
+            finish(isResponseComplete(response) && !containsSecondAnswer(response, body) ? body : undefined);
+        };
+        response.body.on("end", end);
+        response.body.on("close", end);
     });
 }
--- a/packages/backends/untrusted_response_test.ts
+++ b/packages/backends/untrusted_response_test.ts
@@ -2,6 +2,7 @@
 import { afterEach, expect, test } from "vitest";
 import { sleep } from "../clocks/mod.ts";
 import { BackendConnectionPool } from "./backend_connection_pool.ts";
+import { hasStrayBytes } from "./has_stray_bytes.ts";
 import { readResponseBody } from "./read_response_body.ts";
 
 const MAXIMUM_BODY_BYTES = 65_536;
@@ -117,3 +118,43 @@
     await expect.poll(() => sockets.size, { timeout: 2_000 }).toBe(0);
     expect(await call(address, "2")).toMatchObject({ status: 200, body: "2" });
 });
+
+const BODY = `<${"b".repeat(600)}>`;
+const ID = "id-1";
+const WHOLE = `HTTP/1.1 200 OK\r\nX-Id: ${ID}\r\nContent-Length: ${BODY.length}\r\n\r\n${BODY}`;
+
+// Guards against answers whose end is the beginning of the server's second answer to the same request.
+test.each([1, 3, 7, 8, 9, 40, 300, 601])(
+    "an answer that breaks off %i bytes before its end is not completed by the answer that follows",
+    async missing => {
+        const address = await listen(socket => {
+            socket.write(WHOLE.slice(0, -missing));
+            setTimeout(() => socket.write(WHOLE), 20);
+        });
+        expect(await call(address, ID)).toEqual({ status: 200, body: undefined });
+        await expect.poll(() => sockets.size, { timeout: 2_000 }).toBe(0);
+    },
+);
+
+// Guards against the same where the answers end with their connection.
+test("a second answer is no part of a body without a length", async () => {
+    const answerUntilClose = `HTTP/1.1 200 OK\r\nX-Id: ${ID}\r\n\r\n${BODY}`;
+    const address = await listen(socket => socket.end(answerUntilClose + answerUntilClose));
+    expect(await call(address, ID)).toEqual({ status: 200, body: undefined });
+});
+
+// Guards against sound answers that are given up for what follows them, or for a text about the protocol in them.
+test.each([
+    ["followed by bytes that are no answer", BODY, "\u0000rubbish", true],
+    ["followed by its second copy", BODY, WHOLE, false],
+    ["followed by the beginning of its second copy", BODY, "HTT", false],
+    ["that quotes an answer", `a${WHOLE}z`, "", false],
+])("a whole answer %s is sound", async (_name, body, trailing, isStray) => {
+    const head = `HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: ${Buffer.byteLength(body)}\r\n\r\n`;
+    const address = await listen(socket => socket.write(`HTTP/1.1 102 Processing\r\n\r\n${head}${body}${trailing}`));
+    const correlation = { header: "x-id", value: "other" };
+    const request = { address, method: "GET", path: "/", headers: [], timeoutMilliseconds: 1_000, correlation };
+    const response = (await pool.send(request))._unsafeUnwrap();
+    expect((await readResponseBody(response, 1_000, MAXIMUM_BODY_BYTES))?.toString("utf8")).toBe(body);
+    expect(hasStrayBytes(response)).toBe(isStray);
+});
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -46,7 +46,7 @@
         const tried = new Set<string>();
         let runs = 0;
         let sends = 0;
-        let errorResponse: { response: BackendResponse; body: Buffer; } | undefined;
+        let fallback: Extract<SendOutcome, { kind: "answered"; }> | undefined;
         let refusal: GatewayRefusal | undefined;
         while (sends < MAXIMUM_SENDS && !request.signal.aborted) {
             const server = this.#chooser.choose(request.service.name, tried);
@@ -65,11 +65,11 @@
             }
             for (const { outcome } of ended) {
                 if (outcome.kind === "answered") {
-                    if (outcome.response.status < 500 || request.route.kind !== "idempotent") {
+                    if (isUsable(outcome) || request.route.kind !== "idempotent") {
                         this.#relay(request, outcome.response, outcome.body);
                         return "may-have-run";
                     }
-                    errorResponse = outcome;
+                    fallback = fallback?.isDoubtful ? fallback : outcome;
                     runs++;
                 }
                 else if (outcome.kind === "may-have-run") {
@@ -87,8 +87,8 @@
                 break;
             }
         }
-        if (errorResponse) {
-            this.#relay(request, errorResponse.response, errorResponse.body);
+        if (fallback) {
+            this.#relay(request, fallback.response, fallback.body);
             return "may-have-run";
         }
         const final = this.#finalRefusal(request, refusal);
@@ -184,7 +184,7 @@
 
 /** Whether an answer is relayed without another send. */
 function isUsable(outcome: SendOutcome): boolean {
-    return outcome.kind === "answered" && outcome.response.status < 500;
+    return outcome.kind === "answered" && outcome.response.status < 500 && !outcome.isDoubtful;
 }
 
 function outOfTimeRefusal(): GatewayRefusal {
--- a/packages/gateway/plain_send.ts
+++ b/packages/gateway/plain_send.ts
@@ -1,4 +1,4 @@
-import { type BackendResponse, readResponseBody } from "../backends/mod.ts";
+import { type BackendResponse, hasStrayBytes, readResponseBody } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import { backendHeaders } from "./backend_headers.ts";
@@ -116,7 +116,7 @@
                 }
                 load.recordResponseTime(monotonicMilliseconds() - startedAt);
             }
-            return { kind: "answered", response: response.value, body };
+            return { kind: "answered", response: response.value, body, isDoubtful: hasStrayBytes(response.value) };
         }
         finally {
             watch?.close();
