Take no reset answer with another transfer coding for a whole one

An answer whose Transfer-Encoding is not chunked ends with its connection.

Change: only a length, or chunked as the last coding, tells the end of a body.

Measured: the new test of untrusted_response_test.ts fails before and passes now.

--- a/packages/backends/backend_connection_pool.ts
+++ b/packages/backends/backend_connection_pool.ts
@@ -9,6 +9,8 @@
 
 /** Time in milliseconds within which a connection must be established. */
 const CONNECT_TIMEOUT_MILLISECONDS = 1_000;
+/** A body ends with its connection if its last transfer coding is another one. */
+const CHUNKED = /(^|[,\s])chunked\s*$/i;
 
 /**
  * Pool of persistent connections to backend servers. Sends each request once, without retries.
@@ -165,7 +167,8 @@
 
 /** Whether the headers of a response determine where its body ends. */
 function isFramed(response: IncomingMessage): boolean {
-    return response.headers["content-length"] !== undefined || response.headers["transfer-encoding"] !== undefined;
+    const isChunked = CHUNKED.test(response.headers["transfer-encoding"] ?? "");
+    return response.headers["content-length"] !== undefined || isChunked;
 }
 
 /**
--- a/packages/backends/untrusted_response_test.ts
+++ b/packages/backends/untrusted_response_test.ts
@@ -158,3 +158,12 @@
     expect((await readResponseBody(response, 1_000, MAXIMUM_BODY_BYTES))?.toString("utf8")).toBe(body);
     expect(hasStrayBytes(response)).toBe(isStray);
 });
+
+// Guards against truncated answers that count as whole since their transfer coding does not tell their end.
+test("an answer with a transfer coding other than chunked that is reset is not whole", async () => {
+    const address = await listen(socket => {
+        socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${ID}\r\nTransfer-Encoding: identity\r\n\r\nhalf`);
+        setTimeout(() => socket.resetAndDestroy(), 50);
+    });
+    expect(await call(address, ID)).toEqual({ status: 200, body: undefined });
+});
