Tell a late second answer to one try from the answer to the next

A request that was tried twice at one server got the late second answer to its first try as the answer to the second: both name the same id. A late refusal could so stand for a try that runs, which was then sent elsewhere too, and the answer to a prefill for that to a generation. Calls without an id, such as those for memory, took any late answer on their connection for their own.

Cause: the id of the request is all that tells answers apart, and it is the same for all calls of one request to one server on kept connections.

Change: a request whose id was sent to the server in the last 20 s goes on a connection of its own, where no answer to the earlier send can arrive. A response that names a request does not belong to a call that has no id. The calls themselves get none, as the platform runs nothing under an id that no caller has sent.

Both new tests of untrusted_response_test.ts fail before and pass now. Late second answers to calls without an id that carry none either remain; they name memory that is used once or a state of some hundred milliseconds ago.

--- a/packages/backends/_backend_agent.ts
+++ b/packages/backends/_backend_agent.ts
@@ -1,11 +1,14 @@
 import { Agent, type ClientRequest } from "node:http";
 import type { Socket } from "node:net";
 import type { Duplex } from "node:stream";
+import { monotonicMilliseconds } from "../clocks/mod.ts";
 
 /** Idle timeout in milliseconds of a connection if the server does not send one. */
 const DEFAULT_IDLE_MILLISECONDS = 4_000;
 /** Fraction of the server's idle timeout after which a connection is no longer used. */
 const IDLE_FRACTION = 0.6;
+/** Shortest time in milliseconds for which the id of a request is kept; longer than one request lasts. */
+const ID_LIFETIME_MILLISECONDS = 20_000;
 /** Idle time in milliseconds after which the kernel sends keep-alive probes. */
 const PROBE_MILLISECONDS = 1_000;
 
@@ -15,6 +18,10 @@
 /** Persistent connections to one backend server. */
 export class BackendAgent extends Agent {
     #idleMilliseconds = DEFAULT_IDLE_MILLISECONDS;
+    /** Ids of the requests that were sent since `#rotatedAt`, and in the period before. */
+    #sentIds = new Set<string>();
+    #formerIds = new Set<string>();
+    #rotatedAt = monotonicMilliseconds();
 
     constructor() {
         super({ keepAlive: true, keepAliveMsecs: PROBE_MILLISECONDS, scheduling: "lifo", noDelay: true });
@@ -28,6 +35,19 @@
         }
     }
 
+    /** Records a request and returns whether one with the same id was sent to the server before. */
+    recordSend(id: string): boolean {
+        const now = monotonicMilliseconds();
+        if (now - this.#rotatedAt > ID_LIFETIME_MILLISECONDS) {
+            this.#rotatedAt = now;
+            this.#formerIds = this.#sentIds;
+            this.#sentIds = new Set();
+        }
+        const isRepeated = this.#sentIds.has(id) || this.#formerIds.has(id);
+        this.#sentIds.add(id);
+        return isRepeated;
+    }
+
     /** Returns whether an idle connection is kept; Node's types omit this method. */
     keepSocketAlive(socket: Duplex): boolean {
         const connection = socket as Socket;
--- a/packages/backends/backend_connection_pool.ts
+++ b/packages/backends/backend_connection_pool.ts
@@ -40,7 +40,10 @@
                 return;
             }
             const agent = this.#getAgent(request.address);
-            const started = startSend(request, agent);
+            // A late second answer to an earlier send has the same id; it can only arrive on that send's connection.
+            const isRepeated = request.correlation?.value !== undefined
+                && agent.recordSend(request.correlation.value);
+            const started = startSend(request, isRepeated ? false : agent);
             if (started.isErr()) {
                 resolve(err(started.error));
                 return;
@@ -136,7 +139,7 @@
 }
 
 /** Starts a request; Node throws for an address or header that cannot be used, before anything is sent. */
-function startSend(request: BackendRequest, agent: BackendAgent): Result<ClientRequest, BackendFault> {
+function startSend(request: BackendRequest, agent: BackendAgent | false): Result<ClientRequest, BackendFault> {
     try {
         return ok(startRequest({ ...createRequestOptions(request), agent }));
     }
--- a/packages/backends/backend_request.ts
+++ b/packages/backends/backend_request.ts
@@ -12,6 +12,9 @@
     timeoutMilliseconds: number;
     /** Aborts the request and closes its connection. */
     signal?: AbortSignal | undefined;
-    /** Header and value that a response must have to belong to this request. */
-    correlation?: { header: string; value: string; } | undefined;
+    /**
+     * Header and value that a response must have to belong to this request. Without a value, the request names no id, and
+     * a response with the header belongs to another request.
+     */
+    correlation?: { header: string; value: string | undefined; } | undefined;
 }
--- a/packages/backends/untrusted_response_test.ts
+++ b/packages/backends/untrusted_response_test.ts
@@ -167,3 +167,30 @@
     });
     expect(await call(address, ID)).toEqual({ status: 200, body: undefined });
 });
+
+// Guards against a late second answer to an earlier try that is taken for the answer to a later one.
+test("a second try of a request does not get the late second answer to the first", async () => {
+    let connections = 0;
+    const address = await listen((socket, request) => {
+        connections = Math.max(connections, sockets.size);
+        const body = `try ${request}`;
+        const reply = `HTTP/1.1 200 OK\r\nX-Id: ${ID}\r\nContent-Length: ${body.length}\r\n\r\n${body}`;
+        if (request === 1) {
+            socket.write(reply);
+            setTimeout(() => socket.write(reply), 60);
+            return;
+        }
+        setTimeout(() => socket.write(reply), 100);
+    });
+    expect(await call(address, ID)).toEqual({ status: 200, body: "try 1" });
+    expect(await call(address, ID)).toEqual({ status: 200, body: "try 2" });
+    expect(connections).toBe(2);
+});
+
+// Guards against a late second answer to a request that is taken for the answer to a call without an id.
+test("an answer that names a request does not belong to a call without an id", async () => {
+    const address = await listen(socket => socket.write(WHOLE));
+    const correlation = { header: "x-id", value: undefined };
+    const request = { address, method: "GET", path: "/", headers: [], timeoutMilliseconds: 1_000, correlation };
+    expect((await pool.send(request))._unsafeUnwrapErr()).toMatchObject({ kind: "crossed" });
+});
--- a/packages/gateway/engine_client.ts
+++ b/packages/gateway/engine_client.ts
@@ -48,6 +48,7 @@
             ],
             body: call.body === undefined ? undefined : Buffer.from(call.body),
             timeoutMilliseconds,
+            correlation: { header: headers.requestId, value: undefined },
         });
         const name = call.path.split("/")[1] ?? "";
         if (response.isErr()) {
--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -99,6 +99,7 @@
             path,
             headers: ["Host", server.address, headers.expectedServer, server.id],
             timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+            correlation: { header: headers.requestId, value: undefined },
         });
         if (response.isErr()) {
             return response.error.portClosed ? "ended" : response.error.kind;
