Wait for a port that is in use, and end if it stays so

Cause: opening a port was tried once, and the failed start was only logged as an unhandled rejection.

Change: a port in use is tried again for 10 s, also in the stand-alone router, whose servers use the same function.

--- a/packages/callers/caller_server.ts
+++ b/packages/callers/caller_server.ts
@@ -3,7 +3,7 @@
 import { createServer as createTlsServer } from "node:https";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { hashKey } from "../configuration/mod.ts";
-import { parseAddress } from "../instances/mod.ts";
+import { listen } from "../instances/mod.ts";
 import { Refusal } from "../verdicts/mod.ts";
 import type { Exchange } from "./_exchange.ts";
 import { readBody } from "./_read_body.ts";
@@ -57,12 +57,10 @@
      * Starts listening.
      *
      * @returns A promise that resolves once the port is open.
-     * @throws {Error} If the port is in use.
+     * @throws {Error} If the port stays in use.
      */
     async listen(): Promise<void> {
-        const { host, port } = parseAddress(this.options.settings.callersAddress);
-        this.#server.listen(port, host);
-        await once(this.#server, "listening");
+        await listen(this.#server, this.options.settings.callersAddress);
     }
 
     /**
--- a/packages/gateway/_status_servers.ts
+++ b/packages/gateway/_status_servers.ts
@@ -1,6 +1,6 @@
 import { createServer, type Server } from "node:http";
+import { listen } from "../instances/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
-import { listen } from "./_listen.ts";
 
 /** HTTP servers for the load balancer's readiness check and for counters. */
 export class StatusServers {
@@ -29,7 +29,7 @@
      * @param readinessAddress IP address and port of the readiness check.
      * @param metricsAddress IP address and port of the counters.
      * @returns A promise that resolves once the ports are open.
-     * @throws {Error} If a port is in use.
+     * @throws {Error} If a port stays in use.
      */
     async listen(readinessAddress: string, metricsAddress: string): Promise<void> {
         await listen(this.#readinessServer, readinessAddress);
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -183,7 +183,7 @@
      * Opens the ports and starts to follow the store.
      *
      * @returns A promise that resolves once the ports are open.
-     * @throws {Error} If a port is in use.
+     * @throws {Error} If a port stays in use.
      */
     async start(): Promise<void> {
         this.#logger.info("starting", { incarnation: this.#incarnation, failureDomain: this.settings.failureDomain });
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -1,7 +1,6 @@
-import { once } from "node:events";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
-import { parseAddress } from "../instances/mod.ts";
+import { listen } from "../instances/mod.ts";
 import { AdmissionCheck } from "./admission_check.ts";
 import { CallerConnections } from "./caller_connections.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
@@ -92,12 +91,10 @@
      *
      * @param address IP address and port.
      * @returns A promise that resolves once the port is open.
-     * @throws {Error} If the port is in use.
+     * @throws {Error} If the port stays in use.
      */
     async listen(address: string): Promise<void> {
-        const { host, port } = parseAddress(address);
-        this.#server.listen({ host, port, backlog: 1_024 });
-        await once(this.#server, "listening");
+        await listen(this.#server, address);
     }
 
     /** Makes each response from now on close its connection, so that callers connect elsewhere. */
--- a/packages/instances/instance_server.ts
+++ b/packages/instances/instance_server.ts
@@ -11,7 +11,7 @@
 import { FrameDecoder } from "./frame_decoder.ts";
 import type { InstanceIdentity } from "./instance_identity.ts";
 import type { InstanceServerOptions } from "./instance_server_options.ts";
-import { parseAddress } from "./parse_address.ts";
+import { listen } from "./listen.ts";
 
 const DEFAULT_MAXIMUM_FRAME_BYTES = 4 * 1_024 * 1_024;
 const HANDSHAKE_TIMEOUT_MILLISECONDS = 5_000;
@@ -114,12 +114,10 @@
      *
      * @param address IP address and port.
      * @returns A promise that resolves once the port is open.
-     * @throws {Error} If the port is in use.
+     * @throws {Error} If the port stays in use.
      */
     async listen(address: string): Promise<void> {
-        const { host, port } = parseAddress(address);
-        this.#server.listen(port, host);
-        await once(this.#server, "listening");
+        await listen(this.#server, address);
     }
 
     /**
--- a/packages/instances/mod.ts
+++ b/packages/instances/mod.ts
@@ -10,4 +10,5 @@
 export { InstancePool } from "./instance_pool.ts";
 export { InstanceServer } from "./instance_server.ts";
 export type { InstanceServerOptions } from "./instance_server_options.ts";
+export { listen } from "./listen.ts";
 export { parseAddress } from "./parse_address.ts";
