Bound the idle time that a server names

A server that named an idle time of some hundred digits raised an exception each time that one of its connections was kept, and the connection was lost: a timer accepts no time without bounds.

Change: the time counts as one hour at most.

Measured: the new test of untrusted_response_test.ts ends with an unhandled RangeError before and passes now.

--- a/packages/backends/_backend_agent.ts
+++ b/packages/backends/_backend_agent.ts
@@ -5,6 +5,9 @@
 
 /** Idle timeout in milliseconds of a connection if the server does not send one. */
 const DEFAULT_IDLE_MILLISECONDS = 4_000;
+/** Longest idle time in milliseconds; timers accept no time without bounds. */
+const MAXIMUM_IDLE_MILLISECONDS = 3_600_000;
+const MILLISECONDS_PER_SECOND = 1_000;
 /** Fraction of the server's idle timeout after which a connection is no longer used. */
 const IDLE_FRACTION = 0.6;
 /** Shortest time in milliseconds for which the id of a request is kept; longer than one request lasts. */
@@ -31,7 +34,8 @@
     applyKeepAlive(header: string): void {
         const seconds = /timeout=(\d+)/.exec(header)?.[1];
         if (seconds !== undefined) {
-            this.#idleMilliseconds = Number(seconds) * 1_000 * IDLE_FRACTION;
+            const milliseconds = Number(seconds) * MILLISECONDS_PER_SECOND * IDLE_FRACTION;
+            this.#idleMilliseconds = Math.min(MAXIMUM_IDLE_MILLISECONDS, milliseconds);
         }
     }
 
--- a/packages/backends/untrusted_response_test.ts
+++ b/packages/backends/untrusted_response_test.ts
@@ -194,3 +194,15 @@
     const request = { address, method: "GET", path: "/", headers: [], timeoutMilliseconds: 1_000, correlation };
     expect((await pool.send(request))._unsafeUnwrapErr()).toMatchObject({ kind: "crossed" });
 });
+
+// Guards against exceptions while a connection is kept, raised by the idle time that its server names.
+test("a server's idle time without bounds does not fail its connection", async () => {
+    const address = await listen(socket =>
+        socket.write(
+            `HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: timeout=${"9".repeat(400)}\r\nContent-Length: 1\r\n\r\na`,
+        )
+    );
+    expect(await call(address, "1")).toEqual({ status: 200, body: "a" });
+    await sleep(50);
+    expect(sockets.size).toBe(1);
+});
