Accept an answer that names a request in calls without an id

Servers may name any in responses to such calls: the engines of the stand-ins name "undefined". Their answers were lost, among them those that ask for a pause, and probes of ended engines did not end.

Cause: the check asked whether a request is named, not whether it is one that the server was sent.

Change: only the id of a request that was sent to the server in the last 20 s shows that a response is late.

--- a/packages/backends/_backend_agent.ts
+++ b/packages/backends/_backend_agent.ts
@@ -47,11 +47,16 @@
             this.#formerIds = this.#sentIds;
             this.#sentIds = new Set();
         }
-        const isRepeated = this.#sentIds.has(id) || this.#formerIds.has(id);
+        const isRepeated = this.hasSent(id);
         this.#sentIds.add(id);
         return isRepeated;
     }
 
+    /** Returns whether a request with an id was sent to the server lately. */
+    hasSent(id: string): boolean {
+        return this.#sentIds.has(id) || this.#formerIds.has(id);
+    }
+
     /** Returns whether an idle connection is kept; Node's types omit this method. */
     keepSocketAlive(socket: Duplex): boolean {
         const connection = socket as Socket;
--- a/packages/backends/backend_connection_pool.ts
+++ b/packages/backends/backend_connection_pool.ts
@@ -87,9 +87,7 @@
             outgoing.on("response", response => {
                 received = response;
                 const backendResponse = toBackendResponse(request, response, outgoing, bytes);
-                const mismatched = request.correlation !== undefined
-                    && backendResponse.headers[request.correlation.header] !== request.correlation.value;
-                if (mismatched) {
+                if (belongsToAnother(request, backendResponse, agent)) {
                     fail("crossed", "The answer belongs to another request");
                     return;
                 }
@@ -149,6 +147,19 @@
     }
 }
 
+/** Whether a response names another request. Servers may name none, or any, in responses to calls without an id. */
+function belongsToAnother(
+    { correlation }: BackendRequest,
+    { headers }: BackendResponse,
+    agent: BackendAgent,
+): boolean {
+    const named = correlation && headers[correlation.header];
+    if (correlation?.value === undefined) {
+        return named !== undefined && agent.hasSent(named);
+    }
+    return named !== correlation.value;
+}
+
 function createRequestOptions(request: BackendRequest) {
     const { host, port } = parseAddress(request.address);
     const headers = request.body || request.method === "POST"
--- a/packages/backends/backend_request.ts
+++ b/packages/backends/backend_request.ts
@@ -14,7 +14,7 @@
     signal?: AbortSignal | undefined;
     /**
      * Header and value that a response must have to belong to this request. Without a value, the request names no id, and
-     * a response with the header belongs to another request.
+     * a response that names an earlier request to the server belongs to that one.
      */
     correlation?: { header: string; value: string | undefined; } | undefined;
 }
