Close a port only after a brief turn of the event loop

Cause: connections that arrive between the last poll and the close are reset. That time is the length of the last turn, which on a busy machine is several milliseconds.

Change: the turn before the close must be brief, which is awaited for 150 milliseconds at most.

Left: a loop in which no turn is brief.

--- a/packages/listening/port_closer.ts
+++ b/packages/listening/port_closer.ts
@@ -9,6 +9,10 @@
 const LIMIT_MILLISECONDS = 150;
 /** Polls in a row without a new connection after which the kernel's queue counts as empty. */
 const QUIET_TURNS = 3;
+/** Longest time in milliseconds of the turn that precedes the close, since connections that arrive in it are reset. */
+const BRIEF_TURN_MILLISECONDS = 0.5;
+/** Longest time in milliseconds for which a brief turn is awaited once the queue counts as empty. */
+const BRIEF_TURN_LIMIT_MILLISECONDS = 150;
 /** Time in milliseconds after which the port is closed although connections still arrive; a full queue takes half of it. */
 const DRAIN_MILLISECONDS = 2_000;
 /** Time in milliseconds in which the queue is emptied even beyond the latest time, since the process may have stood still. */
@@ -121,12 +125,22 @@
     async #pollUntilEmpty(latest: number): Promise<{ turns: number; queueSeenEmpty: boolean; }> {
         let quietTurns = 0;
         let turns = 0;
+        let quietSince = Number.POSITIVE_INFINITY;
         // The first immediate may follow a poll that has begun before.
         await setImmediate();
-        for (; quietTurns < QUIET_TURNS && (turns < QUIET_TURNS || monotonicMilliseconds() < latest); turns++) {
+        let now = monotonicMilliseconds();
+        let isBrief = false;
+        const isDone = () => quietTurns >= QUIET_TURNS && (isBrief || now - quietSince > BRIEF_TURN_LIMIT_MILLISECONDS);
+        for (; !isDone() && (turns < QUIET_TURNS || now < latest); turns++) {
             const connections = this.#connections;
+            const turnStartedAt = now;
             await setImmediate();
+            now = monotonicMilliseconds();
+            isBrief = now - turnStartedAt <= BRIEF_TURN_MILLISECONDS;
             quietTurns = connections === this.#connections ? quietTurns + 1 : 0;
+            if (quietTurns === QUIET_TURNS) {
+                quietSince = Math.min(quietSince, now);
+            }
         }
         return { turns, queueSeenEmpty: quietTurns > 0 };
     }
--- a/packages/listening/port_closer_test.ts
+++ b/packages/listening/port_closer_test.ts
@@ -7,6 +7,9 @@
 import { PortCloser } from "./port_closer.ts";
 
 const CALLERS = 60;
+const LONG_TURN_MILLISECONDS = 5;
+/** Time in milliseconds for which turns are long; less than the closer waits for a brief one. */
+const LONG_TURNS_MILLISECONDS = 220;
 /** Connections that fit into the kernel's queue. */
 const BACKLOG = 1_024;
 
@@ -121,3 +124,28 @@
     expect(lines[0]?.["requestsHeld"]).toBeGreaterThan(0);
     expect(outcomes).toContain("answered");
 });
+
+// Guards against connections that are reset since they arrive in the turn of the event loop that ends with the close.
+test("callers that connect while the turns of the event loop are long are answered or refused", async () => {
+    const errors: (string | undefined)[] = [];
+    const until = performance.now() + LONG_TURNS_MILLISECONDS;
+    const takeLongTurns = async () => {
+        for (let turn = 0; performance.now() < until; turn++) {
+            // Three turns without a connection lie between two with one.
+            if (turn % 4 === 0) {
+                const socket = connect(port, "127.0.0.1", () => socket.end("GET / HTTP/1.1\r\nHost: host\r\n\r\n"));
+                socket.on("error", (error: NodeJS.ErrnoException) => errors.push(error.code));
+                socket.resume();
+            }
+            const turnEnd = performance.now() + LONG_TURN_MILLISECONDS;
+            while (performance.now() < turnEnd) {
+                // Nothing is polled meanwhile.
+            }
+            await setImmediate();
+        }
+    };
+    await Promise.all([takeLongTurns(), closer.close(Number.POSITIVE_INFINITY)]);
+    await sleep(50);
+    expect(errors.filter(code => code !== "ECONNREFUSED")).toEqual([]);
+    expect(lines).toMatchObject([{ message: "port of callers closed", queueSeenEmpty: true }]);
+});
