Log each step of a shutdown and how late turns come

Cause: a process that was killed at the end of its grace period left no line that said in which step it was, how long the steps before had taken and when it was due, nor whether its event loop got to run.

Change: both programs write a line as each step of the shutdown begins, with the time since the signal, the time at which the step is due, the length of the step before and the longest lateness of a turn during the last seconds.

--- a/packages/gateway/drain_callers.ts
+++ b/packages/gateway/drain_callers.ts
@@ -1,7 +1,10 @@
 import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import type { ShutdownLog } from "../shutdown/mod.ts";
 import type { GatewayServer } from "./gateway_server.ts";
 
+/** Time in milliseconds before the process is killed at which the remaining requests are aborted. */
+const ABORT_MARGIN_MILLISECONDS = 700;
 /** Time in milliseconds after the shutdown signal during which the load balancer may still open connections. */
 const DRAIN_MILLISECONDS = 2_900;
 const DRAIN_STEP_MILLISECONDS = 25;
@@ -23,28 +26,35 @@
  *
  * @param server The server for callers.
  * @param startedAt Monotonic time in milliseconds of the shutdown signal.
- * @param abortAt Monotonic time in milliseconds at which the remaining requests are aborted.
+ * @param killedAt Monotonic time in milliseconds at which the grace period ends.
+ * @param steps Logs the steps.
  * @param logger Logs how many requests are cut.
  * @returns A promise that resolves once no request is active and no idle connection is being closed, or shortly after the
  *     abort.
  * @example
  * ```ts
- * await drainCallers(server, startedAt, startedAt + 7_000, logger);
+ * await drainCallers(server, startedAt, startedAt + 8_000, steps, logger);
  * ```
  */
 export async function drainCallers(
     server: GatewayServer,
     startedAt: number,
-    abortAt: number,
+    killedAt: number,
+    steps: ShutdownLog,
     logger: Logger,
 ): Promise<void> {
+    const abortAt = killedAt - ABORT_MARGIN_MILLISECONDS;
+    steps.begin("drain", abortAt - PORT_CLOSE_MILLISECONDS);
     await waitForActive(server, startedAt, abortAt);
     // Requests that still arrive would be cut soon.
     server.refuseDeadlinesAfter(startedAt);
+    steps.begin("close of the port", abortAt);
     await server.portCloser.close(abortAt);
+    steps.begin("last requests", abortAt);
     await waitUntil(() => server.active === 0 && server.connections.awaitingRequest === 0, abortAt);
     logger.info("shut down", { requestsCut: server.active });
     server.abortActive();
+    steps.begin("last answers", monotonicMilliseconds() + LAST_ANSWERS_MILLISECONDS);
     await closeConnections(server);
 }
 
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -9,6 +9,7 @@
 import { Metrics } from "../metrics/mod.ts";
 import { PeerMesh } from "../peers/mod.ts";
 import { ItemReplica, ReplicaFollower } from "../replica/mod.ts";
+import { ShutdownLog, TurnWatch } from "../shutdown/mod.ts";
 import { computeRetryLimit } from "./_compute_retry_limit.ts";
 import { StatusServers } from "./_status_servers.ts";
 import { createCrashDetection } from "./create_crash_detection.ts";
@@ -27,8 +28,6 @@
 import { ServerSubset } from "./server_subset.ts";
 import { StageLeadership } from "./stage_leadership.ts";
 
-/** Time in milliseconds before the process is killed at which the remaining requests are aborted. */
-const ABORT_MARGIN_MILLISECONDS = 700;
 /** Time in milliseconds allowed for the last calls to the store and to peers. */
 const LAST_CALLS_MILLISECONDS = 300;
 /** Longest report period in milliseconds at which peers' loads count in full; about the time of one prefill. */
@@ -54,6 +53,7 @@
     readonly #directory = new Directory();
     readonly #replica = new ItemReplica();
     readonly #connectionPool = new BackendConnectionPool();
+    readonly #turns = new TurnWatch();
     readonly #store: CoordinationStore;
     readonly #server: GatewayServer;
     readonly #statusServers: StatusServers;
@@ -83,7 +83,6 @@
         this.#memory = new ProcessMemory(settings.memoryMegabytes * BYTES_PER_MEGABYTE, this.#metrics, this.#logger);
         this.#store = adapter.openStore(settings.storeAddress, this.#metrics);
         const instanceCount = () => this.instances;
-        const { bounds } = settings;
         const storeReading = createStoreReading({
             decodeItem: change => adapter.decodeItem(change),
             store: this.#store,
@@ -121,9 +120,9 @@
         });
         this.#rateLimiter = new RateLimiter({
             self: { name: settings.name, incarnation: this.#incarnation },
-            windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
-            excess: bounds.quotaExcess,
-            slack: bounds.quotaSlack,
+            windowMilliseconds: settings.bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
+            excess: settings.bounds.quotaExcess,
+            slack: settings.bounds.quotaSlack,
             firstStart: settings.firstStart,
             instanceCount,
             isInOtherCell: name => this.#peerMesh.isInOtherCell(name),
@@ -154,12 +153,12 @@
             readsStore: () => this.#replicaFollower?.connected ?? false,
             onNewerPosition: position => this.#replicaFollower?.catchUpTo(position),
             createReport: force => reporter.createReport(force),
-            usageWindowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
+            usageWindowMilliseconds: settings.bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
             onReport: report => reporter.applyReport(report),
             createCellState: () => reporter.createCellState(this.#peerMesh.cell?.members.length ?? 1),
             onFleetState: state => reporter.applyFleetState(state),
         });
-        const context: GatewayContext = {
+        this.#context = {
             settings: () => this.settings,
             headers: adapter.headers,
             engineProtocol: adapter.engineProtocol,
@@ -183,8 +182,7 @@
             metrics: this.#metrics,
             logger: this.#logger,
         };
-        this.#context = context;
-        this.#server = new GatewayServer(context, this.#rateLimiter);
+        this.#server = new GatewayServer(this.#context, this.#rateLimiter);
         this.#statusServers = new StatusServers(adapter.readinessPath, () => this.ready, this.#metrics, this.#logger);
     }
 
@@ -195,11 +193,11 @@
      * @throws {Error} If a port stays in use.
      */
     async start(): Promise<void> {
-        const { failureDomain } = this.settings;
+        const { failureDomain, callersAddress, readinessAddress, metricsAddress, instancesAddress } = this.settings;
         this.#logger.info("starting", { incarnation: this.#incarnation, failureDomain, ...this.#memory.logFields() });
-        const statusOpen = this.#statusServers.listen(this.settings.readinessAddress, this.settings.metricsAddress);
-        await Promise.all([this.#server.listen(this.settings.callersAddress), statusOpen]);
-        await this.#peerMesh.start(this.settings.instancesAddress);
+        const statusOpen = this.#statusServers.listen(readinessAddress, metricsAddress);
+        await Promise.all([this.#server.listen(callersAddress), statusOpen]);
+        await this.#peerMesh.start(instancesAddress);
         this.#replicaFollower = new ReplicaFollower(this.#replica, this.#store, {
             prefix: this.adapter.itemPrefix,
             isReader: () => this.#peerMesh.isReader(),
@@ -210,25 +208,26 @@
         });
         this.#eraWitness.start();
         this.#stageLeadership = new StageLeadership(this.#context, this.#store, this.#replica);
-        this.#logger.info("listening", { callers: this.settings.callersAddress });
+        this.#logger.info("listening", { callers: callersAddress });
     }
 
     /**
-     * Shuts down after the active requests have ended, as far as the grace period allows. Waits only for a short
-     * time for the last calls to the store and to peers, since the process is about to end.
+     * Shuts down after the active requests have ended and the last calls to the store and to peers have been made, as far as
+     * the grace period allows.
      *
      * @returns A promise that resolves once the shutdown is complete.
      */
     async shutDown(): Promise<void> {
         const startedAt = monotonicMilliseconds();
-        const abortAt = startedAt + this.settings.bounds.graceSeconds * MILLISECONDS_PER_SECOND
-            - ABORT_MARGIN_MILLISECONDS;
+        const killedAt = startedAt + this.settings.bounds.graceSeconds * MILLISECONDS_PER_SECOND;
+        const steps = new ShutdownLog(this.#logger, this.#turns);
         this.#shuttingDown = true;
         this.#server.disableKeepAlive();
-        const leadershipGivenUp = this.#stageLeadership?.close();
         this.#logger.info("shutting down", { requests: this.#server.active });
-        await drainCallers(this.#server, startedAt, abortAt, this.#logger);
+        const leadershipGivenUp = this.#stageLeadership?.close();
+        await drainCallers(this.#server, startedAt, killedAt, steps, this.#logger);
         this.#server.close();
+        steps.begin("last calls", monotonicMilliseconds() + LAST_CALLS_MILLISECONDS);
         await Promise.race([Promise.all([leadershipGivenUp, this.#peerMesh.close()]), sleep(LAST_CALLS_MILLISECONDS)]);
     }
 
@@ -243,6 +242,7 @@
         this.#memory.close();
         this.#directoryUpdater.close();
         this.#connectionPool.close();
+        this.#turns.close();
         this.#store.close();
         await Promise.all([
             this.#replicaFollower?.close(),
--- a/packages/runtime/instance.ts
+++ b/packages/runtime/instance.ts
@@ -19,6 +19,7 @@
 import { HomedServerLedgers, ReservationClient } from "../reservations/mod.ts";
 import { ModelRouter } from "../routing/mod.ts";
 import type { Settings } from "../settings/mod.ts";
+import { ShutdownLog, TurnWatch } from "../shutdown/mod.ts";
 import { HttpStore } from "../store/mod.ts";
 import { SuspectRegistry } from "../suspects/mod.ts";
 import { Refusal } from "../verdicts/mod.ts";
@@ -51,6 +52,7 @@
     readonly #server: InstanceServer;
     readonly #pool: InstancePool;
     readonly #engines = new EnginePool();
+    readonly #turns = new TurnWatch();
     readonly #configuration: ConfigurationState;
     readonly #membership: Membership;
     readonly #follower: ConfigurationFollower;
@@ -209,16 +211,23 @@
     async shutDown(): Promise<void> {
         this.#shuttingDown = true;
         this.#logger.info("shutting down");
+        const { graceMilliseconds, limitMilliseconds } = this.settings.drain;
+        const steps = new ShutdownLog(this.#logger, this.#turns);
         this.#callers.leave();
-        await sleep(this.settings.drain.graceMilliseconds);
-        const drainEnd = monotonicMilliseconds() + this.settings.drain.limitMilliseconds;
+        steps.begin("drain", monotonicMilliseconds() + graceMilliseconds);
+        await sleep(graceMilliseconds);
+        const drainEnd = monotonicMilliseconds() + limitMilliseconds;
+        steps.begin("last requests", drainEnd);
         await drainCallers(this.#callers, this.#active, drainEnd, this.#logger);
+        steps.begin("outcomes of once-only calls");
         await waitForOutcomes(this.#once);
         this.#once.close();
+        steps.begin("handover of homes");
         await this.#homes.releaseAll();
         if (await this.#membership.leave()) {
             await this.#homes.sendHandovers();
         }
+        steps.begin("close");
         await this.#closeAll();
         this.#logger.info("shut down");
     }
@@ -235,6 +244,7 @@
         ]);
         this.#pool.close();
         this.#memory.close();
+        this.#turns.close();
         await Promise.all([this.#store.close(), this.#instanceList.close(), this.#engines.close()]);
         await this.#server.close();
     }
