Keep to the grace period when turns of the event loop come late

Cause: the steps of a shutdown added up to the whole grace period: the port began to be closed 1.1 s before its end and took up to 0.6 s, the last answers 0.2 s, the last calls 0.3 s. Nothing allowed for turns that come late, and the time counted from the turn in which the signal is handled. A process that gets little processor time was killed in one of these steps, with all requests that it held while it closed the port.

Ruled out: one step that takes long by itself; the killed processes were in the close of the port or in the last calls, each stopped there.

Change: one schedule allots the end of the grace period to the steps, backwards from its end, counted from the last moment at which the signal had certainly not been sent. A step that begins late takes its part of the time that is left, so that the sum stays below the grace period. The hold of requests at the close of the port has its limit from there too; it is asked again if the process has stood still, and a poll counts as quiet only if its turn was short.

--- a/packages/callers/caller_server.ts
+++ b/packages/callers/caller_server.ts
@@ -37,6 +37,8 @@
 import type { CallerIdentity } from "./caller_identity.ts";
 import type { CallerServerOptions } from "./caller_server_options.ts";
 
+/** Time in milliseconds in which the port's queue is emptied even beyond the latest time. */
+const LEAST_PORT_CLOSE_MILLISECONDS = 450;
 const ANONYMOUS: CallerIdentity = { organisation: "", keyHash: "", key: "" };
 
 /**
@@ -102,7 +104,7 @@
         this.#servesUntil = latest;
         this.leave();
         this.#closed = once(this.#server, "close");
-        await this.#portCloser.close(latest);
+        await this.#portCloser.close(() => Math.max(latest, monotonicMilliseconds() + LEAST_PORT_CLOSE_MILLISECONDS));
     }
 
     /**
--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -27,8 +27,8 @@
  * ```
  */
 export class AdmissionCheck {
-    /** Latest deadline that is admitted: the monotonic time in milliseconds at which active requests are aborted. */
-    latestDeadline = Number.POSITIVE_INFINITY;
+    /** Returns the latest deadline that is admitted: the monotonic time in milliseconds at which active requests are aborted. */
+    latestDeadline = () => Number.POSITIVE_INFINITY;
 
     /**
      * @param context Shared objects of the gateway.
@@ -124,7 +124,7 @@
      * @returns The refusal; undefined if the request may run.
      */
     refuseLateDeadline(deadline: number): GatewayRefusal | undefined {
-        return deadline <= this.latestDeadline ? undefined : {
+        return deadline <= this.latestDeadline() ? undefined : {
             status: 503,
             reason: "leaving",
             verdict: "not-run",
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -11,6 +11,7 @@
 import { ItemReplica, ReplicaFollower } from "../replica/mod.ts";
 import { ShutdownLog, TurnWatch } from "../shutdown/mod.ts";
 import { computeRetryLimit } from "./_compute_retry_limit.ts";
+import { createShutdownSchedule } from "./_create_shutdown_schedule.ts";
 import { StatusServers } from "./_status_servers.ts";
 import { createCrashDetection } from "./create_crash_detection.ts";
 import { createServerAccess } from "./create_server_access.ts";
@@ -28,8 +29,6 @@
 import { ServerSubset } from "./server_subset.ts";
 import { StageLeadership } from "./stage_leadership.ts";
 
-/** Time in milliseconds allowed for the last calls to the store and to peers. */
-const LAST_CALLS_MILLISECONDS = 300;
 /** Longest report period in milliseconds at which peers' loads count in full; about the time of one prefill. */
 const FULL_WEIGHT_REPORT_MILLISECONDS = 100;
 const BYTES_PER_MEGABYTE = 1_000_000;
@@ -218,17 +217,18 @@
      * @returns A promise that resolves once the shutdown is complete.
      */
     async shutDown(): Promise<void> {
-        const startedAt = monotonicMilliseconds();
-        const killedAt = startedAt + this.settings.bounds.graceSeconds * MILLISECONDS_PER_SECOND;
+        const schedule = createShutdownSchedule(this.settings.bounds.graceSeconds, this.#turns);
         const steps = new ShutdownLog(this.#logger, this.#turns);
         this.#shuttingDown = true;
         this.#server.disableKeepAlive();
         this.#logger.info("shutting down", { requests: this.#server.active });
         const leadershipGivenUp = this.#stageLeadership?.close();
-        await drainCallers(this.#server, startedAt, killedAt, steps, this.#logger);
+        await drainCallers(this.#server, schedule, steps, this.#logger);
         this.#server.close();
-        steps.begin("last calls", monotonicMilliseconds() + LAST_CALLS_MILLISECONDS);
-        await Promise.race([Promise.all([leadershipGivenUp, this.#peerMesh.close()]), sleep(LAST_CALLS_MILLISECONDS)]);
+        const endBy = schedule.endOf("last calls");
+        steps.begin("last calls", endBy);
+        const called = Promise.all([leadershipGivenUp, this.#peerMesh.close()]);
+        await Promise.race([called, sleep(endBy - monotonicMilliseconds())]);
     }
 
     /**
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -127,9 +127,9 @@
     /**
      * Refuses new requests that may take longer than the instance will run.
      *
-     * @param latestDeadline Monotonic time in milliseconds at which active requests are aborted.
+     * @param latestDeadline Returns the monotonic time in milliseconds at which active requests are aborted.
      */
-    refuseDeadlinesAfter(latestDeadline: number): void {
+    refuseDeadlinesAfter(latestDeadline: () => number): void {
         this.#admission.latestDeadline = latestDeadline;
     }
 
--- a/packages/listening/port_closer.ts
+++ b/packages/listening/port_closer.ts
@@ -11,8 +11,10 @@
 const QUIET_TURNS = 3;
 /** Time in milliseconds after which the port is closed although connections still arrive; a full queue takes half of it. */
 const DRAIN_MILLISECONDS = 2_000;
-/** Time in milliseconds in which the queue is emptied even beyond the latest time, since the process may have stood still. */
-const LEAST_DRAIN_MILLISECONDS = 450;
+/** Part of the time until the latest close in which connections are awaited; the rest is left for the kernel's queue. */
+const AWAITING_PART = 0.2;
+/** Duration in milliseconds of a poll's turn from which connections may have arrived since the poll. */
+const LONG_TURN_MILLISECONDS = 20;
 
 /**
  * Closes the port of a server when no connection waits to be accepted. The kernel completes handshakes by itself, and
@@ -30,7 +32,7 @@
  *     }
  *     response.end();
  * });
- * await closer.close(performance.now() + 5_000);
+ * await closer.close(() => performance.now() + 500);
  * ```
  */
 export class PortCloser {
@@ -73,23 +75,19 @@
     /**
      * Holds requests until no connection waits to be accepted, closes the port and lets the requests go on.
      *
-     * @param latest Monotonic time in milliseconds at which the port is closed although connections wait, at the earliest
-     *     450 milliseconds after the call.
+     * @param latest Returns the monotonic time in milliseconds at which the port is closed although connections wait. Is
+     *     asked again after the process has stood still, since its queue may have filled then.
      * @returns A promise that resolves after the held requests have gone on.
      */
-    async close(latest: number): Promise<void> {
+    async close(latest: () => number): Promise<void> {
         const startedAt = monotonicMilliseconds();
         const connectionsBefore = this.#connections;
         let release = () => {};
         this.#held = new Promise(resolve => {
             release = resolve;
         });
-        await this.#waitUntilQuiet(Math.min(startedAt + LIMIT_MILLISECONDS, latest));
-        const drainedBy = Math.max(
-            Math.min(startedAt + DRAIN_MILLISECONDS, latest),
-            monotonicMilliseconds() + LEAST_DRAIN_MILLISECONDS,
-        );
-        const { turns, queueSeenEmpty } = await this.#pollUntilEmpty(drainedBy);
+        await this.#waitUntilQuiet(startedAt + Math.min(LIMIT_MILLISECONDS, (latest() - startedAt) * AWAITING_PART));
+        const { turns, queueSeenEmpty } = await this.#pollUntilEmpty(latest);
         // Nothing may be awaited between the last poll and this call: connections could arrive meanwhile.
         this.server.close();
         this.logger[queueSeenEmpty ? "info" : "warn"]("port of callers closed", {
@@ -118,15 +116,25 @@
     }
 
     /** Lets the event loop poll until polls no longer bring connections; each accepts at most one. */
-    async #pollUntilEmpty(latest: number): Promise<{ turns: number; queueSeenEmpty: boolean; }> {
+    async #pollUntilEmpty(latest: () => number): Promise<{ turns: number; queueSeenEmpty: boolean; }> {
         let quietTurns = 0;
         let turns = 0;
+        let stoodStill = false;
+        let turnedAt = monotonicMilliseconds();
+        let drainedBy = Math.min(turnedAt + DRAIN_MILLISECONDS, latest());
         // The first immediate may follow a poll that has begun before.
         await setImmediate();
-        for (; quietTurns < QUIET_TURNS && (turns < QUIET_TURNS || monotonicMilliseconds() < latest); turns++) {
+        for (; quietTurns < QUIET_TURNS && (turns < QUIET_TURNS || turnedAt < drainedBy); turns++) {
             const connections = this.#connections;
+            const turnedBefore = turnedAt;
             await setImmediate();
-            quietTurns = connections === this.#connections ? quietTurns + 1 : 0;
+            turnedAt = monotonicMilliseconds();
+            const isLong = turnedAt - turnedBefore > LONG_TURN_MILLISECONDS;
+            quietTurns = connections === this.#connections && !isLong ? quietTurns + 1 : 0;
+            if (isLong && turnedAt >= drainedBy && !stoodStill) {
+                stoodStill = true;
+                drainedBy = latest();
+            }
         }
         return { turns, queueSeenEmpty: quietTurns > 0 };
     }
--- a/packages/listening/port_closer_test.ts
+++ b/packages/listening/port_closer_test.ts
@@ -72,7 +72,7 @@
     while (connected === 0) {
         await setImmediate();
     }
-    await closer.close(Number.POSITIVE_INFINITY);
+    await closer.close(() => Number.POSITIVE_INFINITY);
     expect(new Set(await Promise.all(calls))).toEqual(new Set(["answered"]));
     expect(lines).toMatchObject([{ message: "port of callers closed", queueSeenEmpty: true }]);
     expect(lines[0]?.["connections"]).toBeGreaterThan(1);
@@ -84,7 +84,7 @@
     const outcomes = new Set<string>();
     const callers = Array.from({ length: CALLERS }, () => callUntilRefused(outcomes));
     await sleep(100);
-    await closer.close(Number.POSITIVE_INFINITY);
+    await closer.close(() => Number.POSITIVE_INFINITY);
     await Promise.all(callers);
     expect(outcomes).toEqual(new Set(["answered", "not connected"]));
     expect(lines).toMatchObject([{ message: "port of callers closed", queueSeenEmpty: true }]);
@@ -98,7 +98,7 @@
     while (!connected) {
         await setImmediate();
     }
-    await closer.close(Number.POSITIVE_INFINITY);
+    await closer.close(() => Number.POSITIVE_INFINITY);
     expect(closer.isClosing).toBe(false);
     expect(await answer).toBe("answered");
 });
@@ -115,7 +115,7 @@
         return await Promise.all(calls);
     })();
     await sleep(50);
-    await closer.close(Number.POSITIVE_INFINITY);
+    await closer.close(() => Number.POSITIVE_INFINITY);
     over = true;
     const outcomes = await flood;
     expect(lines[0]?.["requestsHeld"]).toBeGreaterThan(0);
