Bound what the stand-alone router does after its drain limit

After the drain limit, requests that go on although they were aborted were waited for without a bound, and the outcomes of once-only calls, the handover of homes and the calls to the store had bounds of their own that added up: 15.5 s after a drain limit of 0 with a store that accepts connections and never answers. Whoever stops the process after the limit that the settings state kills it in one of these steps.

Ruled out: the close of connections; it ends a second after the limit, but the drain waited for the requests themselves.

What has not been handed over is taken over as after a crash.

--- a/packages/callers/drain_callers.ts
+++ b/packages/callers/drain_callers.ts
@@ -1,21 +1,25 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { Logger } from "../logs/mod.ts";
+import { endsBy } from "../shutdown/mod.ts";
 import { shuttingDown } from "./_shutting_down.ts";
 import type { ActiveRequests } from "./active_requests.ts";
 import type { CallerServer } from "./caller_server.ts";
 
 /** Time in milliseconds allowed after the drain limit to stop requests at their engines and refuse them. */
 const LAST_ANSWERS_MILLISECONDS = 1_000;
+/** Time in milliseconds allowed after that for the close of connections. */
+const LAST_CLOSES_MILLISECONDS = 500;
 
 /**
  * Closes the port of a server and lets its requests end. Those that are left at the drain limit are aborted and refused;
- * the connections of those that go on all the same are closed shortly after.
+ * the connections of those that go on all the same are closed shortly after, and they are not waited for.
  *
  * @param server The server for callers.
  * @param active Its requests in progress.
  * @param latest Monotonic time in milliseconds of the drain limit.
  * @param logger Logs how many requests are aborted.
- * @returns A promise that resolves once no request is in progress and every connection is closed.
+ * @returns A promise that resolves once no request is in progress and every connection is closed, 1.5 seconds after the drain limit
+ *     and the close of the port at the latest.
  * @example
  * ```ts
  * await drainCallers(server, active, performance.now() + 600_000, logger);
@@ -34,8 +38,12 @@
         logger.warn("drain limit reached, aborting requests", { requests: active.size });
         active.abortAll(shuttingDown("may-have-run"));
     }, remaining);
-    const closeTimer = setTimeout(() => server.closeAllConnections(), remaining + LAST_ANSWERS_MILLISECONDS);
-    await server.close();
+    const closed = server.close();
+    if (!await endsBy(closed, monotonicMilliseconds() + remaining + LAST_ANSWERS_MILLISECONDS)) {
+        server.closeAllConnections();
+        if (!await endsBy(closed, monotonicMilliseconds() + LAST_CLOSES_MILLISECONDS)) {
+            logger.warn("requests go on after the drain limit", { requests: active.size });
+        }
+    }
     clearTimeout(abortTimer);
-    clearTimeout(closeTimer);
 }
--- a/packages/runtime/instance.ts
+++ b/packages/runtime/instance.ts
@@ -19,15 +19,17 @@
 import { HomedServerLedgers, ReservationClient } from "../reservations/mod.ts";
 import { ModelRouter } from "../routing/mod.ts";
 import type { Settings } from "../settings/mod.ts";
-import { ShutdownLog, TurnWatch } from "../shutdown/mod.ts";
+import { endsBy, ShutdownLog, TurnWatch } from "../shutdown/mod.ts";
 import { HttpStore } from "../store/mod.ts";
 import { SuspectRegistry } from "../suspects/mod.ts";
 import { Refusal } from "../verdicts/mod.ts";
+import { leaveFleet } from "./_leave_fleet.ts";
 import { LoadReportPoller } from "./_load_report_poller.ts";
 import { registerOperatorCalls } from "./_operator_calls.ts";
 import { readMemoryLimit } from "./_read_memory_limit.ts";
-import { waitForOutcomes } from "./_wait_for_outcomes.ts";
 
+/** Time in milliseconds after the end of the requests in which an instance hands over what it holds and leaves the fleet. */
+const LEAVING_MILLISECONDS = 8_000;
 const FRESHNESS_CHECK_MILLISECONDS = 500;
 /** Time without contact to the store and to every peer after which the instance refuses requests with API keys. */
 const MAXIMUM_ISOLATION_MILLISECONDS = 5_000;
@@ -219,17 +221,15 @@
         const drainEnd = monotonicMilliseconds() + limitMilliseconds;
         steps.begin("last requests", drainEnd);
         await drainCallers(this.#callers, this.#active, drainEnd, this.#logger);
-        steps.begin("outcomes of once-only calls");
-        await waitForOutcomes(this.#once);
-        this.#once.close();
-        steps.begin("handover of homes");
-        await this.#homes.releaseAll();
-        if (await this.#membership.leave()) {
-            await this.#homes.sendHandovers();
+        const endBy = monotonicMilliseconds() + LEAVING_MILLISECONDS;
+        const parts = { once: this.#once, homes: this.#homes, membership: this.#membership };
+        const closed = leaveFleet(parts, steps, endBy).then(() => this.#closeAll());
+        if (await endsBy(closed, endBy)) {
+            this.#logger.info("shut down");
+        }
+        else {
+            this.#logger.warn("shut down before the instance has left the fleet");
         }
-        steps.begin("close");
-        await this.#closeAll();
-        this.#logger.info("shut down");
     }
 
     async #closeAll(): Promise<void> {
