Count the usage of limits apart from organisations

Cause: what counts over all instances, through their reports, with silent peers, ended processes and cells, was a part of the limits of organisations, and servers will name limits too.

Ruled out: a second counter beside it, which would repeat each of these cases.

Change: SharedUsage holds the counting, by key and with a window of its own; RateLimiter keeps what belongs to organisations. No change of behaviour for organisations.

--- a/packages/gateway/rate_limiter.ts
+++ b/packages/gateway/rate_limiter.ts
@@ -1,55 +1,19 @@
 import { err, ok, type Result } from "neverthrow";
-import type { UsageSummary } from "../peers/mod.ts";
-import { addUnits } from "./_add_units.ts";
 import { computeRequestCost } from "./_compute_request_cost.ts";
-import { computeSilentUsage } from "./_compute_silent_usage.ts";
-import { createUsageSummary } from "./_create_usage_summary.ts";
-import { UsageWindows } from "./_usage_windows.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { RateLimitCharge } from "./rate_limit_charge.ts";
 import type { RateLimiterOptions } from "./rate_limiter_options.ts";
-import type { SpendingReport } from "./spending_report.ts";
+import { SharedUsage } from "./shared_usage.ts";
 
-/** Age in milliseconds above which a peer's report counts as stale. */
-const REPORT_LIFETIME_MILLISECONDS = 1_500;
-/** Time in milliseconds allowed for the way of a peer's report, in which the peer may have admitted more. */
-const REPORT_TRANSIT_MILLISECONDS = 50;
-/** The same for the usage of other cells, which passes their primary and this cell's. */
-const CELL_TRANSIT_MILLISECONDS = 3 * REPORT_TRANSIT_MILLISECONDS;
-/** Time in milliseconds for which an instance that has fallen silent may have gone on after its last report. */
-const UNREPORTED_MILLISECONDS = 500;
 /** Fractions of the permitted excess that are used; the rest covers what peers admit until their reports arrive. */
 const USED_EXCESS_FRACTION = 0.7;
 const USED_SLACK_FRACTION = 0.7;
-/** Length in milliseconds of the window in which the units that organisations request are counted. */
-const DEMAND_WINDOW_MILLISECONDS = 1_000;
 const MILLISECONDS_PER_SECOND = 1_000;
 const RETRY_AFTER_MILLISECONDS = 1_000;
 
-/** Last report of a running process. */
-interface PeerUsage {
-    incarnation: string;
-    spending: Record<string, number>;
-    asked: Record<string, number>;
-    assumedShare: number;
-    /** Time of the report in milliseconds, by the limiter's clock. */
-    at: number;
-}
-
-/** Last reported usage of a process that has ended. */
-interface EndedProcessUsage {
-    instance: string;
-    spending: Record<string, number>;
-    /** Time of the report in milliseconds, by the limiter's clock. */
-    at: number;
-}
-
 /**
- * Enforces the rate limits of organisations across all instances. Each instance counts its own charges, those that the
- * members of its cell report, and the sums of the other cells. A peer without a recent report is assumed to use at least an equal share of the limit, so that the
- * sides of a network partition together admit no more than the limit. The usage of a process counts until it has left
- * the window, even if the process has ended: its peers remember it and report it to processes that started later.
+ * Enforces the rate limits of organisations across all instances.
  *
  * @example
  * ```ts
@@ -58,109 +22,12 @@
  * charge.map(({ refund }) => refund()); // if no server ran the request
  * ```
  */
-export class RateLimiter {
-    readonly #usageWindows: UsageWindows;
-    readonly #requestedUnits = new UsageWindows(DEMAND_WINDOW_MILLISECONDS);
-    readonly #peerReports = new Map<string, PeerUsage>();
-    readonly #endedProcesses = new Map<string, EndedProcessUsage>();
-    /** Usage by the other cells, and the time at which it was received. */
-    #cellUsage: { usage: UsageSummary[]; at: number; } = { usage: [], at: 0 };
-    readonly #startedAt: number;
-
-    /**
-     * @param options Dependencies of the limiter.
-     */
-    constructor(private readonly options: RateLimiterOptions) {
-        this.#startedAt = options.clock.now();
-        this.#usageWindows = new UsageWindows(options.windowMilliseconds);
-    }
-
-    /**
-     * Reports the usage in the window to peers.
-     *
-     * @returns The usage of this process and of the ended processes that it remembers.
-     */
-    report(): SpendingReport {
-        const now = this.options.clock.now();
-        this.#removeExpired(now);
-        const ended: SpendingReport["ended"] = {};
-        for (const [process, { spending: spent, at }] of this.#endedProcesses) {
-            ended[process] = [Math.round(now - at), spent];
-        }
-        return {
-            spending: this.#usageWindows.sums(now),
-            asked: this.#requestedUnits.sums(now),
-            assumedShare: Number(this.#assumedShare(now).toFixed(2)),
-            ended,
-        };
-    }
-
-    /**
-     * Records the report of a peer.
-     *
-     * @param name Name of the peer.
-     * @param incarnation Incarnation of its process.
-     * @param report The report.
-     */
-    recordPeerReport(name: string, incarnation: string, report: SpendingReport): void {
-        const now = this.options.clock.now();
-        const previous = this.#peerReports.get(name);
-        const { spending, asked, assumedShare } = report;
-        this.#peerReports.set(name, { incarnation, spending, asked, assumedShare, at: now });
-        this.#endedProcesses.delete(`${name}/${incarnation}`);
-        if (previous && previous.incarnation !== incarnation) {
-            // The former process may have gone on for a time after its last report.
-            const spent = { ...previous.spending };
-            addUnits(spent, previous.asked, admittedWithin(1, UNREPORTED_MILLISECONDS));
-            this.#recordEnded(name, previous.incarnation, spent, previous.at);
-        }
-        for (const [process, [age, units]] of Object.entries(report.ended)) {
-            const separator = process.lastIndexOf("/");
-            this.#recordEnded(process.slice(0, separator), process.slice(separator + 1), units, now - age);
-        }
-    }
-
-    /**
-     * Replaces the usage by the instances of other cells.
-     *
-     * @param usage Their usage; parts whose instances do not report are marked as missing.
-     */
-    recordCellUsage(usage: UsageSummary[]): void {
-        this.#cellUsage = { usage, at: this.options.clock.now() };
-    }
-
+export class RateLimiter extends SharedUsage {
     /**
-     * Sums up the usage by this instance's cell for other cells.
-     *
-     * @param cellInstances Number of instances in the cell, this one included.
-     * @returns The usage by instances that report, and that by those that do not.
+     * @param limits Dependencies, the window and the permitted excess.
      */
-    summarise(cellInstances: number): UsageSummary[] {
-        const now = this.options.clock.now();
-        this.#removeExpired(now);
-        const live = createUsageSummary(1, this.#usageWindows.sums(now), this.#requestedUnits.sums(now));
-        live.assumedShare = this.#assumedShare(now);
-        const missing = { ...createUsageSummary(0, {}, {}), missing: true };
-        const restarted = new Set<string>();
-        for (const { instance, spending } of this.#endedProcesses.values()) {
-            restarted.add(instance);
-            addUnits(live.spending, spending, 1);
-        }
-        for (const [name, { spending, asked, assumedShare, at }] of this.#cellReports()) {
-            if (now - at > REPORT_LIFETIME_MILLISECONDS) {
-                addUnits(missing.spending, spending, 1);
-                addUnits(missing.asked, asked, 1);
-                continue;
-            }
-            live.instances++;
-            live.assumedShare += restarted.has(name) ? 0 : assumedShare;
-            addUnits(live.spending, spending, 1);
-            addUnits(live.spending, asked, admittedWithin(1, now - at + REPORT_TRANSIT_MILLISECONDS));
-            addUnits(live.asked, asked, 1);
-        }
-        missing.instances = Math.max(0, cellInstances - live.instances);
-        const hasMissing = missing.instances > 0 || Object.keys(missing.spending).length > 0;
-        return hasMissing ? [live, missing] : [live];
+    constructor(private readonly limits: RateLimiterOptions) {
+        super(limits);
     }
 
     /**
@@ -174,16 +41,15 @@
         if (!organisation || organisation.ratePerSecond <= 0) {
             return ok({ refund: () => {} });
         }
-        const now = this.options.clock.now();
         const cost = computeRequestCost(organisation, request);
-        const { excess, slack, windowMilliseconds } = this.options;
-        this.#requestedUnits.add(organisation.name, cost, now);
+        const { excess, slack, windowMilliseconds, instanceCount } = this.limits;
+        this.ask(organisation.name, cost);
         const limit = organisation.ratePerSecond * windowMilliseconds / MILLISECONDS_PER_SECOND + organisation.burst;
-        const others = this.#usageOfOthers(organisation.name, limit, now);
+        const others = this.usageOfOthers(organisation.name, limit);
         // The parts of a partitioned fleet, and an instance that has just started, each use only their part of the excess.
-        const heardFraction = 1 - others.missing / this.options.instanceCount();
+        const heardFraction = 1 - others.missing / instanceCount();
         const allowed = limit + (limit * excess * USED_EXCESS_FRACTION + slack * USED_SLACK_FRACTION) * heardFraction;
-        const spent = this.#usageWindows.sum(organisation.name, now) + others.spent;
+        const spent = this.sum(organisation.name) + others.spent;
         if (spent + cost > allowed) {
             return err({
                 status: 429,
@@ -195,103 +61,6 @@
                 retryAfterMilliseconds: RETRY_AFTER_MILLISECONDS,
             });
         }
-        return ok({ refund: this.#usageWindows.add(organisation.name, cost, now) });
-    }
-
-    /**
-     * Usage in the window by peers and by ended processes, including earlier processes of this instance, and the number of
-     * peers without a recent report.
-     */
-    #usageOfOthers(organisation: string, limit: number, now: number): { spent: number; missing: number; } {
-        this.#removeExpired(now);
-        const share = limit / this.options.instanceCount();
-        const instancesWithEndedProcess = new Set<string>();
-        let spent = 0;
-        for (const { instance, spending } of this.#endedProcesses.values()) {
-            instancesWithEndedProcess.add(instance);
-            spent += spending[organisation] ?? 0;
-        }
-        const silent: { instances: number; spent: number; }[] = [];
-        let reporting = 0;
-        for (const [name, { spending, asked, assumedShare, at }] of this.#cellReports()) {
-            const reported = spending[organisation] ?? 0;
-            const requested = asked[organisation] ?? 0;
-            if (now - at > REPORT_LIFETIME_MILLISECONDS) {
-                silent.push({ instances: 1, spent: reported + admittedWithin(requested, UNREPORTED_MILLISECONDS) });
-                continue;
-            }
-            reporting++;
-            const admittedSince = admittedWithin(requested, now - at + REPORT_TRANSIT_MILLISECONDS);
-            spent += reported + admittedSince + (instancesWithEndedProcess.has(name) ? 0 : share * assumedShare);
-        }
-        const receivedBefore = now - this.#cellUsage.at;
-        for (const { instances, spending, asked, assumedShare, age, missing } of this.#cellUsage.usage) {
-            const reported = spending[organisation] ?? 0;
-            const requested = asked[organisation] ?? 0;
-            if (missing || age + receivedBefore > REPORT_LIFETIME_MILLISECONDS) {
-                silent.push({ instances, spent: reported + admittedWithin(requested, UNREPORTED_MILLISECONDS) });
-                continue;
-            }
-            reporting += instances;
-            const admittedSince = admittedWithin(requested, age + receivedBefore + CELL_TRANSIT_MILLISECONDS);
-            spent += reported + admittedSince + share * assumedShare;
-        }
-        const missing = Math.max(0, this.options.instanceCount() - 1 - reporting);
-        const ownFormerUsage = share * this.#assumedShare(now);
-        return { spent: spent + computeSilentUsage(silent, missing, share) + ownFormerUsage, missing };
+        return ok({ refund: this.add(organisation.name, cost) });
     }
-
-    /** Last reports of the peers whose usage does not arrive in the sum of another cell. */
-    #cellReports(): [string, PeerUsage][] {
-        return [...this.#peerReports].filter(([name]) => !this.options.isInOtherCell(name));
-    }
-
-    /**
-     * Fraction of an equal share that an earlier process of this instance is assumed to have used; 0 once a peer has
-     * reported its usage, or if the fleet starts for the first time.
-     */
-    #assumedShare(now: number): number {
-        const { self, firstStart, windowMilliseconds } = this.options;
-        const reported = [...this.#endedProcesses.values()].some(({ instance }) => instance === self.name);
-        return firstStart || reported ? 0 : Math.max(0, 1 - (now - this.#startedAt) / windowMilliseconds);
-    }
-
-    #recordEnded(instance: string, incarnation: string, spending: Record<string, number>, at: number): void {
-        const { self } = this.options;
-        const process = `${instance}/${incarnation}`;
-        const running = instance === self.name
-            ? incarnation === self.incarnation
-            : this.#peerReports.get(instance)?.incarnation === incarnation;
-        const known = this.#endedProcesses.get(process);
-        if (running) {
-            return;
-        }
-        if (!known) {
-            this.#endedProcesses.set(process, { instance, spending: { ...spending }, at });
-            return;
-        }
-        // Keeps the known age, since reports that peers exchange must not make the usage look newer.
-        for (const [organisation, spent] of Object.entries(spending)) {
-            known.spending[organisation] = Math.max(known.spending[organisation] ?? 0, spent);
-        }
-    }
-
-    #removeExpired(now: number): void {
-        const oldest = now - this.options.windowMilliseconds;
-        if (this.#cellUsage.at < oldest) {
-            this.#cellUsage = { usage: [], at: now };
-        }
-        for (const map of [this.#peerReports, this.#endedProcesses]) {
-            for (const [key, { at }] of map) {
-                if (at < oldest) {
-                    map.delete(key);
-                }
-            }
-        }
-    }
-}
-
-/** Units that an instance may have admitted in a time of which no report has come: everything that was requested. */
-function admittedWithin(requestedPerWindow: number, milliseconds: number): number {
-    return requestedPerWindow * milliseconds / DEMAND_WINDOW_MILLISECONDS;
 }
--- a/packages/gateway/rate_limiter_options.ts
+++ b/packages/gateway/rate_limiter_options.ts
@@ -1,20 +1,9 @@
-import type { SuspensionAwareClock } from "../clocks/mod.ts";
+import type { SharedUsageOptions } from "./shared_usage_options.ts";
 
 /** Dependencies of a {@linkcode RateLimiter}. */
-export interface RateLimiterOptions {
-    /** Name of this instance and incarnation of this process. */
-    self: { name: string; incarnation: string; };
-    /** Length in milliseconds of the window in which an organisation's usage is counted. */
-    windowMilliseconds: number;
+export interface RateLimiterOptions extends SharedUsageOptions {
     /** Fraction of the limit by which it may be exceeded. */
     excess: number;
     /** Units by which the limit may be exceeded in addition. */
     slack: number;
-    /** Number of instances that share the limits, including this one. */
-    instanceCount: () => number;
-    /** Whether the usage by an instance arrives in the sum of another cell. */
-    isInOtherCell: (name: string) => boolean;
-    /** Whether the whole fleet starts for the first time, so that there is no earlier usage. */
-    firstStart: boolean;
-    clock: SuspensionAwareClock;
 }
