Keep to the limits that servers name, over all instances together

Cause: nothing read the header Server-Limit, so that the rule held only where the demand of a server was below its limit anyway.

Ruled out: that instances which know a limit spend it each for themselves (none knew of one), and that only engines are concerned, whose requests come twice: plain servers broke the rule most.

Change: the answers of a server name, change and end its limit; instances tell each other the latest answer, and count their requests with SharedUsage over 4 s. What is left is divided among the instances in an order that differs by server. A request without a place goes to another server or is refused at once, 503 servers-at-limits. A generation takes its place at the decode engine before its prompt is computed. Lines and a counter tell of limits that are named, changed, ended and used up.

--- /dev/null
+++ b/packages/gateway/_parse_server_limit.ts
@@ -0,0 +1,9 @@
+const DECIMAL = /^\d{1,15}(?:\.\d{1,15})?$/;
+
+/**
+ * Parses the requests a second that a server takes; undefined if the value is not a decimal number without a sign.
+ */
+export function parseServerLimit(value: string): number | undefined {
+    const text = value.trim();
+    return DECIMAL.test(text) ? Number(text) : undefined;
+}
--- a/packages/gateway/cell_usage_test.ts
+++ b/packages/gateway/cell_usage_test.ts
@@ -98,6 +98,8 @@
             logger,
             createState: () => ({
                 usage: limiter.summarise(members.partition.cellOf(name)?.members.length ?? 1),
+                serverUsage: [],
+                serverLimits: [],
                 stageLoads: {},
                 changing: [],
                 gone: [],
--- a/packages/gateway/create_server_access.ts
+++ b/packages/gateway/create_server_access.ts
@@ -10,6 +10,8 @@
 import type { ProtocolHeaders } from "./protocol_headers.ts";
 import { ServerAvailability } from "./server_availability.ts";
 import { ServerClient } from "./server_client.ts";
+import { ServerLimits } from "./server_limits.ts";
+import type { SharedUsageOptions } from "./shared_usage_options.ts";
 
 /** Dependencies of the access to servers. */
 interface ServerAccessOptions {
@@ -17,6 +19,10 @@
     headers: ProtocolHeaders;
     directory: Directory;
     clock: SuspensionAwareClock;
+    /** Usage of limits over all instances. */
+    usage: Omit<SharedUsageOptions, "windowMilliseconds">;
+    /** Position of this instance, from 0, in an order of all instances that differs by server. */
+    rankOf: (server: string) => number;
     /** Current settings. */
     settings: () => GatewaySettings;
     metrics: Metrics;
@@ -35,7 +41,7 @@
  */
 export function createServerAccess(
     options: ServerAccessOptions,
-): Pick<GatewayContext, "availability" | "leavingServers" | "serverClient"> {
+): Pick<GatewayContext, "availability" | "leavingServers" | "serverClient" | "serverLimits"> {
     const { connectionPool, headers, directory, settings } = options;
     const leavingServers = new LeavingServers({
         ...options,
@@ -45,9 +51,11 @@
         ...options,
         maximumMilliseconds: () => settings().maximumPauseMilliseconds,
     });
+    const serverLimits = new ServerLimits({ ...options, ...options.usage });
     return {
+        serverLimits,
         leavingServers,
-        availability: new ServerAvailability(directory, leavingServers, pausedServers),
-        serverClient: new ServerClient(connectionPool, headers, leavingServers, pausedServers),
+        availability: new ServerAvailability(directory, leavingServers, pausedServers, serverLimits),
+        serverClient: new ServerClient(connectionPool, headers, leavingServers, pausedServers, serverLimits),
     };
 }
--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -95,6 +95,7 @@
         const { server } = reservation;
         const load = serverLoads.get(server.id);
         load.recordSend();
+        reservation.releasePlace();
         const response = await serverClient.send(server, {
             method: request.method,
             path: request.path,
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -208,6 +208,7 @@
         const load = this.context.serverLoads.get(reservation.server.id);
         load.reservedTokens -= reservation.tokens;
         load.active--;
+        reservation.releasePlace();
         this.dispatch();
     }
 
--- a/packages/gateway/decode_queue_test.ts
+++ b/packages/gateway/decode_queue_test.ts
@@ -42,6 +42,7 @@
             findRefusal: () => undefined,
         },
         serverLoads: { get: (id: string) => loads.get(id), admits: () => true },
+        serverLimits: { admits: () => true, take: () => () => {} },
         serverSubset: { narrow: (list: unknown) => list },
         engineProtocol: { reserve: () => ({}), parseReservation: () => "h1" },
         metrics: { increment: () => {}, observe: () => {} },
--- a/packages/gateway/decode_reserver.ts
+++ b/packages/gateway/decode_reserver.ts
@@ -39,7 +39,8 @@
     ) {}
 
     /**
-     * Asks an engine for memory. Until it has answered, the memory counts as reserved.
+     * Asks an engine for memory. Until it has answered, the memory counts as reserved, and so does a
+     * place within the limit that the engine names.
      *
      * @param demand The memory and what it is for.
      * @returns The reservation; undefined if the engine has not granted it, which is then avoided for a time.
@@ -53,6 +54,7 @@
         const requestedAt = monotonicMilliseconds();
         load.reservedTokens += tokens;
         load.active++;
+        const releasePlace = this.context.serverLimits.take(server);
         let reservationId: string | undefined;
         try {
             const response = await this.#ask(server, tokens, lifetime);
@@ -70,13 +72,14 @@
             if (reservationId === undefined) {
                 load.reservedTokens -= tokens;
                 load.active--;
+                releasePlace();
             }
         }
         if (reservationId === undefined) {
             return undefined;
         }
         this.context.metrics.observe("decode_wait", monotonicMilliseconds() - waitingSince);
-        return { server, reservationId, tokens, requestedAt, expiresAt: requestedAt + lifetime };
+        return { server, reservationId, tokens, releasePlace, requestedAt, expiresAt: requestedAt + lifetime };
     }
 
     async #ask(
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -3,6 +3,7 @@
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
+import type { ServerLimits } from "./server_limits.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
 import type { StageBalancer } from "./stage_balancer.ts";
 
@@ -18,6 +19,7 @@
     crashRegistry: CrashRegistry;
     promptParts: PromptPartRegistry;
     leavingServers: LeavingServers;
+    serverLimits: ServerLimits;
     /** Undefined before the instance has started. */
     stageBalancer(): StageBalancer | undefined;
     /** Whether the last read of the store succeeded. */
@@ -48,7 +50,8 @@
      * @returns The report; undefined if it has not changed since the last one.
      */
     createReport(force: boolean): Omit<PeerReport, keyof Peer> | undefined {
-        const { serverLoads, rateLimiter, crashRegistry, promptParts, stageBalancer, readsStore } = this.options;
+        const { serverLoads, rateLimiter, serverLimits, crashRegistry, promptParts, stageBalancer, readsStore } =
+            this.options;
         const loads: PeerReport["loads"] = {};
         for (const [id, load] of serverLoads.entries()) {
             const { failures, successes } = load.outcomes;
@@ -58,6 +61,7 @@
             }
         }
         const usage = rateLimiter.report();
+        const serverUsage = serverLimits.usage.report();
         const state = {
             readsStore: readsStore(),
             loads,
@@ -66,13 +70,15 @@
             leaving: this.options.leavingServers.firsthand(),
             crashes: crashRegistry.recent(),
         };
-        // The ages in the report on prompt parts change all the time, so its version is compared.
-        const serialised = JSON.stringify([state, usage.spending, promptParts.version]);
+        // The ages in the reports on prompt parts and limits change all the time, so their versions are compared.
+        const versions = [promptParts.version, serverLimits.version];
+        const serialised = JSON.stringify([state, usage.spending, serverUsage.spending, versions]);
         if (!force && serialised === this.#lastReport) {
             return undefined;
         }
         this.#lastReport = serialised;
-        return { ...state, ...usage, promptParts: promptParts.createReport() };
+        const limits = { serverUsage, serverLimits: serverLimits.notices() };
+        return { ...state, ...usage, ...limits, promptParts: promptParts.createReport() };
     }
 
     /**
@@ -81,10 +87,13 @@
      * @param report The report.
      */
     applyReport(report: PeerReport): void {
-        const { serverLoads, rateLimiter } = this.options;
+        const { serverLoads, rateLimiter, serverLimits } = this.options;
         serverLoads.setPeerLoads(report.name, report.loads);
         this.#applyServerStates(report);
         rateLimiter.recordPeerReport(report.name, report.incarnation, report);
+        if (report.serverUsage) {
+            serverLimits.usage.recordPeerReport(report.name, report.incarnation, report.serverUsage);
+        }
     }
 
     /**
@@ -94,9 +103,11 @@
      * @returns The state, from what its members have reported.
      */
     createCellState(cellInstances: number): CellState {
-        const { serverLoads, rateLimiter, crashRegistry, promptParts, stageBalancer } = this.options;
+        const { serverLoads, rateLimiter, serverLimits, crashRegistry, promptParts, stageBalancer } = this.options;
         return {
             usage: rateLimiter.summarise(cellInstances),
+            serverUsage: serverLimits.usage.summarise(cellInstances),
+            serverLimits: serverLimits.notices(),
             stageLoads: stageBalancer()?.cellLoads() ?? {},
             changing: stageBalancer()?.changing() ?? [],
             gone: serverLoads.gone(),
@@ -114,12 +125,14 @@
     applyFleetState(state: CellState): void {
         this.#applyServerStates(state);
         this.options.rateLimiter.recordCellUsage(state.usage);
+        this.options.serverLimits.usage.recordCellUsage(state.serverUsage);
         this.options.stageBalancer()?.recordOtherCells(state.stageLoads);
     }
 
-    #applyServerStates(state: Pick<CellState, "changing" | "gone" | "leaving" | "crashes" | "promptParts">): void {
+    #applyServerStates(state: Omit<CellState, "usage" | "serverUsage" | "stageLoads">): void {
         const { changing, gone, leaving, crashes } = state;
         const { serverLoads, crashRegistry, promptParts, leavingServers } = this.options;
+        this.options.serverLimits.recordPeerNotices(state.serverLimits);
         leaving.forEach(([id, startedAt]) => leavingServers.record({ id, startedAt }, "peer"));
         [...changing, ...gone].forEach(id => serverLoads.avoid(id, AVOIDED_MILLISECONDS));
         crashes.forEach(([fingerprint, server]) => crashRegistry.recordPeerCrash(fingerprint, server));
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -84,16 +84,19 @@
         this.#store = adapter.openStore(settings.storeAddress, this.#metrics);
         const instanceCount = () => this.instances;
         const { bounds } = settings;
-        const storeReading = createStoreReading({
-            decodeItem: change => adapter.decodeItem(change),
-            store: this.#store,
-            replica: this.#replica,
+        const shared = {
             directory: this.#directory,
             clock: this.#clock,
             settings: () => this.settings,
-            isReader: () => this.#peerMesh.isReader(),
             metrics: this.#metrics,
             logger: this.#logger,
+        };
+        const storeReading = createStoreReading({
+            ...shared,
+            decodeItem: change => adapter.decodeItem(change),
+            store: this.#store,
+            replica: this.#replica,
+            isReader: () => this.#peerMesh.isReader(),
         });
         this.#directoryUpdater = storeReading.directoryUpdater;
         this.#eraWitness = storeReading.eraWitness;
@@ -101,39 +104,39 @@
             this.#connectionPool.retain(new Set([...this.#directory.servers.values()].map(({ address }) => address)));
         });
         this.#serverLoads = new ServerLoadTracker(this.#directory);
+        const usage = {
+            self: { name: settings.name, incarnation: this.#incarnation },
+            firstStart: settings.firstStart,
+            instanceCount,
+            isInOtherCell: (name: string) => this.#peerMesh.isInOtherCell(name),
+            clock: this.#clock,
+        };
         const serverAccess = createServerAccess({
+            ...shared,
             connectionPool: this.#connectionPool,
             headers: adapter.headers,
-            directory: this.#directory,
-            clock: this.#clock,
-            settings: () => this.settings,
-            metrics: this.#metrics,
-            logger: this.#logger,
+            usage,
+            rankOf: server => this.#context.serverSubset.rankOf(server),
         });
         const crashDetection = createCrashDetection({
+            ...shared,
             adapter,
             serverClient: serverAccess.serverClient,
-            directory: this.#directory,
             serverLoads: this.#serverLoads,
             isTopRanked: (part, count) => this.#context.serverSubset.isTopRanked(part, count),
-            metrics: this.#metrics,
-            logger: this.#logger,
         });
         this.#rateLimiter = new RateLimiter({
-            self: { name: settings.name, incarnation: this.#incarnation },
+            ...usage,
             windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
             excess: bounds.quotaExcess,
             slack: bounds.quotaSlack,
-            firstStart: settings.firstStart,
-            instanceCount,
-            isInOtherCell: name => this.#peerMesh.isInOtherCell(name),
-            clock: this.#clock,
         });
         const reporter = new FleetReporter({
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
             ...crashDetection,
             leavingServers: serverAccess.leavingServers,
+            serverLimits: serverAccess.serverLimits,
             stageBalancer: () => this.#stageLeadership?.balancer,
             readsStore: () => this.#replicaFollower?.connected ?? false,
         });
@@ -160,10 +163,9 @@
             onFleetState: state => reporter.applyFleetState(state),
         });
         const context: GatewayContext = {
-            settings: () => this.settings,
+            ...shared,
             headers: adapter.headers,
             engineProtocol: adapter.engineProtocol,
-            directory: this.#directory,
             serverLoads: this.#serverLoads,
             ...serverAccess,
             retryBudget: new RetryBudget(() => computeRetryLimit(this.settings.bounds), instanceCount),
@@ -179,9 +181,6 @@
             directoryUpdater: this.#directoryUpdater,
             ...crashDetection,
             memory: this.#memory.budget,
-            clock: this.#clock,
-            metrics: this.#metrics,
-            logger: this.#logger,
         };
         this.#context = context;
         this.#server = new GatewayServer(context, this.#rateLimiter);
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -14,6 +14,7 @@
 import type { ServerAvailability } from "./server_availability.ts";
 import type { ServerClient } from "./server_client.ts";
 import type { ServerEndProbe } from "./server_end_probe.ts";
+import type { ServerLimits } from "./server_limits.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
 import type { ServerSubset } from "./server_subset.ts";
 
@@ -31,6 +32,8 @@
     availability: ServerAvailability;
     /** Servers that have said that they leave. */
     leavingServers: LeavingServers;
+    /** Limits that servers have named. */
+    serverLimits: ServerLimits;
     retryBudget: RetryBudget;
     crashRegistry: CrashRegistry;
     /** Parts of prompts that crash servers. */
--- a/packages/gateway/gateway_refusal_reason.ts
+++ b/packages/gateway/gateway_refusal_reason.ts
@@ -14,6 +14,7 @@
     | "over-limit"
     | "no-backend-server"
     | "servers-paused"
+    | "servers-at-limits"
     | "no-capacity"
     | "backend-failed"
     | "retry-budget-spent"
--- a/packages/gateway/leaving_servers_test.ts
+++ b/packages/gateway/leaving_servers_test.ts
@@ -1,10 +1,12 @@
 import { expect, test } from "vitest";
+import { SuspensionAwareClock } from "../clocks/mod.ts";
 import { Directory, type RegisteredServer } from "../directory/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { LeavingServers } from "./leaving_servers.ts";
 import { PausedServers } from "./paused_servers.ts";
 import { ServerAvailability } from "./server_availability.ts";
 import { ServerClient } from "./server_client.ts";
+import { ServerLimits } from "./server_limits.ts";
 
 const DRAIN_MILLISECONDS = 2_000;
 
@@ -32,14 +34,26 @@
         metrics,
         logger,
     });
+    const serverLimits = new ServerLimits({
+        directory,
+        clock: new SuspensionAwareClock(),
+        self: { name: "instance-1", incarnation: "a" },
+        instanceCount: () => 1,
+        isInOtherCell: () => false,
+        firstStart: true,
+        rankOf: () => 0,
+        metrics,
+        logger,
+    });
     return {
         directory,
+        serverLimits,
         clock,
         lines,
         metrics,
         leavingServers,
         pausedServers,
-        availability: new ServerAvailability(directory, leavingServers, pausedServers),
+        availability: new ServerAvailability(directory, leavingServers, pausedServers, serverLimits),
     };
 }
 
@@ -95,13 +109,13 @@
 // Guards against the exclusion of a server because another one at its address leaves.
 test("the header of an answer by another server than the expected one is not recorded", async () => {
     const first = server("first");
-    const { leavingServers, pausedServers } = create(first);
+    const { leavingServers, pausedServers, serverLimits } = create(first);
     const names = { leaving: "x-leaving" } as ConstructorParameters<typeof ServerClient>[1];
     const respond = (status: number, headers: Record<string, string>) => {
         const response = { isOk: () => true, value: { status, headers } };
         const pool = { send: async () => response } as unknown as ConstructorParameters<typeof ServerClient>[0];
         const request = { method: "GET", path: "/", headers: [], timeoutMilliseconds: 1 };
-        return new ServerClient(pool, names, leavingServers, pausedServers).send(first, request);
+        return new ServerClient(pool, names, leavingServers, pausedServers, serverLimits).send(first, request);
     };
     await respond(421, { "x-leaving": "1", "retry-after": "9" });
     await respond(200, { "x-leaving": "0" });
--- a/packages/gateway/protocol_headers.ts
+++ b/packages/gateway/protocol_headers.ts
@@ -27,6 +27,8 @@
     lastEventId: string;
     /** `1` when the server leaves. */
     leaving: string;
+    /** Requests a second, as a decimal number, that the server takes from all instances together. */
+    limit: string;
     /** Headers that only the router may set; they are removed from callers' requests. */
     reserved: string[];
 }
--- a/packages/gateway/server_availability.ts
+++ b/packages/gateway/server_availability.ts
@@ -2,11 +2,14 @@
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { PausedServers } from "./paused_servers.ts";
+import type { ServerLimits } from "./server_limits.ts";
 
 /** Delay in milliseconds after which a caller may retry when every server leaves. */
 const RETRY_AFTER_MILLISECONDS = 300;
-/** Time in milliseconds over which the callers that wait for the end of a pause are spread. */
+/** Time in milliseconds over which the callers that wait for the end of a pause or for a place are spread. */
 const RETRY_SPREAD_MILLISECONDS = 500;
+const PAUSED = { reason: "servers-paused" as const, message: "Every backend server has asked for a pause" };
+const AT_LIMITS = { reason: "servers-at-limits" as const, message: "Every backend server has reached its limit" };
 const NO_SERVERS: ReadonlySet<string> = new Set();
 
 /**
@@ -14,7 +17,7 @@
  *
  * @example
  * ```ts
- * const availability = new ServerAvailability(directory, leavingServers, pausedServers);
+ * const availability = new ServerAvailability(directory, leavingServers, pausedServers, serverLimits);
  * availability.usableServers("models", "decode");
  * ```
  */
@@ -23,11 +26,13 @@
      * @param directory Registered servers.
      * @param leavingServers Servers that have said that they leave.
      * @param pausedServers Servers that have asked for a pause.
+     * @param serverLimits Limits that servers have named.
      */
     constructor(
         private readonly directory: Directory,
         private readonly leavingServers: LeavingServers,
         private readonly pausedServers: PausedServers,
+        private readonly serverLimits: ServerLimits,
     ) {}
 
     /**
@@ -64,7 +69,7 @@
 
     /**
      * Finds out whether a request can be refused at once, since every server that is registered for it has said that it
-     * leaves or asked for a pause.
+     * leaves, asked for a pause or reached the limit that it names.
      *
      * @param service Name of the service.
      * @param stage Stage of the engines; undefined for all servers.
@@ -73,13 +78,19 @@
      */
     findRefusal(service: string, stage?: EngineStage, excluded = NO_SERVERS): GatewayRefusal | undefined {
         const servers = this.#registeredServers(service, stage).filter(({ id }) => !excluded.has(id));
-        if (servers.length === 0 || servers.some(server => this.#isAvailable(server))) {
+        const staying = servers.filter(server => !this.leavingServers.isExcluded(server));
+        const waits = staying.map(server =>
+            Math.max(
+                this.pausedServers.remainingMilliseconds(server),
+                this.serverLimits.waitMilliseconds(server),
+            )
+        );
+        if (servers.length === 0 || waits.includes(0)) {
             return undefined;
         }
-        const pauses = servers.filter(server => !this.leavingServers.isExcluded(server))
-            .map(server => this.pausedServers.remainingMilliseconds(server));
+        const isPaused = staying.every(server => this.pausedServers.remainingMilliseconds(server) > 0);
         const refusal = { status: 503, verdict: "not-run" as const };
-        return pauses.length === 0
+        return waits.length === 0
             ? {
                 ...refusal,
                 reason: "no-backend-server",
@@ -88,9 +99,8 @@
             }
             : {
                 ...refusal,
-                reason: "servers-paused",
-                message: "Every backend server has asked for a pause",
-                retryAfterMilliseconds: Math.min(...pauses) + Math.random() * RETRY_SPREAD_MILLISECONDS,
+                ...(isPaused ? PAUSED : AT_LIMITS),
+                retryAfterMilliseconds: Math.min(...waits) + Math.random() * RETRY_SPREAD_MILLISECONDS,
             };
     }
 
--- a/packages/gateway/server_chooser.ts
+++ b/packages/gateway/server_chooser.ts
@@ -54,13 +54,14 @@
     }
 
     /**
-     * Returns whether a request may be sent to a server now, given its limit while it is cold.
+     * Returns whether a request may be sent to a server now, given its limit while it is cold and the one that it names.
      *
      * @param server The server.
      * @returns Whether it may.
      */
     admits(server: RegisteredServer): boolean {
-        return this.context.serverLoads.admits(server, () => this.#coldLimit(server));
+        const { serverLimits, serverLoads } = this.context;
+        return serverLoads.admits(server, () => this.#coldLimit(server)) && serverLimits.admits(server);
     }
 
     /** Requests that this instance may send to a cold server in one second: its share of the server's limit. */
--- a/packages/gateway/server_client.ts
+++ b/packages/gateway/server_client.ts
@@ -4,6 +4,7 @@
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { PausedServers } from "./paused_servers.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
+import type { ServerLimits } from "./server_limits.ts";
 
 /** Status of a response by another server than the expected one. */
 const ANOTHER_SERVER_STATUS = 421;
@@ -16,7 +17,7 @@
  *
  * @example
  * ```ts
- * const client = new ServerClient(connectionPool, headers, leavingServers, pausedServers);
+ * const client = new ServerClient(connectionPool, headers, leavingServers, pausedServers, serverLimits);
  * const request = { method: "GET", path: "/", headers: [], timeoutMilliseconds: 500 };
  * const response = await client.send(server, request);
  * ```
@@ -27,12 +28,14 @@
      * @param headers Names of the headers.
      * @param leavingServers Servers that have said that they leave.
      * @param pausedServers Servers that have asked for a pause.
+     * @param serverLimits Limits that servers have named.
      */
     constructor(
         private readonly connectionPool: BackendConnectionPool,
         private readonly headers: ProtocolHeaders,
         private readonly leavingServers: LeavingServers,
         private readonly pausedServers: PausedServers,
+        private readonly serverLimits: ServerLimits,
     ) {}
 
     /**
@@ -46,20 +49,27 @@
         server: RegisteredServer,
         request: Omit<BackendRequest, "address">,
     ): Promise<Result<BackendResponse, BackendFault>> {
+        // Calls of the router itself bear no id of a request.
+        const isRequest = request.correlation?.value !== undefined;
+        if (isRequest) {
+            this.serverLimits.take(server);
+        }
         const response = await this.connectionPool.send({ ...request, address: server.address });
         if (response.isOk()) {
-            this.#recordNotices(server, response.value);
+            this.#recordNotices(server, response.value, isRequest);
         }
         return response;
     }
 
-    #recordNotices(server: RegisteredServer, { status, headers }: BackendResponse): void {
+    #recordNotices(server: RegisteredServer, { status, headers }: BackendResponse, isRequest: boolean): void {
         if (status === ANOTHER_SERVER_STATUS) {
             return;
         }
         if (headers[this.headers.leaving] === LEAVING_VALUE) {
             this.leavingServers.record(server, "answer");
         }
+        const limit = headers[this.headers.limit];
+        this.serverLimits.record(server, typeof limit === "string" ? limit : undefined, isRequest);
         const retryAfter = headers["retry-after"];
         if (status === UNAVAILABLE_STATUS && retryAfter !== undefined) {
             this.pausedServers.record(server, retryAfter, headers["date"]);
--- /dev/null
+++ b/packages/gateway/server_limits_test.ts
@@ -0,0 +1,148 @@
+import { expect, test } from "vitest";
+import { SuspensionAwareClock } from "../clocks/mod.ts";
+import { Directory, type RegisteredServer } from "../directory/mod.ts";
+import { Metrics } from "../metrics/mod.ts";
+import { RandomSource } from "../randomness/mod.ts";
+import { ServerLimits } from "./server_limits.ts";
+
+const WINDOW_MILLISECONDS = 4_000;
+const server: RegisteredServer = {
+    ...{ id: "first", service: "orders", address: "127.0.0.1:1", failureDomain: "north", leaving: false },
+    ...{ stage: undefined, slots: 8, coldMilliseconds: 0, startedAt: 1 },
+};
+
+/** Creates a fleet with one object per instance, whose ranks differ. */
+function createFleet(count: number) {
+    const times = { now: 0 };
+    const clock = new SuspensionAwareClock(() => times.now, () => times.now);
+    const directory = new Directory();
+    directory.apply({ kind: "server", server });
+    const metrics = new Metrics();
+    const lines: unknown[] = [];
+    const log = (message: string, fields?: object) => lines.push({ message, ...fields });
+    const fleet = Array.from({ length: count }, (_, index) =>
+        new ServerLimits({
+            self: { name: `instance-${index}`, incarnation: "a" },
+            instanceCount: () => count,
+            isInOtherCell: () => false,
+            firstStart: true,
+            rankOf: () => index,
+            directory,
+            clock,
+            metrics,
+            logger: { info: log, warn: log, error: log },
+        }));
+    const report = (from: number, to: number) => {
+        fleet[to]?.usage.recordPeerReport(`instance-${from}`, "a", fleet[from]!.usage.report());
+        fleet[to]?.recordPeerNotices(fleet[from]!.notices());
+    };
+    const exchange = () => fleet.forEach((_, from) => fleet.forEach((__, to) => from === to || report(from, to)));
+    return { times, directory, metrics, lines, fleet, report, exchange };
+}
+
+// Guards against limits that are taken for zero, for none or for another number than the server has named.
+test.each([
+    ["2", 8],
+    ["1.25", 5],
+    [" 0.5 ", 2],
+    ["0", 1],
+    ["0.0001", 1],
+    ["900000000000000", undefined],
+    ["1e3", undefined],
+    ["-1", undefined],
+    ["Infinity", undefined],
+    ["", undefined],
+    ["1, 1", undefined],
+])("a lone instance sends as many requests in a window as the limit %j allows", (value, expected) => {
+    const { fleet: [limits], metrics } = createFleet(1);
+    limits!.record(server, value, true);
+    let sent = 0;
+    for (; sent < 1_000 && limits!.admits(server); sent++) {
+        limits!.take(server);
+    }
+    expect(sent).toBe(expected ?? 1_000);
+    const malformed = Number(expected === undefined && !/^\d+$/.test(value));
+    expect(metrics.count("server_limits_total", { change: "malformed", source: "answer" })).toBe(malformed);
+    expect(limits!.waitMilliseconds(server)).toBe(expected === undefined ? 0 : WINDOW_MILLISECONDS / expected);
+});
+
+// Guards against instances that use one limit each for themselves, and against a low limit that no instance uses.
+test.each([
+    [2, 1, 50, 1],
+    [9, 1, 100, 2],
+    [9, 1, 500, 3],
+    [9, 0.3, 500, 4],
+    [9, 10, 500, 5],
+    [30, 1, 300, 6],
+    [30, 20, 500, 7],
+])("%i instances keep to a limit of %d a second with reports every %i ms (seed %i)", (count, limit, period, seed) => {
+    const { times, fleet, exchange } = createFleet(count);
+    const random = new RandomSource(seed);
+    fleet.forEach(limits => limits.record(server, String(limit), true));
+    const sent: number[] = [];
+    for (; times.now < 40_000; times.now += 10) {
+        if (times.now % period === 0) {
+            exchange();
+        }
+        const limits = fleet[Math.floor(random.next() * count)]!;
+        if (limits.admits(server)) {
+            limits.take(server);
+            sent.push(times.now);
+        }
+    }
+    const counts = sent.map(start => sent.filter(at => at >= start && at < start + WINDOW_MILLISECONDS).length);
+    expect(Math.max(...counts)).toBeLessThanOrEqual(1.5 * limit * 4 + 5);
+    expect(sent.length).toBeGreaterThan(limit * 40 * 0.7);
+});
+
+// Guards against an instance that spends what others count on because the server has not answered it.
+test("an instance keeps to a limit of which it has only heard from a peer, and to what its peers have used", () => {
+    const { fleet: [first, second], report } = createFleet(2);
+    const sendAll = (limits: ServerLimits) => {
+        let sent = 0;
+        for (; sent < 100 && limits.admits(server); sent++) {
+            limits.take(server);
+        }
+        return sent;
+    };
+    first!.record(server, "1", true);
+    // The other half is left to the instance that has not reported.
+    expect(sendAll(first!)).toBe(2);
+    report(0, 1);
+    expect(sendAll(second!)).toBe(2);
+    report(1, 0);
+    expect(sendAll(first!)).toBe(0);
+});
+
+// Guards against limits that come back by an older notice, or that an answer to another kind of call ends.
+test("the latest notice of a server counts, whoever received it", () => {
+    const { times, fleet: [first, second], report } = createFleet(2);
+    first!.record(server, "0", true);
+    report(0, 1);
+    second!.record(server, undefined, false);
+    expect(second!.waitMilliseconds(server)).toBe(0);
+    second!.take(server);
+    expect(second!.waitMilliseconds(server)).toBe(WINDOW_MILLISECONDS);
+    times.now = 1_000;
+    second!.record(server, undefined, true);
+    expect(second!.waitMilliseconds(server)).toBe(0);
+    report(0, 1);
+    expect(second!.waitMilliseconds(server)).toBe(0);
+    report(1, 0);
+    expect(first!.notices()).toEqual([]);
+    expect(first!.version).toBe(2);
+});
+
+// Guards against a limit of an earlier start of a server.
+test("a limit ends with another start of its server", () => {
+    const { directory, fleet: [limits] } = createFleet(1);
+    limits!.record(server, "0", true);
+    limits!.take(server);
+    expect(limits!.admits(server)).toBe(false);
+    const restarted = { ...server, startedAt: 2 };
+    directory.apply({ kind: "server", server: restarted });
+    expect(limits!.admits(restarted)).toBe(true);
+    limits!.record(server, "0", true);
+    expect(limits!.admits(restarted)).toBe(true);
+    expect(limits!.notices()).toEqual([]);
+});
--- a/packages/gateway/server_subset.ts
+++ b/packages/gateway/server_subset.ts
@@ -71,8 +71,18 @@
      * @returns Whether it is one of them.
      */
     isTopRanked(server: string, count: number): boolean {
+        return this.rankOf(server) < count;
+    }
+
+    /**
+     * Returns the position of this instance in the order of instances that rank a server highest.
+     *
+     * @param server Id of the server.
+     * @returns The position, from 0.
+     */
+    rankOf(server: string): number {
         const own = this.#rank(this.self, server);
-        return this.peers().filter(peer => this.#rank(peer, server) < own).length < count;
+        return this.peers().filter(peer => this.#rank(peer, server) < own).length;
     }
 
     /**
--- a/packages/peers/cell_state_schema.ts
+++ b/packages/peers/cell_state_schema.ts
@@ -1,12 +1,18 @@
 import * as z from "zod";
 import { createEmptyReport, promptPartReportSchema } from "../prompt_parts/mod.ts";
+import { serverLimitNoticeSchema } from "./server_limit_notice_schema.ts";
 import { usageSummarySchema } from "./usage_summary_schema.ts";
 
 const MAXIMUM_ENTRIES = 1_024;
 
 /** Schema of what the instances of one or more cells report together. */
 export const cellStateSchema = z.object({
+    /** Usage of organisations' limits. */
     usage: z.array(usageSummarySchema).max(MAXIMUM_ENTRIES),
+    /** Usage of servers' limits. */
+    serverUsage: z.array(usageSummarySchema).max(MAXIMUM_ENTRIES).default([]),
+    /** Limits that servers have named. */
+    serverLimits: z.array(serverLimitNoticeSchema).max(MAXIMUM_ENTRIES).default([]),
     /** By model service: prompt tokens of unfinished prefills, and reserved tokens. */
     stageLoads: z.record(z.string(), z.tuple([z.number(), z.number()])),
     /** Engines that are changing their stage by an order. */
--- a/packages/peers/cell_summaries.ts
+++ b/packages/peers/cell_summaries.ts
@@ -1,9 +1,10 @@
 import type { SuspensionAwareClock } from "../clocks/mod.ts";
 import { createEmptyReport, mergePromptPartReports } from "../prompt_parts/mod.ts";
 import { mergeLeaving } from "./_merge_leaving.ts";
+import { mergeLimits } from "./_merge_limits.ts";
+import { UsageSum } from "./_usage_sum.ts";
 import type { CellState } from "./cell_state.ts";
 import type { CellSummary } from "./cell_summary.ts";
-import type { UsageSummary } from "./usage_summary.ts";
 
 /** Age in milliseconds above which a summary no longer says what its cell does now. */
 const SUMMARY_LIFETIME_MILLISECONDS = 1_500;
@@ -114,6 +115,8 @@
         this.#removeExpired(now);
         const merged: CellState = {
             usage: [],
+            serverUsage: [],
+            serverLimits: [],
             stageLoads: {},
             changing: [],
             gone: [],
@@ -121,34 +124,29 @@
             crashes: [],
             promptParts: createEmptyReport(),
         };
-        let live: UsageSummary | undefined;
+        const usage = new UsageSum();
+        const serverUsage = new UsageSum();
         for (const cell of cells) {
             const entry = this.#entries.get(cell);
             if (!entry) {
                 continue;
             }
             const { state } = entry.summary;
-            const isFresh = now - entry.at <= SUMMARY_LIFETIME_MILLISECONDS;
-            for (const usage of state.usage) {
-                const aged = { ...usage, age: usage.age + now - entry.at };
-                if (isFresh && !usage.missing) {
-                    live = live ? addUsage(live, aged) : aged;
-                }
-                else {
-                    merged.usage.push({ ...aged, missing: true });
-                }
-            }
+            const age = now - entry.at;
+            const isFresh = age <= SUMMARY_LIFETIME_MILLISECONDS;
+            usage.add(state.usage, age, isFresh);
+            serverUsage.add(state.serverUsage, age, isFresh);
+            merged.serverLimits = mergeLimits(merged.serverLimits, state.serverLimits, age);
             if (isFresh) {
                 addState(merged, state);
-                mergePromptPartReports(merged.promptParts, state.promptParts, now - entry.at);
+                mergePromptPartReports(merged.promptParts, state.promptParts, age);
             }
         }
-        for (const { summary, at } of this.#replaced) {
-            // The processes that replaced them are counted with their own reports.
-            const former = { instances: 0, missing: true };
-            merged.usage.push(...summary.state.usage.map(part => ({ ...part, ...former, age: part.age + now - at })));
+        for (const { summary: { state }, at } of this.#replaced) {
+            usage.addReplaced(state.usage, now - at);
+            serverUsage.addReplaced(state.serverUsage, now - at);
         }
-        return live ? { ...merged, usage: [live, ...merged.usage] } : merged;
+        return { ...merged, usage: usage.summaries(), serverUsage: serverUsage.summaries() };
     }
 
     #removeExpired(now: number): void {
@@ -162,25 +160,6 @@
     }
 }
 
-function addUsage(left: UsageSummary, right: UsageSummary): UsageSummary {
-    return {
-        instances: left.instances + right.instances,
-        spending: addByKey(left.spending, right.spending),
-        asked: addByKey(left.asked, right.asked),
-        assumedShare: left.assumedShare + right.assumedShare,
-        age: Math.max(left.age, right.age),
-        missing: false,
-    };
-}
-
-function addByKey(left: Record<string, number>, right: Record<string, number>): Record<string, number> {
-    const sums = { ...left };
-    for (const [key, value] of Object.entries(right)) {
-        sums[key] = (sums[key] ?? 0) + value;
-    }
-    return sums;
-}
-
 function addState(merged: CellState, state: CellState): void {
     for (const [service, [prefillTokens, reservedTokens]] of Object.entries(state.stageLoads)) {
         const [prefillSum, reservedSum] = merged.stageLoads[service] ?? [0, 0];
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -6,4 +6,5 @@
 export { PeerMesh } from "./peer_mesh.ts";
 export type { PeerMeshOptions } from "./peer_mesh_options.ts";
 export type { PeerReport } from "./peer_report.ts";
+export type { ServerLimitNotice } from "./server_limit_notice.ts";
 export type { UsageSummary } from "./usage_summary.ts";
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -4,6 +4,7 @@
 import { logFailure } from "../logs/mod.ts";
 import { type ItemChange, positionOf, type ReplicaUpdate } from "../replica/mod.ts";
 import { mergeLeaving } from "./_merge_leaving.ts";
+import { mergeLimits } from "./_merge_limits.ts";
 import { parseRegistration } from "./_parse_registration.ts";
 import type { Cell } from "./cell.ts";
 import { CellExchange } from "./cell_exchange.ts";
@@ -215,6 +216,7 @@
             state.changing.push(...report.changing);
             state.gone.push(...report.gone);
             state.leaving = mergeLeaving(state.leaving, report.leaving);
+            state.serverLimits = mergeLimits(state.serverLimits, report.serverLimits, monotonicMilliseconds() - at);
         }
         return state;
     }
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -1,6 +1,8 @@
 import * as z from "zod";
 import { createEmptyReport, promptPartReportSchema } from "../prompt_parts/mod.ts";
 import { peerSchema } from "./peer_schema.ts";
+import { serverLimitNoticeSchema } from "./server_limit_notice_schema.ts";
+import { spendingReportSchema } from "./spending_report_schema.ts";
 
 /** Schema of an instance's report on itself to its peers. */
 export const peerReportSchema = peerSchema.extend({
@@ -18,12 +20,10 @@
     crashes: z.array(z.tuple([z.string(), z.string()])).max(1_024),
     /** Parts of prompts that crash servers. */
     promptParts: promptPartReportSchema.default(createEmptyReport),
-    /** Units spent within the limit's window, by organisation. */
-    spending: z.record(z.string(), z.number()),
-    /** Units requested in the last second by organisation, including those beyond a limit. */
-    asked: z.record(z.string(), z.number()),
-    /** Fraction of an equal share that the instance's previous process is assumed to have spent. */
-    assumedShare: z.number(),
-    /** Spending of processes that ended within the window: age in milliseconds, units by organisation. */
-    ended: z.record(z.string(), z.tuple([z.number(), z.record(z.string(), z.number())])),
+    /** Usage of organisations' limits. */
+    ...spendingReportSchema.shape,
+    /** Usage of servers' limits; undefined from an instance that does not count it. */
+    serverUsage: spendingReportSchema.optional(),
+    /** Limits that servers have named to the instance. */
+    serverLimits: z.array(serverLimitNoticeSchema).max(1_024).default([]),
 });
--- a/packages/peers/usage_summary.ts
+++ b/packages/peers/usage_summary.ts
@@ -1,5 +1,5 @@
 import type * as z from "zod";
 import type { usageSummarySchema } from "./usage_summary_schema.ts";
 
-/** Usage of rate limits by several instances together. */
+/** Usage of limits by several instances together. */
 export type UsageSummary = z.infer<typeof usageSummarySchema>;
