Give late turns to the steps of a shutdown for which callers wait

Cause: the last calls and the exit got late turns too, so that with turns 300 ms late the remaining requests were aborted 6.4 s after SIGTERM. A stream that is cut before the last sixth of the grace period (6.67 s of 8) is one that need not have been lost.

Change: only the close of the port and the last answers get late turns, and only for the lateness beyond what their times tolerate.

Result: found by reading.

--- a/packages/shutdown/shutdown_schedule.ts
+++ b/packages/shutdown/shutdown_schedule.ts
@@ -7,9 +7,10 @@
  */
 const STEPS: readonly { readonly step: ShutdownStep; readonly milliseconds: number; readonly lateTurns: number; }[] = [
     { step: "close of the port", milliseconds: 500, lateTurns: 2 },
-    { step: "last answers", milliseconds: 200, lateTurns: 1 },
-    { step: "last calls", milliseconds: 300, lateTurns: 1 },
-    { step: "exit", milliseconds: 200, lateTurns: 1 },
+    { step: "last answers", milliseconds: 200, lateTurns: 2 },
+    // No caller waits any longer for these, so that they may be cut by the end of the process.
+    { step: "last calls", milliseconds: 300, lateTurns: 0 },
+    { step: "exit", milliseconds: 200, lateTurns: 0 },
 ];
 /** Lateness in milliseconds of a turn up to which the times of the steps suffice. */
 const TOLERATED_LATENESS_MILLISECONDS = 100;
@@ -69,7 +70,7 @@
      * @returns Monotonic time in milliseconds; earlier than before if a turn has come later than those before.
      */
     startOf(step: ShutdownStep): number {
-        return this.#killedAt - sumOf(this.#allotmentsFrom(step));
+        return Math.max(this.bounds.signalNotBefore, this.#killedAt - sumOf(this.#allotmentsFrom(step)));
     }
 
     /**
@@ -94,9 +95,8 @@
     /** Returns the times in milliseconds that are allotted to a step and those after it. */
     #allotmentsFrom(step: ShutdownStep): number[] {
         const { graceMilliseconds, drainedAt, latenessMilliseconds } = this.bounds;
-        const lateness = latenessMilliseconds();
-        const counted = lateness > TOLERATED_LATENESS_MILLISECONDS ? lateness : 0;
-        const wanted = STEPS.map(({ milliseconds, lateTurns }) => milliseconds + lateTurns * counted);
+        const lateness = Math.max(0, latenessMilliseconds() - TOLERATED_LATENESS_MILLISECONDS);
+        const wanted = STEPS.map(({ milliseconds, lateTurns }) => milliseconds + lateTurns * lateness);
         const least = Math.min(sumOf(STEPS.map(({ milliseconds }) => milliseconds)), graceMilliseconds);
         const available = Math.max(least, this.#killedAt - drainedAt);
         const scale = Math.min(1, available / sumOf(wanted));
