Let answers that have begun go on while a late process refuses the rest

Cause: the abort was moved for what needs turns, which is to write refusals. An answer that has begun can only be cut then, which is no better than to be cut by the end of the process, and it may be completed meanwhile.

Change: requests without an answer are refused at the time that the lateness asks for, answers that have begun are cut at the usual time (7.3 s after SIGTERM with a grace of 8 s).

--- a/packages/gateway/_create_shutdown_schedule.ts
+++ b/packages/gateway/_create_shutdown_schedule.ts
@@ -1,4 +1,3 @@
-import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { ShutdownSchedule, type TurnWatch } from "../shutdown/mod.ts";
 
 /** Time in milliseconds after the shutdown signal during which the load balancer may still open connections. */
@@ -10,7 +9,7 @@
     return new ShutdownSchedule({
         signalNotBefore: turns.signalNotBefore,
         graceMilliseconds: graceSeconds * MILLISECONDS_PER_SECOND,
-        drainedAt: monotonicMilliseconds() + DRAIN_MILLISECONDS,
+        drainedAt: turns.signalNotBefore + DRAIN_MILLISECONDS,
         latenessMilliseconds: () => turns.latenessMilliseconds,
     });
 }
--- a/packages/gateway/drain_callers.ts
+++ b/packages/gateway/drain_callers.ts
@@ -7,7 +7,7 @@
 
 /**
  * Lets the active requests of a server end while the load balancer notices that the instance is not ready, closes the
- * port, and aborts the requests that are left. Idle connections of callers stay open until the end, since requests may be
+ * port, refuses the requests that have no answer yet, and aborts the rest. Idle connections of callers stay open until the end, since requests may be
  * on their way; their next answer announces the close.
  *
  * @param server The server for callers.
@@ -27,16 +27,22 @@
     steps: ShutdownLog,
     logger: Logger,
 ): Promise<void> {
+    const refuseAt = () => schedule.startOf("refusals");
     const abortAt = () => schedule.startOf("last answers");
     steps.begin("drain", schedule.startOf("close of the port"));
-    await waitForActive(server, schedule, abortAt);
+    await waitForActive(server, schedule, refuseAt);
     // Requests that still arrive would be cut soon.
     server.refuseDeadlinesAfter(() => Number.NEGATIVE_INFINITY);
-    const portClosedAt = () => Math.max(abortAt(), schedule.endOf("close of the port"));
+    const portClosedAt = () => Math.max(refuseAt(), schedule.endOf("close of the port"));
     steps.begin("close of the port", portClosedAt());
     await server.portCloser.close(portClosedAt);
-    steps.begin("last requests", abortAt());
-    await waitUntil(() => server.active === 0 && server.connections.awaitingRequest === 0, abortAt);
+    steps.begin("last requests", refuseAt());
+    const hasEnded = () => server.active === 0 && server.connections.awaitingRequest === 0;
+    await waitUntil(hasEnded, refuseAt);
+    steps.begin("refusals", abortAt());
+    server.abortUnanswered();
+    // A late process needs turns for the refusals. Answers that have begun may still be completed meanwhile.
+    await waitUntil(hasEnded, abortAt);
     logger.info("shut down", { requestsCut: server.active });
     const endBy = schedule.endOf("last answers");
     steps.begin("last answers", endBy);
@@ -45,11 +51,11 @@
 }
 
 /** Waits until no request is active at the end of the drain period or later, or the port must be closed. */
-async function waitForActive(server: GatewayServer, schedule: ShutdownSchedule, abortAt: () => number): Promise<void> {
+async function waitForActive(server: GatewayServer, schedule: ShutdownSchedule, refuseAt: () => number): Promise<void> {
     const closeAt = () => schedule.startOf("close of the port");
     await waitUntil(() => monotonicMilliseconds() > schedule.drainedAt, closeAt);
     // Requests that may last longer would be cut.
-    server.refuseDeadlinesAfter(abortAt);
+    server.refuseDeadlinesAfter(refuseAt);
     await waitUntil(() => server.active === 0, closeAt);
 }
 
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -58,7 +58,7 @@
     readonly #plainForwarder: PlainForwarder;
     readonly #streamForwarder: StreamForwarder;
     /** Aborts each request that has not been answered. */
-    readonly #aborts = new Set<AbortController>();
+    readonly #aborts = new Map<AbortController, ServerResponse>();
     #active = 0;
     #keepAliveDisabled = false;
 
@@ -133,9 +133,18 @@
         this.#admission.latestDeadline = latestDeadline;
     }
 
+    /** Ends the active requests whose answers have not begun; they get a refusal. */
+    abortUnanswered(): void {
+        this.#aborts.forEach((response, abort) => {
+            if (!response.headersSent) {
+                abort.abort("shutting-down");
+            }
+        });
+    }
+
     /** Ends the active requests; those without a response so far get a refusal. */
     abortActive(): void {
-        this.#aborts.forEach(abort => abort.abort("shutting-down"));
+        this.#aborts.forEach((_response, abort) => abort.abort("shutting-down"));
     }
 
     /** Closes every connection. */
@@ -179,7 +188,7 @@
     async #serve(incoming: IncomingMessage, response: ServerResponse, exchange: CallerExchange): Promise<void> {
         const { id, receivedAt } = exchange;
         const abort = new AbortController();
-        this.#aborts.add(abort);
+        this.#aborts.set(abort, response);
         response.on("close", () => {
             this.#aborts.delete(abort);
             if (!response.writableFinished) {
--- a/packages/shutdown/shutdown_schedule.ts
+++ b/packages/shutdown/shutdown_schedule.ts
@@ -7,8 +7,10 @@
  */
 const STEPS: readonly { readonly step: ShutdownStep; readonly milliseconds: number; readonly lateTurns: number; }[] = [
     { step: "close of the port", milliseconds: 500, lateTurns: 2 },
-    { step: "last answers", milliseconds: 200, lateTurns: 2 },
-    // No caller waits any longer for these, so that they may be cut by the end of the process.
+    // Refusals are written at once, and only late turns keep them.
+    { step: "refusals", milliseconds: 0, lateTurns: 2 },
+    // The end of the process may cut the rest: it has no callers, or those whose answers would be cut otherwise.
+    { step: "last answers", milliseconds: 200, lateTurns: 0 },
     { step: "last calls", milliseconds: 300, lateTurns: 0 },
     { step: "exit", milliseconds: 200, lateTurns: 0 },
 ];
--- a/packages/shutdown/shutdown_step.ts
+++ b/packages/shutdown/shutdown_step.ts
@@ -1,2 +1,2 @@
 /** Step at the end of a shutdown, in the order in which they follow each other. */
-export type ShutdownStep = "close of the port" | "last answers" | "last calls" | "exit";
+export type ShutdownStep = "close of the port" | "refusals" | "last answers" | "last calls" | "exit";
