Refuse arguments that a command does not use

Cause: generated keys are base64url, so that one of 64 begins with "-", and the command line read such a key as a series of short options. With an "h" or a "v" among them it printed its help or its version, withdrew nothing and ended with 0; other keys of this kind ended with 1 or 4.

Ruled out: the suspension of the instance.

Change: arguments that look like no option, unknown options and arguments left over are refused with 1 before anything is done; no generated key begins with "-".

--- a/packages/operators/_commands.ts
+++ b/packages/operators/_commands.ts
@@ -1,12 +1,11 @@
-import { randomBytes } from "node:crypto";
 import { diffDocuments, type DocumentOperation, hashKey } from "../configuration/mod.ts";
+import { createKey } from "./_create_key.ts";
 import { checkFile } from "./check_file.ts";
 import { ExitCode } from "./exit_code.ts";
 import { OperatorClient } from "./operator_client.ts";
 import { readDeclaration } from "./read_declaration.ts";
 
 const IN_FORCE_TIMEOUT_MILLISECONDS = 5_000;
-const KEY_BYTES = 24;
 
 interface ConnectionOptions {
     instance: string;
@@ -64,7 +63,7 @@
         organisation: string,
         options: ConnectionOptions & { hash?: string; label?: string; },
     ): Promise<number> {
-        const key = randomBytes(KEY_BYTES).toString("base64url");
+        const key = createKey();
         const hash = options.hash ?? hashKey(key);
         return await withClient(options, async client => {
             const current = await client.configuration();
--- a/packages/operators/command_line_test.ts
+++ b/packages/operators/command_line_test.ts
@@ -3,7 +3,9 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterAll, beforeAll, expect, test } from "vitest";
+import { hashKey } from "../configuration/mod.ts";
 import { buildDeclaration, Fleet, ManagedProcess, PortBlock } from "../harness/mod.ts";
+import { createKey } from "./_create_key.ts";
 
 let directory: string;
 let fleet: Fleet;
@@ -28,7 +30,9 @@
 function run(...commandArguments: string[]): Promise<{ code: number; output: string; }> {
     return new Promise(resolve => {
         execFile(process.execPath, ["dist/laburnumslip.cjs", ...commandArguments], (error, stdout, stderr) => {
-            resolve({ code: typeof error?.code === "number" ? error.code : 0, output: stdout + stderr });
+            // A command that did not start or was ended by a signal has no exit code.
+            const code = error ? Number(error.code ?? Number.NaN) : 0;
+            resolve({ code, output: stdout + stderr });
         });
     });
 }
@@ -112,7 +116,8 @@
     const granted = await run("keys", "grant", "north", ...connection);
     const key = /^key (\S+)$/m.exec(granted.output)?.[1] ?? "";
     expect((await fleet.call(1, "/v1/models", { key })).status).toBe(200);
-    expect(await run("keys", "withdraw", key, ...connection)).toMatchObject({ code: 0 });
+    const withdrawn = await run("keys", "withdraw", key, ...connection);
+    expect(withdrawn).toMatchObject({ code: 0, output: expect.stringContaining("in force at 2 of 2 instances") });
     expect((await fleet.call(1, "/v1/models", { key })).status).toBe(401);
     expect(await run("keys", "grant", "nobody", ...connection)).toMatchObject({ code: 1 });
     expect(await run("order", "decode-1", "load-model", "drafting-2", ...connection)).toMatchObject({ code: 0 });
@@ -121,6 +126,39 @@
     expect(status.fleet).toHaveLength(2);
 });
 
+// Guards against a key that stays valid although its withdrawal reported success, since the key was read as options.
+test.each(["-h", "-av", "---h", "-a", "--a", "--no-a"])(
+    "a key that begins with %s is withdrawn or refused",
+    async start => {
+        const key = `${start}${"b2_c".repeat(7)}`;
+        const status = async () => (await fleet.call(1, "/v1/models", { key })).status;
+        expect(await run("keys", "grant", "north", "--hash", hashKey(key), ...connection)).toMatchObject({ code: 0 });
+        expect(await status()).toBe(200);
+        expect(await run("keys", "withdraw", key, ...connection)).toMatchObject({ code: 1 });
+        expect(await status()).toBe(200);
+        expect(await run("keys", "withdraw", ...connection, "--", key)).toMatchObject({ code: 0 });
+        expect(await status()).toBe(401);
+    },
+);
+
+// Guards against the same for a second key and for an option of another command.
+test.each(["keys withdraw first second", "drain decode-1 --dry-run"])(
+    "arguments that a command does not use are refused: %s",
+    async command => {
+        const version = async () =>
+            (JSON.parse((await run("status", ...connection)).output) as { version: number; }).version;
+        const before = await version();
+        expect(await run(...command.split(" "), ...connection)).toMatchObject({ code: 1 });
+        expect(await version()).toBe(before);
+    },
+);
+
+// Guards against new keys that can only be withdrawn with care.
+test("no generated key begins like an option", () => {
+    const bytes = [Buffer.alloc(24, 0xfb), Buffer.alloc(24, 0xf8), Buffer.alloc(24)];
+    expect(createKey(() => bytes.shift()!)).toBe("A".repeat(32));
+});
+
 test("serve exits with an error if a port is in use or the secret file is missing", async () => {
     const settings = {
         name: "late",
--- a/packages/operators/main.ts
+++ b/packages/operators/main.ts
@@ -9,8 +9,8 @@
 async function main(): Promise<void> {
     // A router handles signals before the rest of the program is loaded; the other commands leave them at their default.
     const signals = process.argv[2] === "serve" ? handleSignals() : undefined;
-    const { createProgram } = await import("./create_program.ts");
-    createProgram(() => signals ?? handleSignals()).parse(process.argv);
+    const { runProgram } = await import("./run_program.ts");
+    runProgram(process.argv, () => signals ?? handleSignals());
 }
 
 main().catch((error: unknown) => {
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -51,7 +51,7 @@
         bundleInTwoFiles("laburnumslip", {
             ...options,
             entry: "packages/operators/main.ts",
-            program: "packages/operators/create_program.ts",
+            program: "packages/operators/run_program.ts",
         }),
         build({ ...COMMON_OPTIONS, ...options, entryPoints: { development: "packages/development/main.ts" } }),
     ]);
