Keep members that the platform's list contains

Seen: beside busy processes, a living instance was removed from the membership record as terminated, and a key was withdrawn "in force at 1 of 1 instances" with exit code 0 while the other one served callers.

Cause: the time for which the platform's list lacks a member was counted from the last read that contained it, and the present read did not reset it before it was judged. After 30 s without a read (the process or the machine stood still, or the list did not answer), the next read declared every other member terminated, although it contained them. Homes of such a member are taken over while it may still act as their home.

Ruled out: a refused connection or another incarnation as the proof.

Change: the time is counted from the first of successive reads that lack a member; a read that contains it ends it. The line about a terminated member says what the proof is.

--- a/packages/instances/instance_pool.ts
+++ b/packages/instances/instance_pool.ts
@@ -23,7 +23,7 @@
  */
 export class InstancePool {
     readonly #clients = new Map<string, InstanceClient>();
-    readonly #terminationListeners: ((target: Target) => void)[] = [];
+    readonly #terminationListeners: ((target: Target, failure: CallFailure) => void)[] = [];
 
     /**
      * @param identity Identity of this instance.
@@ -65,7 +65,7 @@
         if (result.isErr() && result.error.provesTermination) {
             this.#closeClient(target);
             for (const listener of this.#terminationListeners) {
-                listener(target);
+                listener(target, result.error);
             }
         }
         return result;
@@ -128,7 +128,7 @@
      *
      * @param listener The function.
      */
-    onTermination(listener: (target: Target) => void): void {
+    onTermination(listener: (target: Target, failure: CallFailure) => void): void {
         this.#terminationListeners.push(listener);
     }
 
--- a/packages/membership/membership.ts
+++ b/packages/membership/membership.ts
@@ -2,6 +2,7 @@
 import { instanceId } from "../instances/mod.ts";
 import { type StoredValue, updateValue } from "../store/mod.ts";
 import { PeerRecords } from "./_peer_records.ts";
+import { UnlistedMembers } from "./_unlisted_members.ts";
 import type { HomeKey } from "./home_key.ts";
 import type { Member } from "./member.ts";
 import type { MembershipOptions } from "./membership_options.ts";
@@ -41,7 +42,7 @@
     readonly #homeIdsByGroup = new Map<string, string[]>();
     readonly #listeners: Listener[] = [];
     readonly #terminated = new Set<string>();
-    readonly #lastListedAt = new Map<string, number>();
+    readonly #unlistedMembers: UnlistedMembers;
     #maintainTask: PeriodicTask | undefined;
     #listCheckTask: PeriodicTask | undefined;
     #leaving = false;
@@ -59,7 +60,8 @@
         private readonly options: MembershipOptions,
     ) {
         this.#peerRecords = new PeerRecords(this, options);
-        options.pool.onTermination(target => this.#markTerminated(target));
+        this.#unlistedMembers = new UnlistedMembers(options.listLagMilliseconds ?? DEFAULT_LIST_LAG_MILLISECONDS);
+        options.pool.onTermination((target, failure) => this.#markTerminated(target, failure.message));
     }
 
     /** The membership record that this instance has adopted. */
@@ -117,7 +119,7 @@
         this.#homeIdsByGroup.clear();
         this.#memberIds = record.members.map(instanceId);
         const ids = new Set(this.#memberIds);
-        for (const byMember of [this.#adoptedEpochs, this.#lastListedAt, this.#terminated]) {
+        for (const byMember of [this.#adoptedEpochs, this.#terminated]) {
             for (const id of byMember.keys()) {
                 if (!ids.has(id)) {
                     byMember.delete(id);
@@ -255,13 +257,13 @@
         }
     }
 
-    #markTerminated(target: { name: string; incarnation: string; }): void {
+    #markTerminated(target: { name: string; incarnation: string; }, cause: string): void {
         const id = instanceId(target);
         if (this.#terminated.has(id) || !this.#record.members.some(member => instanceId(member) === id)) {
             return;
         }
         this.#terminated.add(id);
-        this.options.logger.warn("member process has terminated", { gone: id });
+        this.options.logger.warn("member process has terminated", { gone: id, cause });
     }
 
     async #remove(ids: string[]): Promise<void> {
@@ -276,17 +278,9 @@
         if (listed.isErr()) {
             return;
         }
-        const now = monotonicMilliseconds();
         const addresses = new Set(listed.value.map(instance => instance.address));
-        const lag = this.options.listLagMilliseconds ?? DEFAULT_LIST_LAG_MILLISECONDS;
-        for (const member of this.otherMembers) {
-            const id = instanceId(member);
-            const lastListedAt = this.#lastListedAt.get(id) ?? now;
-            this.#lastListedAt.set(id, addresses.has(member.address) ? now : lastListedAt);
-            // Twice the lag: once for a delayed removal from the list and once for a delayed first listing.
-            if (now - lastListedAt > 2 * lag) {
-                this.#markTerminated(member);
-            }
+        for (const member of this.#unlistedMembers.record(addresses, this.otherMembers, monotonicMilliseconds())) {
+            this.#markTerminated(member, "the platform's list lacks it");
         }
     }
 
--- a/packages/membership/membership_test.ts
+++ b/packages/membership/membership_test.ts
@@ -17,6 +17,10 @@
 const noopLogger = { info: () => {}, warn: () => {}, error: () => {} };
 const SETTLE_MILLISECONDS = 8_000;
 const POLL_MILLISECONDS = 20;
+/** Shorter than half of the time between two reads of the platform's list. */
+const LIST_LAG_MILLISECONDS = 500;
+/** Time for at least two reads of the list. */
+const TWO_READS_MILLISECONDS = 11_000;
 
 /** The parts of an instance that keep the membership record. */
 class Node {
@@ -36,7 +40,9 @@
         const pool = new InstancePool(self, "secret", metrics, this.#server);
         const configuration = new ConfigurationState(invariants);
         const instanceList = { fetch: async () => ok(listed), close: async () => {} };
-        const shared = { store, pool, instanceList, metrics, logger: noopLogger, invariants, configuration };
+        const listLagMilliseconds = LIST_LAG_MILLISECONDS;
+        const base = { store, pool, instanceList, metrics, logger: noopLogger, invariants, listLagMilliseconds };
+        const shared = { ...base, configuration };
         this.membership = new Membership(self, shared);
         const context = { ...shared, membership: this.membership, server: this.#server };
         this.#heartbeats = new Heartbeats(context);
@@ -101,6 +107,15 @@
         return node;
     }
 
+    /**
+     * Removes an instance from the platform's list.
+     *
+     * @param name Its name.
+     */
+    unlist(name: string): void {
+        this.#listed.splice(this.#listed.findIndex(instance => instance.name === name), 1);
+    }
+
     get stored(): MembershipRecord {
         return this.standIn.copy().get("epoch")!.value as MembershipRecord;
     }
@@ -183,3 +198,18 @@
     expect(third.names).toEqual(["b", "c"]);
     expect(joined.filter(names => names.includes("c") && !names.includes("b"))).toEqual([]);
 });
+
+// Guards against living members that are removed as terminated since the list was read for the first time in a while.
+test("a member is removed if successive reads of the list lack it, not if they are far apart", async () => {
+    const fleet = await Fleet.begin();
+    const nodes = [await fleet.start("a", true), await fleet.start("b", true)];
+    await waitFor(() => nodes.every(({ names }) => names.length === 2));
+    const { epoch } = fleet.stored;
+    await sleep(TWO_READS_MILLISECONDS);
+    expect(fleet.stored.epoch).toBe(epoch);
+    const removals: string[][] = [];
+    nodes[0]!.membership.onChange(() => removals.push(nodes[0]!.names));
+    fleet.unlist("b");
+    await sleep(TWO_READS_MILLISECONDS);
+    expect(removals[0]).toEqual(["a"]);
+}, 40_000);
