Use half of what a server's limit permits beyond it

Cause: at the limits themselves, too few places were left.

Ruled out: that decode engines computing two prompts at once are the cause.

Change: half of the permitted excess is used on purpose, up to as much as the limit itself; three tenths more stay for requests that instances have not heard of. A limit of 0 still has one place in a window.

--- a/packages/gateway/server_limits.ts
+++ b/packages/gateway/server_limits.ts
@@ -12,11 +12,13 @@
 const WINDOW_MILLISECONDS = 4_000;
 /** Time in milliseconds within which peers may not have heard of requests that were sent. */
 const UNHEARD_MILLISECONDS = 500;
-/** Excess over a limit that is permitted, as a fraction and in requests; it is left to what peers have not reported. */
+/** Excess over a limit that is permitted, as a fraction and in requests. */
 const PERMITTED_EXCESS = 0.5;
 const PERMITTED_SLACK = 5;
+/** Fraction of the permitted excess that is used on purpose, up to as much as the limit itself. */
+const USED_EXCESS_FRACTION = 0.5;
 /** Fraction of the permitted excess that instances may use before they hear of each other's requests. */
-const USED_EXCESS_FRACTION = 0.3;
+const UNHEARD_EXCESS_FRACTION = 0.3;
 /** Time in milliseconds by which a peer's notice may be older than it says, since it took a while to arrive. */
 const NOTICE_TRANSIT_MILLISECONDS = 150;
 /** Time in milliseconds for which the end of a limit is remembered, so that older notices do not bring it back. */
@@ -157,18 +159,20 @@
         const { id } = server;
         const { clock, instanceCount, rankOf } = this.options;
         const instances = instanceCount();
-        const limit = perWindow(perSecond);
+        const limit = perSecond * WINDOW_MILLISECONDS / MILLISECONDS_PER_SECOND;
         const others = this.usage.usageOfOthers(id, limit);
-        const left = limit - this.usage.sum(id) - others.spent;
+        const heardFraction = 1 - others.missing / instances;
+        const excess = (limit * PERMITTED_EXCESS + PERMITTED_SLACK) * heardFraction;
+        const allowed = Math.max(1, limit + Math.min(limit, excess * USED_EXCESS_FRACTION));
+        const left = allowed - this.usage.sum(id) - others.spent;
         if (left <= 0) {
             this.#logFull(id, { perSecond, own: this.usage.sum(id), others: others.spent, missing: others.missing });
             return false;
         }
         // Peers that have not heard of this instance's last requests divide what was left before them.
         const unheard = this.#unheard.sum(id, clock.now());
-        const heardFraction = 1 - others.missing / instances;
-        const spare = (limit * PERMITTED_EXCESS + PERMITTED_SLACK) * USED_EXCESS_FRACTION * heardFraction;
-        const share = Math.ceil((Math.floor(left + unheard + spare) - rankOf(id)) / instances);
+        const places = Math.floor(left + unheard + excess * UNHEARD_EXCESS_FRACTION);
+        const share = Math.ceil((places - rankOf(id)) / instances);
         return unheard < share;
     }
 
