Shift the steps of a shutdown by the time that late turns need

Ruled out: cuts at the end of the grace period; no process was killed.

Change: a step's time is the greater of its usual time, which has room for other processes, and its own work with the late turns that it has to outlast. Turns that are up to 0.15 s late change nothing.

--- a/packages/shutdown/shutdown_schedule.ts
+++ b/packages/shutdown/shutdown_schedule.ts
@@ -1,18 +1,23 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { ShutdownStep } from "./shutdown_step.ts";
 
-/**
- * Steps in their order, with the time in milliseconds that each takes in a process that gets the processor time it needs,
- * and the number of late turns that it has to outlast otherwise.
- */
-const STEPS: readonly { readonly step: ShutdownStep; readonly milliseconds: number; readonly lateTurns: number; }[] = [
-    { step: "close of the port", milliseconds: 500, lateTurns: 2 },
-    { step: "last answers", milliseconds: 200, lateTurns: 1 },
-    { step: "last calls", milliseconds: 300, lateTurns: 1 },
-    { step: "exit", milliseconds: 200, lateTurns: 1 },
+/** Time of a step at the end of a shutdown. */
+interface StepTime {
+    readonly step: ShutdownStep;
+    /** Time in milliseconds in a process that gets the processor time it needs, with what other processes may take. */
+    readonly milliseconds: number;
+    /** Time in milliseconds that the process itself works. */
+    readonly workMilliseconds: number;
+    /** Number of late turns that the step has to outlast. */
+    readonly lateTurns: number;
+}
+
+const STEPS: readonly StepTime[] = [
+    { step: "close of the port", milliseconds: 500, workMilliseconds: 200, lateTurns: 2 },
+    { step: "last answers", milliseconds: 200, workMilliseconds: 50, lateTurns: 1 },
+    { step: "last calls", milliseconds: 300, workMilliseconds: 50, lateTurns: 1 },
+    { step: "exit", milliseconds: 200, workMilliseconds: 50, lateTurns: 1 },
 ];
-/** Lateness in milliseconds of a turn up to which the times of the steps suffice. */
-const TOLERATED_LATENESS_MILLISECONDS = 100;
 
 /** What a shutdown has to keep to. */
 interface ShutdownBounds {
@@ -69,7 +74,7 @@
      * @returns Monotonic time in milliseconds; earlier than before if a turn has come later than those before.
      */
     startOf(step: ShutdownStep): number {
-        return this.#killedAt - sumOf(this.#allotmentsFrom(step));
+        return Math.max(this.bounds.signalNotBefore, this.#killedAt - sumOf(this.#allotmentsFrom(step)));
     }
 
     /**
@@ -95,8 +100,9 @@
     #allotmentsFrom(step: ShutdownStep): number[] {
         const { graceMilliseconds, drainedAt, latenessMilliseconds } = this.bounds;
         const lateness = latenessMilliseconds();
-        const counted = lateness > TOLERATED_LATENESS_MILLISECONDS ? lateness : 0;
-        const wanted = STEPS.map(({ milliseconds, lateTurns }) => milliseconds + lateTurns * counted);
+        const wanted = STEPS.map(({ milliseconds, workMilliseconds, lateTurns }) =>
+            Math.max(milliseconds, workMilliseconds + lateTurns * lateness)
+        );
         const least = Math.min(sumOf(STEPS.map(({ milliseconds }) => milliseconds)), graceMilliseconds);
         const available = Math.max(least, this.#killedAt - drainedAt);
         const scale = Math.min(1, available / sumOf(wanted));
