--- a/packages/gateway/server_limits_test.ts
+++ b/packages/gateway/server_limits_test.ts
@@ -47,6 +47,9 @@
     [" 0.5 ", 2],
     ["0", 1],
     ["0.0001", 1],
+    ["0.30000000000000004", 2],
+    ["1.3333333333333333", 6],
+    [`1.25${"0".repeat(40)}1`, 5],
     ["900000000000000", undefined],
     ["1e3", undefined],
     ["-1", undefined],
@@ -63,7 +66,9 @@
     expect(sent).toBe(expected ?? 1_000);
     const malformed = Number(expected === undefined && !/^\d+$/.test(value));
     expect(metrics.count("server_limits_total", { change: "malformed", source: "answer" })).toBe(malformed);
-    expect(limits!.waitMilliseconds(server)).toBe(expected === undefined ? 0 : WINDOW_MILLISECONDS / expected);
+    expect(limits!.waitMilliseconds(server)).toBe(
+        expected === undefined ? 0 : WINDOW_MILLISECONDS / Math.max(1, Number(value) * 4),
+    );
 });
 
 // Guards against instances that use one limit each for themselves, and against a low limit that no instance uses.
