Compute what others sent to limited servers less often

Each choice asks for every server with a limit whether it may get a request. The cache of ranks held 8,192 pairs of instance and server, and fleets with more pairs computed nearly all of them for each choice. The usage of others was computed for each call as well, with a look-up of each peer's cell that goes through all members.

The position of an instance among all is now kept by server until an instance joins or leaves, and for at most 8,192 servers. The usage of others is computed again for a server once a report has come or 5 ms have passed.

No test bounds the time; the new ones guard the positions and the names that they are computed from.

--- a/packages/gateway/server_limits.ts
+++ b/packages/gateway/server_limits.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { ServerLimitNotice } from "../peers/mod.ts";
+import type { KnownLimit } from "./_known_limit.ts";
 import { parseServerLimit } from "./_parse_server_limit.ts";
 import { UsageWindows } from "./_usage_windows.ts";
 import { SharedUsage } from "./shared_usage.ts";
@@ -21,6 +22,8 @@
 const NOTICE_TRANSIT_MILLISECONDS = 150;
 /** Time in milliseconds for which the end of a limit is remembered, so that older notices do not bring it back. */
 const ENDED_MILLISECONDS = 60_000;
+/** Time in milliseconds for which the usage of others is not computed again, if no report has come. */
+const OTHERS_LIFETIME_MILLISECONDS = 5;
 /** Largest number of servers in a report. */
 const MAXIMUM_REPORTED_SERVERS = 1_024;
 /** Shortest time in milliseconds between two lines on one server that is at its limit. */
@@ -32,19 +35,6 @@
 /** A start of a server: its id and the Unix time in milliseconds at which it started. */
 type ServerStart = Pick<RegisteredServer, "id" | "startedAt">;
 
-/** What a server has said last. */
-interface KnownLimit {
-    startedAt: number;
-    /** Requests a second from all instances together; undefined once the server has ended its limit. */
-    perSecond: number | undefined;
-    /** Time in milliseconds of the answer that said so. */
-    at: number;
-    /** Whether the server said so to this instance. */
-    firsthand: boolean;
-    /** Time in milliseconds at which a line last said that the limit is used up. */
-    loggedAt: number;
-}
-
 /** Dependencies of {@linkcode ServerLimits}. */
 interface ServerLimitsOptions extends Omit<SharedUsageOptions, "windowMilliseconds"> {
     directory: Pick<Directory, "servers">;
@@ -150,25 +140,25 @@
      * @returns Whether it may; true if the server has no limit.
      */
     admits(server: ServerStart): boolean {
-        const perSecond = this.#find(server);
-        if (perSecond === undefined) {
+        const known = this.#find(server);
+        if (known?.perSecond === undefined) {
             return true;
         }
         const { id } = server;
-        const { clock, instanceCount, rankOf } = this.options;
-        const instances = instanceCount();
+        const { perSecond } = known;
+        const now = this.options.clock.now();
         const limit = perWindow(perSecond);
-        const others = this.usage.usageOfOthers(id, limit);
+        const others = this.#computeOthers(id, known, limit, now);
         const left = limit - this.usage.sum(id) - others.spent;
         if (left <= 0) {
             this.#logFull(id, { perSecond, own: this.usage.sum(id), others: others.spent, missing: others.missing });
             return false;
         }
         // Peers that have not heard of this instance's last requests divide what was left before them.
-        const unheard = this.#unheard.sum(id, clock.now());
-        const heardFraction = 1 - others.missing / instances;
+        const unheard = this.#unheard.sum(id, now);
+        const heardFraction = 1 - others.missing / others.instances;
         const spare = (limit * PERMITTED_EXCESS + PERMITTED_SLACK) * USED_EXCESS_FRACTION * heardFraction;
-        const share = Math.ceil((Math.floor(left + unheard + spare) - rankOf(id)) / instances);
+        const share = Math.ceil((Math.floor(left + unheard + spare) - this.options.rankOf(id)) / others.instances);
         return unheard < share;
     }
 
@@ -180,7 +170,7 @@
      */
     take(server: ServerStart): () => void {
         const { id } = server;
-        if (this.#find(server) === undefined) {
+        if (this.#find(server)?.perSecond === undefined) {
             return () => {};
         }
         this.usage.ask(id, 1);
@@ -195,13 +185,24 @@
      * @returns The time in milliseconds; 0 if it may get a request now.
      */
     waitMilliseconds(server: ServerStart): number {
-        const perSecond = this.#find(server);
+        const perSecond = this.#find(server)?.perSecond;
         return perSecond === undefined || this.admits(server) ? 0 : WINDOW_MILLISECONDS / perWindow(perSecond);
     }
 
-    #find({ id, startedAt }: ServerStart): number | undefined {
+    #find({ id, startedAt }: ServerStart): KnownLimit | undefined {
         const known = this.#limits.get(id);
-        return known?.startedAt === startedAt ? known.perSecond : undefined;
+        return known?.startedAt === startedAt ? known : undefined;
+    }
+
+    #computeOthers(id: string, known: KnownLimit, limit: number, now: number): NonNullable<KnownLimit["others"]> {
+        const { version } = this.usage;
+        const last = known.others;
+        if (last?.version === version && now - last.at < OTHERS_LIFETIME_MILLISECONDS) {
+            return last;
+        }
+        const instances = this.options.instanceCount();
+        known.others = { at: now, version, instances, ...this.usage.usageOfOthers(id, limit) };
+        return known.others;
     }
 
     #set(server: ServerStart, perSecond: number | undefined, at: number, source: "answer" | "peer"): void {
@@ -219,6 +220,7 @@
             at,
             firsthand: source === "answer",
             loggedAt: known?.loggedAt ?? -Infinity,
+            others: known?.perSecond === perSecond ? known?.others : undefined,
         });
         if (known && known.perSecond === perSecond) {
             return;
--- a/packages/gateway/server_subset.ts
+++ b/packages/gateway/server_subset.ts
@@ -6,8 +6,8 @@
 const MINIMUM_SERVERS = 2;
 /** Number of cached slices: one for each service and stage, and for each set of registered servers. */
 const MAXIMUM_CACHED_SLICES = 16;
-/** Number of cached ranks; the largest fleets have about 4,400 servers. */
-const MAXIMUM_CACHED_RANKS = 8_192;
+/** Number of servers whose ranks and positions are cached; the largest fleets have about 4,400 servers. */
+const MAXIMUM_CACHED_SERVERS = 8_192;
 
 /**
  * Selects the servers that the instances of a cell choose from. Only members of one cell report their loads to each
@@ -21,20 +21,23 @@
  * ```
  */
 export class ServerSubset {
-    readonly #ranks = new Map<string, number>();
+    /** Ranks by the servers' ids, one map for each order. */
+    readonly #ranks = { own: new Map<string, number>(), common: new Map<string, number>() };
+    /** Positions of this instance in the orders of the servers, for the peers of which they were computed. */
+    #positions: { peers: readonly string[]; byServer: Map<string, number>; } = { peers: [], byServer: new Map() };
     readonly #slices = new Map<string, ReadonlySet<string>>();
 
     /**
      * @param self Name of this instance.
      * @param cell Returns the cell of this instance; undefined while it is not known.
      * @param fraction Returns the fraction of the servers to choose from in a fleet of one cell, up to 1.
-     * @param peers Returns the names of the other instances.
+     * @param peers Returns the names of the other instances. Positions are computed again for each other array.
      */
     constructor(
         private readonly self: string,
         private readonly cell: () => Pick<Cell, "start" | "end"> | undefined,
         private readonly fraction: () => number,
-        private readonly peers: () => string[],
+        private readonly peers: () => readonly string[],
     ) {}
 
     /**
@@ -81,8 +84,14 @@
      * @returns The position, from 0.
      */
     rankOf(server: string): number {
-        const own = this.#rank(this.self, server);
-        return this.peers().filter(peer => this.#rank(peer, server) < own).length;
+        const peers = this.peers();
+        if (this.#positions.peers !== peers) {
+            this.#positions = { peers, byServer: new Map() };
+        }
+        return cached(this.#positions.byServer, server, () => {
+            const own = this.#rank("own", server);
+            return peers.filter(peer => computeRank(peer, server) < own).length;
+        });
     }
 
     /**
@@ -95,7 +104,7 @@
             return eligible;
         }
         return eligible
-            .map(server => ({ server, rank: this.#rank(this.self, server.id) }))
+            .map(server => ({ server, rank: this.#rank("own", server.id) }))
             .sort((left, right) => left.rank - right.rank)
             .slice(0, size)
             .map(({ server }) => server);
@@ -108,7 +117,7 @@
         if (!slice) {
             const ordered = [...all].sort((left, right) =>
                 left.failureDomain.localeCompare(right.failureDomain)
-                || this.#rank("", left.id) - this.#rank("", right.id)
+                || this.#rank("common", left.id) - this.#rank("common", right.id)
             );
             const first = Math.floor(start * ordered.length);
             const length = Math.min(ordered.length, Math.max(MINIMUM_SERVERS, Math.ceil(end * ordered.length) - first));
@@ -123,16 +132,24 @@
         return slice;
     }
 
-    #rank(instance: string, server: string): number {
-        const key = `${instance}\n${server}`;
-        let rank = this.#ranks.get(key);
-        if (rank === undefined) {
-            rank = createHash("sha1").update(key).digest().readUInt32BE(0);
-            if (this.#ranks.size >= MAXIMUM_CACHED_RANKS) {
-                this.#ranks.clear();
-            }
-            this.#ranks.set(key, rank);
+    #rank(order: "own" | "common", server: string): number {
+        return cached(this.#ranks[order], server, () => computeRank(order === "own" ? this.self : "", server));
+    }
+}
+
+function computeRank(instance: string, server: string): number {
+    return createHash("sha1").update(`${instance}\n${server}`).digest().readUInt32BE(0);
+}
+
+/** Returns the value of a server; computes it if it is not known. */
+function cached(values: Map<string, number>, server: string, compute: () => number): number {
+    let value = values.get(server);
+    if (value === undefined) {
+        value = compute();
+        if (values.size >= MAXIMUM_CACHED_SERVERS) {
+            values.clear();
         }
-        return rank;
+        values.set(server, value);
     }
+    return value;
 }
--- a/packages/gateway/server_subset_test.ts
+++ b/packages/gateway/server_subset_test.ts
@@ -78,3 +78,14 @@
         expect(INSTANCES.filter(self => subsetOf(self).isTopRanked(id, 9))).toHaveLength(9);
     }
 });
+
+// Guards against positions that are kept while the instances change, so that two instances take one place.
+test("the position of an instance follows the instances that join and leave", () => {
+    let peers = INSTANCES.slice(1, 9);
+    const subset = new ServerSubset("instance-0", () => undefined, () => 1, () => peers);
+    for (const last of [9, 30, 5]) {
+        peers = INSTANCES.slice(1, last);
+        const expected = SERVERS.map(({ id }) => subsetOf("instance-0", INSTANCES.slice(0, last)).rankOf(id));
+        expect(SERVERS.map(({ id }) => subset.rankOf(id))).toEqual(expected);
+    }
+});
--- a/packages/gateway/shared_usage.ts
+++ b/packages/gateway/shared_usage.ts
@@ -2,6 +2,7 @@
 import { addUnits } from "./_add_units.ts";
 import { computeSilentUsage } from "./_compute_silent_usage.ts";
 import { createUsageSummary } from "./_create_usage_summary.ts";
+import type { PeerUsage } from "./_peer_usage.ts";
 import { UsageWindows } from "./_usage_windows.ts";
 import type { SharedUsageOptions } from "./shared_usage_options.ts";
 import type { SpendingReport } from "./spending_report.ts";
@@ -14,27 +15,11 @@
 const CELL_TRANSIT_MILLISECONDS = 3 * REPORT_TRANSIT_MILLISECONDS;
 /** Time in milliseconds for which an instance that has fallen silent may have gone on after its last report. */
 const UNREPORTED_MILLISECONDS = 500;
+/** Time in milliseconds for which it is remembered which peers' reports count. */
+const MEMBERS_LIFETIME_MILLISECONDS = 5;
 /** Length in milliseconds of the window in which requested units are counted. */
 const DEMAND_WINDOW_MILLISECONDS = 1_000;
 
-/** Last report of a running process. */
-interface PeerUsage {
-    incarnation: string;
-    spending: Record<string, number>;
-    asked: Record<string, number>;
-    assumedShare: number;
-    /** Time of the report in milliseconds, by the options' clock. */
-    at: number;
-}
-
-/** Last reported usage of a process that has ended. */
-interface EndedProcessUsage {
-    instance: string;
-    spending: Record<string, number>;
-    /** Time of the report in milliseconds, by the options' clock. */
-    at: number;
-}
-
 /**
  * Counts what all instances together use of limits in a sliding window. Each instance counts its own usage, that which
  * the members of its cell report, and the sums of the other cells. A peer without a recent report is assumed to use at
@@ -54,10 +39,17 @@
     readonly #usageWindows: UsageWindows;
     readonly #requestedUnits = new UsageWindows(DEMAND_WINDOW_MILLISECONDS);
     readonly #peerReports = new Map<string, PeerUsage>();
-    readonly #endedProcesses = new Map<string, EndedProcessUsage>();
+    /** Last reported usage of processes that have ended. */
+    readonly #endedProcesses = new Map<string, Pick<PeerUsage, "spending" | "at"> & { instance: string; }>();
     /** Usage by the other cells, and the time at which it was received. */
     #cellUsage: { usage: UsageSummary[]; at: number; } = { usage: [], at: 0 };
     readonly #startedAt: number;
+    #version = 0;
+    #cellReports: { at: number; version: number; reports: [string, PeerUsage][]; } = {
+        at: 0,
+        version: -1,
+        reports: [],
+    };
 
     /**
      * @param options Dependencies, and the window.
@@ -67,6 +59,11 @@
         this.#usageWindows = new UsageWindows(options.windowMilliseconds);
     }
 
+    /** Number that changes with each report of a peer. */
+    get version(): number {
+        return this.#version;
+    }
+
     /**
      * Reports the usage in the window to peers.
      *
@@ -98,6 +95,7 @@
         const now = this.options.clock.now();
         const previous = this.#peerReports.get(name);
         const { spending, asked, assumedShare } = report;
+        this.#version++;
         this.#peerReports.set(name, { incarnation, spending, asked, assumedShare, at: now });
         this.#endedProcesses.delete(`${name}/${incarnation}`);
         if (previous && previous.incarnation !== incarnation) {
@@ -118,6 +116,7 @@
      * @param usage Their usage; parts whose instances do not report are marked as missing.
      */
     recordCellUsage(usage: UsageSummary[]): void {
+        this.#version++;
         // Replaced processes may be remembered for longer than this window.
         const recent = usage.filter(({ age }) => age <= this.options.windowMilliseconds);
         this.#cellUsage = { usage: recent, at: this.options.clock.now() };
@@ -140,7 +139,7 @@
             restarted.add(instance);
             addUnits(live.spending, spending, 1);
         }
-        for (const [name, { spending, asked, assumedShare, at }] of this.#cellReports()) {
+        for (const [name, { spending, asked, assumedShare, at }] of this.#findCellReports(now)) {
             if (now - at > REPORT_LIFETIME_MILLISECONDS) {
                 addUnits(missing.spending, spending, 1);
                 addUnits(missing.asked, asked, 1);
@@ -198,7 +197,8 @@
     usageOfOthers(key: string, limit: number): { spent: number; missing: number; } {
         const now = this.options.clock.now();
         this.#removeExpired(now);
-        const share = limit / this.options.instanceCount();
+        const instanceCount = this.options.instanceCount();
+        const share = limit / instanceCount;
         const instancesWithEndedProcess = new Set<string>();
         let spent = 0;
         for (const { instance, spending } of this.#endedProcesses.values()) {
@@ -207,7 +207,7 @@
         }
         const silent: { instances: number; spent: number; }[] = [];
         let reporting = 0;
-        for (const [name, { spending, asked, assumedShare, at }] of this.#cellReports()) {
+        for (const [name, { spending, asked, assumedShare, at }] of this.#findCellReports(now)) {
             const reported = spending[key] ?? 0;
             const requested = asked[key] ?? 0;
             if (now - at > REPORT_LIFETIME_MILLISECONDS) {
@@ -230,14 +230,19 @@
             const admittedSince = admittedWithin(requested, age + receivedBefore + CELL_TRANSIT_MILLISECONDS);
             spent += reported + admittedSince + share * assumedShare;
         }
-        const missing = Math.max(0, this.options.instanceCount() - 1 - reporting);
+        const missing = Math.max(0, instanceCount - 1 - reporting);
         const ownFormerUsage = share * this.#assumedShare(now);
         return { spent: spent + computeSilentUsage(silent, missing, share) + ownFormerUsage, missing };
     }
 
     /** Last reports of the peers whose usage does not arrive in the sum of another cell. */
-    #cellReports(): [string, PeerUsage][] {
-        return [...this.#peerReports].filter(([name]) => !this.options.isInOtherCell(name));
+    #findCellReports(now: number): [string, PeerUsage][] {
+        const { at, version } = this.#cellReports;
+        if (version !== this.#version || now - at >= MEMBERS_LIFETIME_MILLISECONDS) {
+            const reports = [...this.#peerReports].filter(([name]) => !this.options.isInOtherCell(name));
+            this.#cellReports = { at: now, version: this.#version, reports };
+        }
+        return this.#cellReports.reports;
     }
 
     /**
@@ -279,6 +284,7 @@
             for (const [key, { at }] of map) {
                 if (at < oldest) {
                     map.delete(key);
+                    this.#version++;
                 }
             }
         }
--- a/packages/peers/member_list.ts
+++ b/packages/peers/member_list.ts
@@ -35,6 +35,7 @@
 export class MemberList {
     readonly #entries = new Map<string, Entry>();
     #partition: FleetPartition | undefined;
+    #names: { of: FleetPartition; names: readonly string[]; } | undefined;
 
     /**
      * @param self This instance.
@@ -52,6 +53,15 @@
         return this.#partition;
     }
 
+    /** Names of the other instances; the same array until an instance joins or leaves. */
+    get names(): readonly string[] {
+        const of = this.partition;
+        if (this.#names?.of !== of) {
+            this.#names = { of, names: [...this.#entries.keys()] };
+        }
+        return this.#names.names;
+    }
+
     /**
      * Lists the other instances.
      *
--- a/packages/peers/member_list_test.ts
+++ b/packages/peers/member_list_test.ts
@@ -69,3 +69,17 @@
     members.register(createPeer("self", "2"));
     expect(namesOf(members)).toEqual(["a"]);
 });
+
+// Guards against what is computed from the names being computed for every request, or not after a change.
+test("the array of names stays the same until an instance joins or leaves", () => {
+    const { times, members } = createList();
+    members.register(createPeer("a"));
+    const { names } = members;
+    members.recordReport(createPeer("a"), true);
+    expect(members.names).toBe(names);
+    members.register(createPeer("b"));
+    expect(members.names).toEqual(["a", "b"]);
+    members.unregister("a");
+    times.now += 7_000;
+    expect(members.names).toEqual(["b"]);
+});
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -103,12 +103,12 @@
 
     /** Number of instances, this one included. */
     get instanceCount(): number {
-        return this.#members.peers().length + 1;
+        return this.#members.names.length + 1;
     }
 
-    /** Names of the other instances. */
-    get peerNames(): string[] {
-        return this.#members.peers().map(({ peer }) => peer.name);
+    /** Names of the other instances; the same array until an instance joins or leaves. */
+    get peerNames(): readonly string[] {
+        return this.#members.names;
     }
 
     /** Cell of this instance, whose members prefer the same servers. */
