--- a/packages/listening/port_closer.ts
+++ b/packages/listening/port_closer.ts
@@ -18,7 +18,7 @@
 /** Part of the time until the latest close in which connections are awaited; the rest is left for the kernel's queue. */
 const AWAITING_PART = 0.2;
 /** Duration in milliseconds of a turn in which the process has stood still, so that its queue may have filled. */
-const LONG_TURN_MILLISECONDS = 20;
+const STANDSTILL_MILLISECONDS = 300;
 
 /**
  * Closes the port of a server when no connection waits to be accepted. The kernel completes handshakes by itself, and
@@ -142,7 +142,7 @@
             if (quietTurns === QUIET_TURNS) {
                 quietSince = Math.min(quietSince, turnedAt);
             }
-            const stoodStill = turnedAt - turnedBefore > LONG_TURN_MILLISECONDS;
+            const stoodStill = turnedAt - turnedBefore > STANDSTILL_MILLISECONDS;
             if (stoodStill && turnedAt >= drainedBy && !drainedAgain) {
                 drainedAgain = true;
                 drainedBy = Math.min(turnedAt + DRAIN_MILLISECONDS, latest());
