Let requests arrive on kept connections although the idle time passes

Callers saw: a request whose head took longer than the idle time on a kept connection was cut without an answer, in both programs.

Cause: until 20.20.0, Node.js ended the idle time of a connection with the first byte of a request; from 20.20.1 on it does so with the whole head. Both programs relied on the former: the stand-alone router on the default of Node.js, the platform's program by closing what was not idle at the timer.

Change: a connection on which a request is arriving gets the time that a request may take, once for each request, since bytes that begin no request have no other limit. The limits for heads and requests apply as before. The log names the timer, not the caller, where the router closes a connection.

--- a/packages/callers/caller_server_test.ts
+++ b/packages/callers/caller_server_test.ts
@@ -25,6 +25,8 @@
 const IDLE_MILLISECONDS = 1_500;
 /** Time in milliseconds between two connections; without one for longer, the port is closed. */
 const CONNECT_MILLISECONDS = 5;
+/** Time in milliseconds, longer than the idle limit of Node.js and its margin of 1 second. */
+const BEYOND_IDLE_LIMIT_MILLISECONDS = 6_500;
 /** Time in milliseconds by which a busy machine may be late; a port closed without a limit takes 2 seconds. */
 const TOLERANCE_MILLISECONDS = 700;
 
@@ -202,3 +204,20 @@
     // Without a key, a request that is not refused for its connection is answered 401.
     expect([...first, ...answers]).toEqual(sockets.map(() => "HTTP/1.1 401"));
 });
+
+// Guards against requests that are cut without an answer since their heads arrive slowly on a kept connection.
+test("a request whose head takes longer than the idle limit is answered on its kept connection", async () => {
+    const [host, port] = callersAddress.split(":");
+    const request = "GET /v1/models HTTP/1.1\r\nHost: host\r\n\r\n";
+    const socket = connect({ host, port: Number(port) });
+    let text = "";
+    socket.on("data", chunk => text += String(chunk));
+    socket.write(request);
+    await expect.poll(() => text).toMatch(/^HTTP\/1\.1 401 /);
+    text = "";
+    socket.write(request.slice(0, 10));
+    await sleep(BEYOND_IDLE_LIMIT_MILLISECONDS);
+    socket.write(request.slice(10));
+    await expect.poll(() => text).toMatch(/^HTTP\/1\.1 401 /);
+    socket.destroy();
+});
--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -215,13 +215,17 @@
             socket.setTimeout(Math.max(1, limit - idleMilliseconds));
             return;
         }
-        if (!connection || !isIdle(socket, connection)) {
-            socket.destroy();
-            return;
+        if (connection && isIdle(socket, connection)) {
+            await pollConnections();
+            if (isIdle(socket, connection)) {
+                this.#closeIdleConnection(socket, connection, "timer");
+            }
         }
-        await pollConnections();
-        if (isIdle(socket, connection)) {
-            this.#closeIdleConnection(socket, connection, "timer");
+        else if (!this.pipeliningLimit.awaitArrival(socket)) {
+            if (connection) {
+                connection.end ??= { by: "timer", reason: "idle" };
+            }
+            socket.destroy();
         }
     }
 
--- a/packages/pipelining/_pipelined_connection.ts
+++ b/packages/pipelining/_pipelined_connection.ts
@@ -117,13 +117,16 @@
 
     /** Time at which it was opened or its last response ended; undefined if a request is under way or it is being closed. */
     get idleSince(): number | undefined {
-        const isSent = this.socket.writable && this.socket.writableLength === 0;
-        return this.#awaitsRequest && isSent ? this.#idleSince : undefined;
+        return this.#awaitsRequest && this.socket.writable && !this.socket.writableLength ? this.#idleSince : undefined;
+    }
+
+    /** Whether bytes have been read that are no whole request yet. */
+    get isArriving(): boolean {
+        return this.#waiting.length > 0 || this.#head.isArriving || this.#isBodyUnderWay();
     }
 
     get #awaitsRequest(): boolean {
-        const isArriving = this.#waiting.length > 0 || this.#head.isArriving || this.#isBodyUnderWay();
-        return this.#unanswered === 0 && !isArriving && !this.#discarded.hasBegun;
+        return this.#unanswered === 0 && !this.isArriving && !this.#discarded.hasBegun;
     }
 
     /** Closes the connection if it has served requests and none is under way or arriving; one that is being closed is left to that. */
--- a/packages/pipelining/pipelining_limit.ts
+++ b/packages/pipelining/pipelining_limit.ts
@@ -8,6 +8,9 @@
 import type { InputRefusal } from "./input_refusal.ts";
 import type { PipeliningLimitOptions } from "./pipelining_limit_options.ts";
 
+/** Time in milliseconds by which Node.js may be late when it ends a request that does not arrive in time. */
+const REQUEST_CHECK_MILLISECONDS = 30_000;
+
 /**
  * Bounds the unanswered requests of each connection. Node.js parses all that one read has brought, which may be hundreds
  * of requests, so the parser gets the bytes of one request at a time, and further ones wait until an answer has ended.
@@ -28,6 +31,8 @@
  */
 export class PipeliningLimit implements IdleConnections {
     readonly #connections = new Map<Socket, PipelinedConnection>();
+    /** Connections that have been given time for the request that is arriving. */
+    readonly #awaited = new WeakSet<Socket>();
 
     /** Largest head of a request in bytes, without its first line; a longer one is refused before its end. */
     maximumHeadBytes = Number.POSITIVE_INFINITY;
@@ -37,7 +42,7 @@
      * @param options Options.
      * @throws {RangeError} If the limit is not a positive integer.
      */
-    constructor(server: Server, options: PipeliningLimitOptions) {
+    constructor(private readonly server: Server, options: PipeliningLimitOptions) {
         if (!Number.isSafeInteger(options.maximumUnansweredRequests) || options.maximumUnansweredRequests < 1) {
             throw new RangeError(`Cannot limit the unanswered requests to ${options.maximumUnansweredRequests}`);
         }
@@ -56,6 +61,7 @@
             }
         });
         server.prependListener("request", (incoming: IncomingMessage, response: ServerResponse) => {
+            this.#awaited.delete(incoming.socket);
             this.#connections.get(incoming.socket)?.begin(incoming, response);
         });
     }
@@ -99,6 +105,22 @@
         this.#connections.forEach(connection => connection.closeIfIdle());
     }
 
+    /**
+     * Gives a connection whose idle time has passed the time that a request may take, if one is arriving on it. From
+     * 20.20.1 on, the idle time of Node.js goes on until the head of a request is whole.
+     *
+     * @param socket The connection.
+     * @returns Whether a request is arriving; true once for each, since bytes that begin no request have no other limit.
+     */
+    awaitArrival(socket: Socket): boolean {
+        if (this.#awaited.has(socket) || !this.#connections.get(socket)?.isArriving) {
+            return false;
+        }
+        this.#awaited.add(socket);
+        socket.setTimeout(this.server.requestTimeout + REQUEST_CHECK_MILLISECONDS);
+        return true;
+    }
+
     /** @inheritdoc */
     idleSince(socket: Socket): number | undefined {
         return this.#connections.get(socket)?.idleSince;
