Let the instances take turns at the places of a server's limit

Callers saw: at instances that are last in the order of a server with a low limit, all requests for it were refused, for as long as the others used it up.

Cause: what is left of a limit is divided in an order of the instances that is fixed for each server, so that with fewer places than instances the last ones never get one, and do not learn from the server that its limit has ended.

Evidence: four new cases of server_limits_test, "each of N instances uses a limit of L a second", fail before: the last instance sent nothing.

Change: the order turns by one instance every 4 s of Unix time, the length of the window.

--- a/packages/gateway/server_limits.ts
+++ b/packages/gateway/server_limits.ts
@@ -18,6 +18,8 @@
 const PERMITTED_SLACK = 5;
 /** Fraction of the permitted excess that is used on purpose, up to as much as the limit itself. */
 const USED_EXCESS_FRACTION = 0.5;
+/** Time in milliseconds after which the next instance in a server's order has the first place. */
+const TURN_MILLISECONDS = 4_000;
 /** Fraction of the permitted excess that instances may use before they hear of each other's requests. */
 const UNHEARD_EXCESS_FRACTION = 0.3;
 /** Time in milliseconds by which a peer's notice may be older than it says, since it took a while to arrive. */
@@ -43,6 +45,8 @@
     clock: SuspensionAwareClock;
     /** Position of this instance, from 0, in an order of all instances that differs by server. */
     rankOf: (server: string) => number;
+    /** Returns the Unix time in milliseconds, by which the instances take turns. Default: that of the machine. */
+    unixTime?: () => number;
     metrics: Metrics;
     logger: Logger;
 }
@@ -162,7 +166,7 @@
         // Peers that have not heard of this instance's last requests divide what was left before them.
         const unheard = this.#unheard.sum(id, now);
         const places = Math.floor(left + unheard + excess * UNHEARD_EXCESS_FRACTION);
-        const share = Math.ceil((places - this.options.rankOf(id)) / others.instances);
+        const share = Math.ceil((places - this.#positionOf(id, others.instances)) / others.instances);
         return unheard < share;
     }
 
@@ -198,6 +202,12 @@
         return known?.startedAt === startedAt ? known : undefined;
     }
 
+    /** Position of this instance in the order of a server, which turns so that the last ones use a low limit too. */
+    #positionOf(id: string, instances: number): number {
+        const { rankOf, unixTime = Date.now } = this.options;
+        return (rankOf(id) + Math.floor(unixTime() / TURN_MILLISECONDS)) % instances;
+    }
+
     #computeOthers(id: string, known: KnownLimit, limit: number, now: number): NonNullable<KnownLimit["others"]> {
         const { version } = this.usage;
         const last = known.others;
--- a/packages/gateway/server_limits_test.ts
+++ b/packages/gateway/server_limits_test.ts
@@ -11,8 +11,8 @@
     ...{ stage: undefined, slots: 8, coldMilliseconds: 0, startedAt: 1 },
 };
 
-/** Creates a fleet with one object per instance, whose ranks differ. */
-function createFleet(count: number) {
+/** Creates a fleet with one object per instance, whose ranks differ, and clocks that differ by up to a time. */
+function createFleet(count: number, skewMilliseconds = 0) {
     const times = { now: 0 };
     const clock = new SuspensionAwareClock(() => times.now, () => times.now);
     const directory = new Directory();
@@ -27,6 +27,7 @@
             isInOtherCell: () => false,
             firstStart: true,
             rankOf: () => index,
+            unixTime: () => times.now + skewMilliseconds * index / count,
             directory,
             clock,
             metrics,
@@ -74,15 +75,19 @@
 
 // Guards against instances that use one limit each for themselves, and against a low limit that no instance uses.
 test.each([
-    [2, 1, 50, 1],
-    [9, 1, 100, 2],
-    [9, 1, 500, 3],
-    [9, 0.3, 500, 4],
-    [9, 10, 500, 5],
-    [30, 1, 300, 6],
-    [30, 20, 500, 7],
-])("%i instances keep to a limit of %d a second with reports every %i ms (seed %i)", (count, limit, period, seed) => {
-    const { times, fleet, exchange } = createFleet(count);
+    [2, 1, 50, 0, 1],
+    [9, 1, 100, 0, 2],
+    [9, 1, 500, 0, 3],
+    [9, 0.3, 500, 0, 4],
+    [9, 10, 500, 0, 5],
+    [30, 1, 300, 0, 6],
+    [30, 20, 500, 0, 7],
+    [9, 1, 500, 5_000, 8],
+    [30, 0.3, 500, 2_500, 9],
+    [30, 10, 200, 5_000, 10],
+])("%i instances keep to a limit of %d a second, reports every %i ms, skew %i ms (seed %i)", (...parameters) => {
+    const [count, limit, period, skew, seed] = parameters;
+    const { times, fleet, exchange } = createFleet(count, skew);
     const random = new RandomSource(seed);
     fleet.forEach(limits => limits.record(server, String(limit), true));
     const sent: number[] = [];
@@ -101,6 +106,25 @@
     expect(sent.length).toBeGreaterThan(limit * 40 * 0.7);
 });
 
+// Guards against instances that never get a place, since others are before them in the order of the server.
+test.each([[5, 0.3], [9, 1], [9, 2.5], [30, 1]])("each of %i instances uses a limit of %d a second", (count, limit) => {
+    const { times, fleet, exchange } = createFleet(count);
+    const random = new RandomSource(11);
+    fleet.forEach(limits => limits.record(server, String(limit), true));
+    const sent = fleet.map(() => 0);
+    for (; times.now < 2 * count * WINDOW_MILLISECONDS; times.now += 10) {
+        if (times.now % 200 === 0) {
+            exchange();
+        }
+        const index = Math.floor(random.next() * count);
+        if (fleet[index]!.admits(server)) {
+            fleet[index]!.take(server);
+            sent[index]!++;
+        }
+    }
+    expect(Math.min(...sent)).toBeGreaterThan(0);
+});
+
 // Guards against an instance that spends what others count on because the server has not answered it.
 test("an instance keeps to a limit of which it has only heard from a peer, and to what its peers have used", () => {
     const { fleet: [first, second], report } = createFleet(2);
