Let no notice that crosses another bring a server's limit back or hide it

Callers saw: requests kept from a server whose limit had ended; instances that started later were not told of a limit in force.

Cause: a peer's notice was taken for as new as its arrival. One that was under way when the limit ended looked newer than the end; and two instances that were told at the same time each took the other's notice for a later one, so that neither went on to report it.

Change: a peer's notice that may be older than what the server has said to this instance, and that says the same or names a limit that has ended, does not count. A notice of another limit, or of an end, counts as before.

--- a/packages/gateway/server_limits.ts
+++ b/packages/gateway/server_limits.ts
@@ -4,6 +4,7 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { ServerLimitNotice } from "../peers/mod.ts";
 import type { KnownLimit } from "./_known_limit.ts";
+import { mayBeOlder } from "./_may_be_older.ts";
 import { parseServerLimit } from "./_parse_server_limit.ts";
 import { UsageWindows } from "./_usage_windows.ts";
 import { SharedUsage } from "./shared_usage.ts";
@@ -228,6 +229,9 @@
         if (registered?.startedAt !== startedAt || (!known && perSecond === undefined) || (known && known.at > at)) {
             return;
         }
+        if (source === "peer" && known && mayBeOlder(known, perSecond, at - NOTICE_TRANSIT_MILLISECONDS)) {
+            return;
+        }
         this.#limits.set(id, {
             startedAt,
             perSecond,
--- a/packages/gateway/server_limits_test.ts
+++ b/packages/gateway/server_limits_test.ts
@@ -170,6 +170,47 @@
     expect(first!.version).toBe(2);
 });
 
+// Guards against limits that come back by a notice which was under way at their end.
+test.each([[0, false], [100, false], [400, true]])(
+    "a peer's notice, %i ms after the answer that ended its limit, brings it back: %j",
+    (milliseconds, isLimited) => {
+        const { times, fleet: [first, second] } = createFleet(2);
+        second!.record(server, "0", true);
+        first!.record(server, "0", true);
+        times.now = 1_000;
+        first!.record(server, undefined, true);
+        times.now += milliseconds;
+        second!.record(server, "0", true);
+        first!.recordPeerNotices(second!.notices());
+        first!.take(server);
+        expect(first!.waitMilliseconds(server) > 0).toBe(isLimited);
+    },
+);
+
+// Guards against limits of which nobody tells an instance that starts later.
+test("one of several instances that were told at the same time goes on to report it", () => {
+    const { times, fleet: [first, second, third], report, exchange } = createFleet(3);
+    first!.record(server, "0", true);
+    second!.record(server, "0", true);
+    for (let round = 0; round < 3; round++) {
+        times.now += 50;
+        const notices = [first!.notices(), second!.notices()];
+        times.now += 50;
+        first!.recordPeerNotices(notices[1]!);
+        second!.recordPeerNotices(notices[0]!);
+    }
+    report(0, 2);
+    report(1, 2);
+    third!.take(server);
+    expect(third!.waitMilliseconds(server)).toBe(WINDOW_MILLISECONDS);
+    // A notice does not look newer with each time that it is passed on.
+    times.now += 100;
+    third!.record(server, undefined, true);
+    times.now += 200;
+    exchange();
+    expect(third!.waitMilliseconds(server)).toBe(0);
+});
+
 // Guards against a limit of an earlier start of a server.
 test("a limit ends with another start of its server", () => {
     const { directory, fleet: [limits] } = createFleet(1);
