Say in comments why a listener closes idle connections and that orders turn

Cause: read again, neither was plain; docs/PLATFORM.md did not tell what keeps a connection open while a request arrives.

--- a/packages/callers/caller_server.ts
+++ b/packages/callers/caller_server.ts
@@ -72,6 +72,7 @@
             this.#serve(request, response).catch(error => failResponse(response, error, this.options.logger));
         });
         this.#pipeliningLimit = createPipeliningLimit(this.#server, options);
+        // With a listener, Node.js does not close idle connections by itself.
         this.#server.on("timeout", socket => this.#pipeliningLimit.awaitArrival(socket) || socket.destroy());
         this.#lastResponses = new LastResponses(this.#pipeliningLimit);
         this.#halfClosedCallers = new HalfClosedCallers(this.#server, this.#pipeliningLimit);
--- a/packages/gateway/server_limits.ts
+++ b/packages/gateway/server_limits.ts
@@ -55,7 +55,7 @@
 /**
  * Keeps to the limits that servers name in their answers, over all instances together. A limit lasts until an answer comes
  * without it or the server starts again. What is left of it is divided among the instances in an order of their own for
- * each server, so that a limit below their number is used.
+ * each server, so that a limit below their number is used. The order turns, so that each instance comes first at times.
  *
  * @example
  * ```ts
