--- a/packages/directory/registered_server.ts
+++ b/packages/directory/registered_server.ts
@@ -8,6 +8,8 @@
     /** IP address and port. */
     address: string;
     failureDomain: string;
+    /** Version of the server's software, not of the model that it holds. */
+    softwareVersion: string;
     /** Whether the server is draining. */
     leaving: boolean;
     /** Undefined if the server is not a model engine. */
--- a/packages/gateway/_choose_final_refusal.ts
+++ b/packages/gateway/_choose_final_refusal.ts
@@ -5,7 +5,12 @@
 import type { GatewayRequest } from "./gateway_request.ts";
 
 /** Reasons that hold whatever the engines can take. */
-const KEY_REASONS: ReadonlySet<GatewayRefusalReason> = new Set(["key-unknown", "configuration-stale"]);
+const FINAL_REASONS: ReadonlySet<GatewayRefusalReason> = new Set([
+    "key-unknown",
+    "configuration-stale",
+    "stream-version-unknown",
+    "stream-version-gone",
+]);
 
 /** Chooses what a model request is told in the end, given the refusal of its last pass. */
 export function chooseFinalRefusal(
@@ -18,7 +23,7 @@
         const status = verdict === "not-run" ? 503 : 504;
         return { status, reason: "deadline-passed", verdict, message: "No answer in time" };
     }
-    if (refusal && (refusal.verdict === "may-have-run" || KEY_REASONS.has(refusal.reason))) {
+    if (refusal && (refusal.verdict === "may-have-run" || FINAL_REASONS.has(refusal.reason))) {
         return refusal;
     }
     return context.availability.findRefusal(request.service.name, "decode")
--- a/packages/gateway/_create_pass_progress.ts
+++ b/packages/gateway/_create_pass_progress.ts
@@ -4,6 +4,7 @@
 export function createPassProgress(): PassProgress {
     return {
         lastEventId: undefined,
+        softwareVersion: undefined,
         runs: 0,
         prefillAttempted: false,
         localPrefill: false,
--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { TrafficRoute } from "../directory/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
 import { parsePromptParts } from "../prompt_parts/mod.ts";
 import { refuseUnconfirmed } from "./_refuse_unconfirmed.ts";
@@ -9,6 +10,7 @@
 import type { GatewayRequest } from "./gateway_request.ts";
 import { headerOf } from "./header_of.ts";
 import { refuseKey } from "./refuse_key.ts";
+import type { ResumedStream } from "./resumed_stream.ts";
 
 /** Delay in milliseconds after which a caller may retry while this instance shuts down. */
 const SHUTDOWN_RETRY_AFTER_MILLISECONDS = 500;
@@ -105,6 +107,7 @@
                 key,
                 promptTokens,
                 outputTokens,
+                resumedStream: this.#findResumedStream(incoming, route),
                 promptParts: parsePromptParts(service.name, headerOf(incoming, headers.promptParts)),
                 isProbe: false,
                 priority: organisation?.priority ?? route.priority,
@@ -133,6 +136,13 @@
         };
     }
 
+    #findResumedStream(incoming: IncomingMessage, route: TrafficRoute): ResumedStream | undefined {
+        const { lastEventId, resumedAttempt } = this.context.headers;
+        const firstAttempt = headerOf(incoming, resumedAttempt);
+        const isResumed = firstAttempt !== undefined || headerOf(incoming, lastEventId) !== undefined;
+        return route.resumable && isResumed ? { firstAttempt } : undefined;
+    }
+
     #removedHeaders(): ReadonlySet<string> {
         const { headers } = this.context;
         return new Set([...headers.reserved, headers.key, headers.remainingMilliseconds]);
--- a/packages/gateway/crash_registry_test.ts
+++ b/packages/gateway/crash_registry_test.ts
@@ -59,6 +59,7 @@
         service: "models",
         address: "127.0.0.1:1",
         failureDomain: "north",
+        softwareVersion: "v1",
         leaving: false,
         stage: "decode",
         slots: 8,
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -34,6 +34,8 @@
     /** Whether the first event can no longer meet the route's target latency. */
     late: boolean;
     excluded: ReadonlySet<string>;
+    /** Software version of the engines that may be used; undefined for all. */
+    softwareVersion: string | undefined;
     /** Whether a part of the answer has been sent, so that the request can no longer be refused. */
     answerBegun: boolean;
     /** Whether the memory is still of use. */
@@ -46,6 +48,8 @@
 interface AcquireOptions {
     /** Whether a part of the answer has been sent; then the wait goes first and lasts as long as the request. */
     answerBegun?: boolean;
+    /** Software version of the engines that may be used. Default: all. */
+    softwareVersion?: string | undefined;
     /** Whether the memory is still of use; the wait ends soon after it returns false. Default: always. */
     isWanted?: () => boolean;
 }
@@ -100,7 +104,7 @@
         excluded: ReadonlySet<string>,
         options: AcquireOptions = {},
     ): Promise<Result<DecodeReservation, GatewayRefusal>> {
-        const { answerBegun = false, isWanted = () => true } = options;
+        const { answerBegun = false, softwareVersion, isWanted = () => true } = options;
         return new Promise((resolve, reject) => {
             const since = monotonicMilliseconds();
             this.#waiters.push({
@@ -112,6 +116,7 @@
                     ? Number.POSITIVE_INFINITY
                     : Math.min(request.deadline, since + MAXIMUM_WAIT_MILLISECONDS),
                 excluded,
+                softwareVersion,
                 answerBegun,
                 isWanted,
                 resolve,
@@ -175,7 +180,7 @@
         const service = waiter.request.service.name;
         const isBlocked = blockedServices.has(service);
         const server = isBlocked ? undefined : this.#choose(waiter, now);
-        const refusal = server || isBlocked || waiter.answerBegun ? undefined : this.#findRefusal(waiter);
+        const refusal = server ? undefined : this.#findRefusal(waiter, isBlocked);
         if (refusal) {
             waiter.resolve(err(refusal));
             return false;
@@ -183,7 +188,7 @@
         if (!server) {
             // Later requests must not overtake the first one, which could otherwise wait forever. One that may not
             // use every engine waits while there is room for others.
-            if (waiter.excluded.size === 0) {
+            if (waiter.excluded.size === 0 && waiter.softwareVersion === undefined) {
                 blockedServices.add(service);
             }
             return true;
@@ -221,7 +226,8 @@
         const eligible = engines.filter(server => {
             const load = serverLoads.get(server.id);
             const { active, reservedTokens } = load.total();
-            return load.avoidedUntil <= now && !waiter.excluded.has(server.id) && this.#chooser.admits(server)
+            return load.avoidedUntil <= now && !waiter.excluded.has(server.id) && hasVersion(server, waiter)
+                && this.#chooser.admits(server)
                 && active < server.slots && (service.engine?.memoryTokens ?? 0) - reservedTokens >= waiter.tokens
                 && (prefillWait < MAXIMUM_PREFILL_WAIT_MILLISECONDS
                     || this.prefillDispatcher.isLocalPrefillFaster(waiter.request, server, estimate));
@@ -252,8 +258,16 @@
     }
 
     /** Finds out whether no engine that the request may use will take it in time. */
-    #findRefusal({ request, excluded }: Waiter): GatewayRefusal | undefined {
-        return this.context.availability.findRefusal(request.service.name, "decode", excluded);
+    #findRefusal(waiter: Waiter, isBlocked: boolean): GatewayRefusal | undefined {
+        const { request, excluded, softwareVersion, answerBegun } = waiter;
+        const { availability } = this.context;
+        const service = request.service.name;
+        const gone = softwareVersion === undefined ? undefined : availability.refuseVersion(service, softwareVersion);
+        if (gone || isBlocked || answerBegun) {
+            return gone;
+        }
+        const others = availability.usableServers(service, "decode").filter(server => !hasVersion(server, waiter));
+        return availability.findRefusal(service, "decode", new Set([...excluded, ...others.map(({ id }) => id)]));
     }
 
     #refuse(waiter: Waiter): void {
@@ -267,3 +281,8 @@
         }));
     }
 }
+
+/** Whether an engine has the software version that a waiting request needs. */
+function hasVersion(server: RegisteredServer, { softwareVersion }: Waiter): boolean {
+    return softwareVersion === undefined || server.softwareVersion === softwareVersion;
+}
--- a/packages/gateway/directory_updater_test.ts
+++ b/packages/gateway/directory_updater_test.ts
@@ -24,7 +24,7 @@
     const replica = new ItemReplica();
     const directory = new Directory();
     const server = { service: "orders", address: "127.0.0.1:1", failureDomain: "north", slots: 1 };
-    const state = { leaving: false, stage: undefined, coldMilliseconds: 0, startedAt: 1 };
+    const state = { leaving: false, stage: undefined, coldMilliseconds: 0, startedAt: 1, softwareVersion: "v1" };
     const updater = new DirectoryUpdater({
         decodeItem: change =>
             change.kind === "written"
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -2,7 +2,7 @@
 import type { Writable } from "node:stream";
 import { BackendConnectionPool } from "../backends/mod.ts";
 import { monotonicMilliseconds, sleep, SuspensionAwareClock } from "../clocks/mod.ts";
-import type { CoordinationStore, EraWitness } from "../coordination/mod.ts";
+import type { CoordinationStore } from "../coordination/mod.ts";
 import { Directory } from "../directory/mod.ts";
 import { createLogger, type Logger } from "../logs/mod.ts";
 import { ProcessMemory } from "../memory/mod.ts";
@@ -15,8 +15,6 @@
 import { StatusServers } from "./_status_servers.ts";
 import { createCrashDetection } from "./create_crash_detection.ts";
 import { createServerAccess } from "./create_server_access.ts";
-import { createStoreReading } from "./create_store_reading.ts";
-import type { DirectoryUpdater } from "./directory_updater.ts";
 import { drainCallers } from "./drain_callers.ts";
 import { FleetReporter } from "./fleet_reporter.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
@@ -28,6 +26,7 @@
 import { ServerLoadTracker } from "./server_load_tracker.ts";
 import { ServerSubset } from "./server_subset.ts";
 import { StageLeadership } from "./stage_leadership.ts";
+import { StoreReading } from "./store_reading.ts";
 
 /** Longest report period in milliseconds at which peers' loads count in full; about the time of one prefill. */
 const FULL_WEIGHT_REPORT_MILLISECONDS = 100;
@@ -60,8 +59,7 @@
     readonly #serverLoads: ServerLoadTracker;
     readonly #rateLimiter: RateLimiter;
     readonly #peerMesh: PeerMesh;
-    readonly #directoryUpdater: DirectoryUpdater;
-    readonly #eraWitness: EraWitness;
+    readonly #storeReading: StoreReading;
     readonly #context: GatewayContext;
     #stageLeadership: StageLeadership | undefined;
     #replicaFollower: ReplicaFollower | undefined;
@@ -90,15 +88,14 @@
             metrics: this.#metrics,
             logger: this.#logger,
         };
-        const storeReading = createStoreReading({
+        this.#storeReading = new StoreReading({
             ...shared,
             decodeItem: change => adapter.decodeItem(change),
             store: this.#store,
             replica: this.#replica,
             isReader: () => this.#peerMesh.isReader(),
+            instanceCount,
         });
-        this.#directoryUpdater = storeReading.directoryUpdater;
-        this.#eraWitness = storeReading.eraWitness;
         this.#directory.onChange(() => {
             this.#connectionPool.retain(new Set([...this.#directory.servers.values()].map(({ address }) => address)));
         });
@@ -177,7 +174,8 @@
                 () => this.#peerLoadWeight(),
                 () => this.#peerMesh.peerNames,
             ),
-            directoryUpdater: this.#directoryUpdater,
+            directoryUpdater: this.#storeReading.directoryUpdater,
+            streamVersions: this.#storeReading.streamVersions,
             ...crashDetection,
             memory: this.#memory.budget,
         };
@@ -205,7 +203,7 @@
             logger: this.#logger,
             metrics: this.#metrics,
         });
-        this.#eraWitness.start();
+        this.#storeReading.start();
         this.#stageLeadership = new StageLeadership(this.#context, this.#store, this.#replica);
         this.#logger.info("listening", { callers: callersAddress });
     }
@@ -240,13 +238,12 @@
         this.#shuttingDown = true;
         this.#server.close();
         this.#memory.close();
-        this.#directoryUpdater.close();
         this.#connectionPool.close();
         this.#turns.close();
         this.#store.close();
         await Promise.all([
             this.#replicaFollower?.close(),
-            this.#eraWitness.close(),
+            this.#storeReading.close(),
             this.#stageLeadership?.close(),
             this.#peerMesh.close(),
         ]);
@@ -291,7 +288,7 @@
     /** Whether the load balancer may send requests. */
     get ready(): boolean {
         return !this.#shuttingDown && this.#directory.configuration !== undefined
-            && this.#directoryUpdater.canAcceptKeys();
+            && this.#storeReading.directoryUpdater.canAcceptKeys();
     }
 
     #peerLoadWeight(): number {
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -4,6 +4,7 @@
 import type { MemoryBudget } from "../memory/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
+import type { StreamVersions } from "../stream_versions/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { DirectoryUpdater } from "./directory_updater.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
@@ -53,6 +54,8 @@
     serverSubset: ServerSubset;
     /** Decides whether the directory is recent enough to accept API keys and to deny unknown routes and keys. */
     directoryUpdater: DirectoryUpdater;
+    /** Finds out which software version began a stream. */
+    streamVersions: StreamVersions;
     /** Memory that requests and answers may hold. */
     memory: MemoryBudget;
     clock: SuspensionAwareClock;
--- a/packages/gateway/gateway_refusal_reason.ts
+++ b/packages/gateway/gateway_refusal_reason.ts
@@ -17,6 +17,8 @@
     | "servers-at-limits"
     | "no-capacity"
     | "backend-failed"
+    | "stream-version-unknown"
+    | "stream-version-gone"
     | "retry-budget-spent"
     | "request-crashes-servers"
     | "prompt-part-crashes-servers"
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -2,6 +2,7 @@
 import type { OrganisationProfile, ServiceProfile, TrafficRoute } from "../directory/mod.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { RequestMemory } from "./request_memory.ts";
+import type { ResumedStream } from "./resumed_stream.ts";
 
 /** An admitted request of a caller. */
 export interface GatewayRequest {
@@ -20,6 +21,8 @@
     key: string | undefined;
     promptTokens: number;
     outputTokens: number;
+    /** The stream that the request takes up where it broke off; undefined if it asks for a new one. */
+    resumedStream: ResumedStream | undefined;
     /** Parts of the prompt that other requests may share. */
     promptParts: string[];
     /** Whether the request runs once to find out whether a blocked part of its prompt still crashes servers. */
--- a/packages/gateway/leaving_servers_test.ts
+++ b/packages/gateway/leaving_servers_test.ts
@@ -13,7 +13,7 @@
 function server(id: string, changes: Partial<RegisteredServer> = {}): RegisteredServer {
     return {
         ...{ id, service: "orders", address: "127.0.0.1:1", failureDomain: "north", leaving: false, stage: undefined },
-        ...{ slots: 8, coldMilliseconds: 0, startedAt: 1 },
+        ...{ slots: 8, coldMilliseconds: 0, startedAt: 1, softwareVersion: "v1" },
         ...changes,
     };
 }
--- a/packages/gateway/pass_progress.ts
+++ b/packages/gateway/pass_progress.ts
@@ -5,6 +5,8 @@
 export interface PassProgress {
     /** Id of the last event that was sent to the caller. */
     lastEventId: number | undefined;
+    /** Software version that began the stream, the only one at which it may go on; undefined before its first event. */
+    softwareVersion: string | undefined;
     /** Number of passes that may have run at a decode engine. */
     runs: number;
     /** Whether an earlier pass has computed the prompt or tried to. */
--- a/packages/gateway/protocol_headers.ts
+++ b/packages/gateway/protocol_headers.ts
@@ -25,6 +25,8 @@
     /** Time in milliseconds for which a server stays cold. */
     coldMilliseconds: string;
     lastEventId: string;
+    /** Id of the caller's attempt that got the first event of the stream that the request takes up. */
+    resumedAttempt: string;
     /** `1` when the server leaves. */
     leaving: string;
     /** Requests a second, as a decimal number, that the server takes from all instances together. */
--- a/packages/gateway/server_availability.ts
+++ b/packages/gateway/server_availability.ts
@@ -6,6 +6,8 @@
 
 /** Delay in milliseconds after which a caller may retry when every server leaves. */
 const RETRY_AFTER_MILLISECONDS = 300;
+/** Delay in milliseconds after which a server of a version that is not in service may be back. */
+const VERSION_RETRY_AFTER_MILLISECONDS = 1_000;
 /** Time in milliseconds over which the callers that wait for the end of a pause or for a place are spread. */
 const RETRY_SPREAD_MILLISECONDS = 500;
 const PAUSED = { reason: "servers-paused" as const, message: "Every backend server has asked for a pause" };
@@ -104,6 +106,24 @@
             };
     }
 
+    /**
+     * Finds out whether a stream can be refused at once, since no server of the version that began it may get requests.
+     *
+     * @param service Name of the service.
+     * @param softwareVersion The version.
+     * @returns The refusal; undefined if a server of the version is in service.
+     */
+    refuseVersion(service: string, softwareVersion: string): GatewayRefusal | undefined {
+        const servers = this.directory.usableServers(service);
+        return servers.some(server => server.softwareVersion === softwareVersion) ? undefined : {
+            status: 503,
+            reason: "stream-version-gone",
+            verdict: "not-run",
+            message: "No server of the software version that began the stream is in service",
+            retryAfterMilliseconds: VERSION_RETRY_AFTER_MILLISECONDS,
+        };
+    }
+
     #isAvailable(server: RegisteredServer): boolean {
         return !this.leavingServers.isExcluded(server) && this.pausedServers.remainingMilliseconds(server) === 0;
     }
--- a/packages/gateway/server_limits_test.ts
+++ b/packages/gateway/server_limits_test.ts
@@ -8,7 +8,7 @@
 const WINDOW_MILLISECONDS = 4_000;
 const server: RegisteredServer = {
     ...{ id: "first", service: "orders", address: "127.0.0.1:1", failureDomain: "north", leaving: false },
-    ...{ stage: undefined, slots: 8, coldMilliseconds: 0, startedAt: 1 },
+    ...{ stage: undefined, slots: 8, coldMilliseconds: 0, startedAt: 1, softwareVersion: "v1" },
 };
 
 /** Creates a fleet with one object per instance, whose ranks differ, and clocks that differ by up to a time. */
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -4,6 +4,7 @@
 import { chooseFinalRefusal } from "./_choose_final_refusal.ts";
 import { createPassProgress } from "./_create_pass_progress.ts";
 import { createStreamRefusal } from "./_create_stream_refusal.ts";
+import { findObstacle } from "./_find_obstacle.ts";
 import { spendRetry } from "./_spend_retry.ts";
 import { CrashEvidence } from "./crash_evidence.ts";
 import { DecodePass } from "./decode_pass.ts";
@@ -11,7 +12,6 @@
 import type { DecodeReservation } from "./decode_reservation.ts";
 import type { EngineClient } from "./engine_client.ts";
 import type { GatewayContext } from "./gateway_context.ts";
-import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { PassOutcome } from "./pass_outcome.ts";
 import type { PassProgress } from "./pass_progress.ts";
@@ -22,6 +22,7 @@
 import { refuseKey } from "./refuse_key.ts";
 import { sendRefusal } from "./send_refusal.ts";
 import { SuccessorSearch } from "./successor_search.ts";
+import { VersionGuard } from "./version_guard.ts";
 
 /** Largest number of passes of one request through prefill and decode. */
 const MAXIMUM_PASSES = 4;
@@ -41,6 +42,7 @@
 export class StreamForwarder {
     readonly #decodePass: DecodePass;
     readonly #successorSearch: SuccessorSearch;
+    readonly #versionGuard: VersionGuard;
 
     /**
      * @param context Shared objects of the gateway.
@@ -55,6 +57,7 @@
         private readonly prefillDispatcher: PrefillDispatcher,
     ) {
         this.#decodePass = new DecodePass(context);
+        this.#versionGuard = new VersionGuard(context);
         this.#successorSearch = new SuccessorSearch(context, queue, engineClient);
     }
 
@@ -66,7 +69,11 @@
      */
     async forward(request: GatewayRequest): Promise<Verdict> {
         const progress = createPassProgress();
-        let refusal: GatewayRefusal | undefined;
+        let refusal = await this.#versionGuard.admit(request, progress);
+        if (refusal) {
+            sendRefusal(request, refusal, this.context);
+            return refusal.verdict;
+        }
         for (let pass = 0; pass < MAXIMUM_PASSES && !request.signal.aborted; pass++) {
             const isBlocked = pass > 0 && this.context.promptParts.isBlocked(request.promptParts);
             const ownRefusal = refuseKey(request.key, this.context) ?? (isBlocked ? refuseBlockedPart() : undefined);
@@ -85,7 +92,10 @@
             const answerBegun = progress.lastEventId !== undefined;
             const reservation = successor
                 ? ok(successor)
-                : await this.queue.acquire(request, progress.excluded, { answerBegun });
+                : await this.queue.acquire(request, progress.excluded, {
+                    answerBegun,
+                    softwareVersion: progress.softwareVersion,
+                });
             if (reservation.isErr()) {
                 refusal ??= reservation.error;
                 if (progress.mustGoOn) {
@@ -170,7 +180,7 @@
             if (prefilled.isErr() && prefilled.error.sent && !retryBudget.trySpend(request.service.name, mustGoOn)) {
                 return { kind: "not-run", message: `${prefilled.error.message}; too many requests are being retried` };
             }
-            const obstacle = this.#findObstacle(request, reservation);
+            const obstacle = findObstacle(request, reservation.server, this.context);
             if (obstacle) {
                 return this.#applyOutcome(obstacle, prefilled.unwrapOr(undefined), reservation, progress);
             }
@@ -203,6 +213,7 @@
             const evidence = new CrashEvidence(this.context, request, reservation);
             const recordEvent = () => {
                 endLocalPrefill();
+                this.#versionGuard.recordEvent(request, reservation.server, progress);
                 evidence.recordEvent();
             };
             const outcome = await this.#decodePass.run(run, recordEvent).finally(endLocalPrefill);
@@ -278,20 +289,4 @@
         progress.localPrefill = true;
         return { kind: "handle-lost", message: outcome.message };
     }
-
-    /** Finds out whether the request may no longer be sent to its decode engine. */
-    #findObstacle(request: GatewayRequest, reservation: DecodeReservation): PassOutcome | undefined {
-        const refusal = refuseKey(request.key, this.context);
-        if (refusal) {
-            return { kind: "key-refused", message: refusal.message, refusal };
-        }
-        if (!this.context.availability.isUsable(reservation.server)) {
-            return { kind: "withheld", message: "The decode engine is leaving or asks for a pause" };
-        }
-        if (!request.isProbe && this.context.promptParts.isBlocked(request.promptParts)) {
-            const message = "A part of the prompt crashes servers";
-            return { kind: "part-blocked", message, refusal: refuseBlockedPart() };
-        }
-        return undefined;
-    }
 }
--- a/packages/gateway/successor_search.ts
+++ b/packages/gateway/successor_search.ts
@@ -48,7 +48,10 @@
             return false;
         }
         const excluded = new Set([...progress.excluded, current.server.id]);
-        const reservation = await this.queue.acquire(request, excluded, { isWanted: isStillSilent });
+        const reservation = await this.queue.acquire(request, excluded, {
+            softwareVersion: progress.softwareVersion,
+            isWanted: isStillSilent,
+        });
         if (reservation.isErr()) {
             return false;
         }
--- /dev/null
+++ b/packages/gateway/version_guard.ts
@@ -0,0 +1,68 @@
+import type { RegisteredServer } from "../directory/mod.ts";
+import { createStreamRefusal } from "./_create_stream_refusal.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+import type { GatewayRefusal } from "./gateway_refusal.ts";
+import type { GatewayRequest } from "./gateway_request.ts";
+import type { PassProgress } from "./pass_progress.ts";
+
+/**
+ * Lets a stream go on only at the software version that began it.
+ *
+ * @example
+ * ```ts
+ * const refusal = await new VersionGuard(context).admit(request, progress);
+ * ```
+ */
+export class VersionGuard {
+    /**
+     * @param context Shared objects of the gateway.
+     */
+    constructor(private readonly context: GatewayContext) {}
+
+    /**
+     * Finds out at which version a stream that its caller takes up may go on, and keeps it in the progress.
+     *
+     * @param request The request.
+     * @param progress Progress of its stream.
+     * @returns The refusal if the version is not known; undefined if the request may go on or asks for a new stream.
+     */
+    async admit(request: GatewayRequest, progress: PassProgress): Promise<GatewayRefusal | undefined> {
+        const { id, resumedStream, service } = request;
+        if (!resumedStream) {
+            return undefined;
+        }
+        const { streamVersions, metrics, logger, directoryUpdater } = this.context;
+        const { firstAttempt } = resumedStream;
+        const finding = await streamVersions.find(firstAttempt, service.name);
+        metrics.increment("streams_taken_up_total", { version: finding.kind });
+        logger.info("stream taken up", {
+            request: id,
+            stream: firstAttempt,
+            service: service.name,
+            finding: finding.kind,
+            version: finding.kind === "unknown" ? undefined : finding.version,
+            ...directoryUpdater.logFields(),
+        });
+        if (finding.kind === "unknown") {
+            const message = "Which software version began the stream is not known";
+            return createStreamRefusal("stream-version-unknown", "not-run", message);
+        }
+        progress.softwareVersion = finding.version;
+        return undefined;
+    }
+
+    /**
+     * Notes at the first event of a stream that its caller may take up which version began it.
+     *
+     * @param request The request.
+     * @param server The server whose event came.
+     * @param progress Progress of its stream.
+     */
+    recordEvent(request: GatewayRequest, server: RegisteredServer, progress: PassProgress): void {
+        if (progress.softwareVersion === undefined && request.route.resumable) {
+            const version = server.softwareVersion;
+            progress.softwareVersion = version;
+            this.context.streamVersions.begin(request.id, { service: request.service.name, version });
+        }
+    }
+}
--- /dev/null
+++ b/packages/stream_versions/stream_versions.ts
@@ -0,0 +1,121 @@
+import { monotonicMilliseconds, PeriodicTask, sleep } from "../clocks/mod.ts";
+import { logFailure } from "../logs/mod.ts";
+import { ServedVersions } from "./served_versions.ts";
+import { StreamLedger } from "./stream_ledger.ts";
+import type { StreamOrigin } from "./stream_origin.ts";
+import { StreamOrigins } from "./stream_origins.ts";
+import type { StreamVersionsOptions } from "./stream_versions_options.ts";
+import type { VersionFinding } from "./version_finding.ts";
+
+/** Time for which the version that began a stream is remembered. */
+const STREAM_LIFETIME_MILLISECONDS = 64_000;
+/** Pause between two writes of one instance. */
+const RECORD_PERIOD_MILLISECONDS = 200;
+/** Largest number of writes that all instances together make in a second. */
+const RECORDS_PER_SECOND = 100;
+const MILLISECONDS_PER_SECOND = 1_000;
+/** Age of the directory above which a version that is not in it may be in service. */
+const MAXIMUM_DIRECTORY_AGE_MILLISECONDS = 5_000;
+/** Longest wait for the record of a stream that began a moment ago at another instance. */
+const RECORD_WAIT_MILLISECONDS = 400;
+const RECORD_CHECK_MILLISECONDS = 25;
+
+/**
+ * Finds out which software version began a stream that a caller takes up, at whichever instance it arrives and also after
+ * all instances have been restarted. What several versions write does not fit together, and servers do not check it.
+ *
+ * While a service has one version only, nothing is recorded. Otherwise each stream that begins is recorded in the store.
+ *
+ * @example
+ * ```ts
+ * const versions = new StreamVersions(options);
+ * versions.start();
+ * versions.begin("9c41d07b", { service: "models", version: "v2" });
+ * await versions.find("9c41d07b", "models"); // { kind: "recorded", version: "v2" }
+ * await versions.close();
+ * ```
+ */
+export class StreamVersions {
+    readonly #origins: StreamOrigins;
+    readonly #served: ServedVersions;
+    readonly #ledger: StreamLedger;
+    #task: PeriodicTask | undefined;
+    #recordAt = 0;
+
+    /**
+     * @param options Dependencies.
+     */
+    constructor(private readonly options: StreamVersionsOptions) {
+        const { clock, metrics } = options;
+        this.#origins = new StreamOrigins(clock, STREAM_LIFETIME_MILLISECONDS);
+        this.#served = new ServedVersions({ ...options, minimumLifetimeMilliseconds: STREAM_LIFETIME_MILLISECONDS });
+        this.#ledger = new StreamLedger({ ...options, origins: this.#origins });
+        metrics.gauge("stream_origins", () => this.#origins.size);
+    }
+
+    /** Begins to observe the versions in service and to record streams. */
+    start(): void {
+        const onError = logFailure(this.options.logger, "record of streams failed");
+        this.#task = new PeriodicTask(RECORD_PERIOD_MILLISECONDS, async () => await this.#step(), onError);
+    }
+
+    /**
+     * Stops recording.
+     *
+     * @returns A promise that resolves once the last write has ended.
+     */
+    async close(): Promise<void> {
+        await this.#task?.close();
+    }
+
+    /**
+     * Notes that a stream has begun at this instance.
+     *
+     * @param stream Id of the caller's attempt that gets its first event.
+     * @param origin What began it.
+     */
+    begin(stream: string, origin: StreamOrigin): void {
+        this.#origins.begin(stream, origin);
+    }
+
+    /**
+     * Finds out which version began a stream.
+     *
+     * @param stream Id of the caller's attempt that got the first event; undefined if the caller has not named it.
+     * @param service Name of the service.
+     * @returns What is known; resolves after a short wait if a record may be on its way.
+     */
+    async find(stream: string | undefined, service: string): Promise<VersionFinding> {
+        const until = monotonicMilliseconds() + RECORD_WAIT_MILLISECONDS;
+        while (true) {
+            const origin = stream === undefined ? undefined : this.#origins.find(stream);
+            if (origin?.service === service) {
+                return { kind: "recorded", version: origin.version };
+            }
+            this.#served.observe();
+            const [version, ...others] = this.#served.candidates(service);
+            const isRecent = this.options.directoryAge() < MAXIMUM_DIRECTORY_AGE_MILLISECONDS;
+            if (version !== undefined && others.length === 0 && isRecent) {
+                if (stream !== undefined) {
+                    this.#origins.begin(stream, { service, version });
+                }
+                return { kind: "only-version", version };
+            }
+            if (stream === undefined || others.length === 0 || monotonicMilliseconds() >= until) {
+                return { kind: "unknown" };
+            }
+            await sleep(RECORD_CHECK_MILLISECONDS);
+        }
+    }
+
+    async #step(): Promise<void> {
+        this.#origins.removeExpired();
+        this.#served.observe();
+        await this.#served.record();
+        const now = monotonicMilliseconds();
+        if (now >= this.#recordAt) {
+            this.#recordAt = now + this.options.instanceCount() / RECORDS_PER_SECOND * MILLISECONDS_PER_SECOND;
+            await this.#ledger.record(this.#served.mixedServices());
+        }
+    }
+}
