--- a/packages/stream_versions/stream_ledger.ts
+++ b/packages/stream_versions/stream_ledger.ts
@@ -66,8 +66,11 @@
      */
     async record(services: ReadonlySet<string>): Promise<void> {
         const { self, origins, replica, store, metrics, logger, unixTime = Date.now } = this.options;
+        if (services.size === 0 || !replica.isFilled) {
+            return;
+        }
         const added = origins.unrecorded(services);
-        if (added.size === 0 || !replica.isFilled) {
+        if (added.size === 0) {
             return;
         }
         const period = Math.floor(unixTime() / PERIOD_MILLISECONDS);
