--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -91,6 +91,7 @@
         if (refusal) {
             return { kind: "refused", refusal };
         }
+        const priority = organisation?.priority ?? route.priority;
         const [promptTokens, outputTokens] = parseTokenCounts(headerOf(incoming, headers.tokenCounts));
         return {
             kind: "admitted",
@@ -107,7 +108,8 @@
                 outputTokens,
                 promptParts: parsePromptParts(service.name, headerOf(incoming, headers.promptParts)),
                 isProbe: false,
-                priority: organisation?.priority ?? route.priority,
+                priority,
+                urgencyRank: service.engine && this.context.urgencies.rank(service.name, priority),
                 receivedAt,
                 callerDeadline,
                 deadline,
--- a/packages/gateway/backend_headers.ts
+++ b/packages/gateway/backend_headers.ts
@@ -1,4 +1,5 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { computeEnginePriority } from "../decisions/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
@@ -16,11 +17,17 @@
  * ```
  */
 export function backendHeaders(request: GatewayRequest, server: RegisteredServer, names: ProtocolHeaders): string[] {
-    const remaining = Math.max(1, Math.floor(request.deadline - monotonicMilliseconds()));
+    const now = monotonicMilliseconds();
+    const remaining = Math.max(1, Math.floor(request.deadline - now));
     const headers = [...request.headers, names.remainingMilliseconds, String(remaining)];
     headers.push(names.expectedServer, server.id);
     if (request.organisation) {
         headers.push(names.organisation, request.organisation.name);
     }
+    if (request.urgencyRank !== undefined) {
+        const isLate = now > request.receivedAt + request.route.targetLatencyMilliseconds
+            && !request.response.headersSent;
+        headers.push(names.enginePriority, String(computeEnginePriority(request.urgencyRank, isLate)));
+    }
     return headers;
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -3,6 +3,7 @@
 import { BackendConnectionPool } from "../backends/mod.ts";
 import { monotonicMilliseconds, sleep, SuspensionAwareClock } from "../clocks/mod.ts";
 import type { CoordinationStore, EraWitness } from "../coordination/mod.ts";
+import { ServiceUrgencies } from "../decisions/mod.ts";
 import { Directory } from "../directory/mod.ts";
 import { createLogger, type Logger } from "../logs/mod.ts";
 import { ProcessMemory } from "../memory/mod.ts";
@@ -11,6 +12,7 @@
 import { ItemReplica, ReplicaFollower } from "../replica/mod.ts";
 import { ShutdownLog, TurnWatch } from "../shutdown/mod.ts";
 import { computeRetryLimit } from "./_compute_retry_limit.ts";
+import { createRateLimiter } from "./_create_rate_limiter.ts";
 import { createShutdownSchedule } from "./_create_shutdown_schedule.ts";
 import { StatusServers } from "./_status_servers.ts";
 import { createCrashDetection } from "./create_crash_detection.ts";
@@ -23,7 +25,7 @@
 import type { GatewayContext } from "./gateway_context.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
-import { RateLimiter } from "./rate_limiter.ts";
+import type { RateLimiter } from "./rate_limiter.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { ServerLoadTracker } from "./server_load_tracker.ts";
 import { ServerSubset } from "./server_subset.ts";
@@ -82,7 +84,6 @@
         this.#memory = new ProcessMemory(settings.memoryMegabytes * BYTES_PER_MEGABYTE, this.#metrics, this.#logger);
         this.#store = adapter.openStore(settings.storeAddress, this.#metrics);
         const instanceCount = () => this.instances;
-        const { bounds } = settings;
         const shared = {
             directory: this.#directory,
             clock: this.#clock,
@@ -124,12 +125,8 @@
             serverLoads: this.#serverLoads,
             isTopRanked: (part, count) => this.#context.serverSubset.isTopRanked(part, count),
         });
-        this.#rateLimiter = new RateLimiter({
-            ...usage,
-            windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
-            excess: bounds.quotaExcess,
-            slack: bounds.quotaSlack,
-        });
+        this.#rateLimiter = createRateLimiter(usage, settings.bounds);
+        const urgencies = new ServiceUrgencies(() => this.#directory.configuration);
         const reporter = new FleetReporter({
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
@@ -167,6 +164,7 @@
             engineProtocol: adapter.engineProtocol,
             serverLoads: this.#serverLoads,
             ...serverAccess,
+            urgencies,
             retryBudget: new RetryBudget(() => computeRetryLimit(this.settings.bounds), instanceCount),
             instanceCount,
             reportPeriodMilliseconds: () => this.#peerMesh.reportPeriodMilliseconds,
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -1,4 +1,5 @@
 import type { SuspensionAwareClock } from "../clocks/mod.ts";
+import type { ServiceUrgencies } from "../decisions/mod.ts";
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { MemoryBudget } from "../memory/mod.ts";
@@ -34,6 +35,8 @@
     leavingServers: LeavingServers;
     /** Limits that servers have named. */
     serverLimits: ServerLimits;
+    /** Urgencies of the services' requests. */
+    urgencies: ServiceUrgencies;
     retryBudget: RetryBudget;
     crashRegistry: CrashRegistry;
     /** Parts of prompts that crash servers. */
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -26,6 +26,8 @@
     isProbe: boolean;
     /** Priority; 0 is served first. */
     priority: number;
+    /** Number of more urgent priorities of its service; undefined if the service has a single one. */
+    urgencyRank: number | undefined;
     /** Monotonic time in milliseconds at which the request's headers were received. */
     receivedAt: number;
     /** Monotonic time in milliseconds at which the caller gives up. */
--- a/packages/gateway/protocol_headers.ts
+++ b/packages/gateway/protocol_headers.ts
@@ -20,6 +20,8 @@
     stage: string;
     /** Address and handle of the prefill result to fetch. */
     prefillResult: string;
+    /** Priority at the engine, from 0, which is served first. */
+    enginePriority: string;
     /** Id of the reservation of engine memory. */
     reservation: string;
     /** Time in milliseconds for which a server stays cold. */
