--- a/packages/decisions/demand_report.ts
+++ b/packages/decisions/demand_report.ts
@@ -1,2 +1,5 @@
-/** By service: priority, waiting requests, waiting tokens, asked and granted tokens per second of each urgency. */
-export type DemandReport = Record<string, [number, number, number, number, number][]>;
+import type * as z from "zod";
+import type { demandReportSchema } from "./demand_report_schema.ts";
+
+/** Demand for engine memory of one or more instances, by service. */
+export type DemandReport = z.infer<typeof demandReportSchema>;
--- /dev/null
+++ b/packages/decisions/instance_order.ts
@@ -0,0 +1,31 @@
+import type { MemoryOrder } from "./memory_order.ts";
+import type { WaitingRequest } from "./waiting_request.ts";
+
+/**
+ * Order of the requests of one instance by priority, whatever waits at others.
+ *
+ * @example
+ * ```ts
+ * new InstanceOrder().mustYield(); // false
+ * ```
+ */
+export class InstanceOrder implements MemoryOrder {
+    /**
+     * Returns the priority of the request.
+     *
+     * @param request The request.
+     * @returns Its priority.
+     */
+    priorityOf(request: WaitingRequest): number {
+        return request.priority;
+    }
+
+    /**
+     * Never leaves room to other instances.
+     *
+     * @returns False.
+     */
+    mustYield(): boolean {
+        return false;
+    }
+}
--- a/packages/decisions/merge_demand.ts
+++ b/packages/decisions/merge_demand.ts
@@ -1,6 +1,5 @@
-import { addDemand } from "./_add_demand.ts";
+import { DemandSum } from "./_demand_sum.ts";
 import type { DemandReport } from "./demand_report.ts";
-import type { UrgencyDemand } from "./urgency_demand.ts";
 
 /**
  * Adds up reports on demand.
@@ -15,17 +14,20 @@
  */
 export function mergeDemand(reports: (DemandReport | undefined)[]): DemandReport | undefined {
     const services = new Set(reports.flatMap(report => Object.keys(report ?? {})));
+    if (services.size === 0) {
+        return undefined;
+    }
     const merged: DemandReport = {};
     for (const service of services) {
-        const sums = new Map<number, UrgencyDemand>();
-        reports.forEach(report => addDemand(sums, report?.[service]));
-        merged[service] = [...sums.values()].map(sum => [
-            sum.priority,
-            sum.waiting,
-            sum.waitingTokens,
-            sum.askedTokens,
-            sum.grantedTokens,
+        const sum = new DemandSum();
+        reports.forEach(report => sum.add(report?.[service]));
+        merged[service] = sum.demands().map(demand => [
+            demand.priority,
+            demand.waiting,
+            demand.waitingTokens,
+            demand.grantedRate,
+            demand.refusedRate,
         ]);
     }
-    return services.size > 0 ? merged : undefined;
+    return merged;
 }
--- a/packages/decisions/urgency_demand.ts
+++ b/packages/decisions/urgency_demand.ts
@@ -1,13 +1,13 @@
-/** Demand for engine memory by requests of one service and one urgency. */
+/** Demand for engine memory by the requests of a service that have one priority. */
 export interface UrgencyDemand {
     /** Priority of the requests; 0 is served first. */
     priority: number;
-    /** Requests that wait. */
+    /** Number of requests that wait. */
     waiting: number;
     /** Tokens that they wait for. */
     waitingTokens: number;
-    /** Tokens that requests have asked for, in tokens per second. */
-    askedTokens: number;
-    /** Tokens that engines have granted, in tokens per second. */
-    grantedTokens: number;
+    /** Tokens per second that engines have granted recently. */
+    grantedRate: number;
+    /** Tokens per second that were refused recently. */
+    refusedRate: number;
 }
--- /dev/null
+++ b/packages/decisions/waiting_request.ts
@@ -0,0 +1,14 @@
+/** What the order of requests that wait for memory depends on. */
+export interface WaitingRequest {
+    service: string;
+    /** Priority; 0 is served first. */
+    priority: number;
+    /** Tokens that it waits for. */
+    tokens: number;
+    /** Monotonic time in milliseconds at which the wait began. */
+    since: number;
+    /** Whether the first event can no longer meet the target latency. */
+    late: boolean;
+    /** Whether a part of the answer has been sent. */
+    answerBegun: boolean;
+}
--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -109,7 +109,7 @@
                 promptParts: parsePromptParts(service.name, headerOf(incoming, headers.promptParts)),
                 isProbe: false,
                 priority,
-                urgencyRank: service.engine && this.context.urgencies.rank(service.name, priority),
+                urgencyRank: service.engine && this.context.loadPolicies.urgencies.rank(service.name, priority),
                 receivedAt,
                 callerDeadline,
                 deadline,
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -1,6 +1,8 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { compareWaiting, type WaitingRequest } from "../decisions/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
+import { findRoom } from "./_find_room.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
 import { DecodeReserver } from "./decode_reserver.ts";
 import type { EngineClient } from "./engine_client.ts";
@@ -24,18 +26,15 @@
 const FAILURE_PENALTY = 6;
 
 /** A request that waits for memory. */
-interface Waiter {
+interface Waiter extends WaitingRequest {
     request: GatewayRequest;
-    tokens: number;
-    /** Monotonic time in milliseconds at which the wait began. */
-    since: number;
+    /** Priority by which it is sorted. */
+    orderPriority: number;
+    /** Whether it has left room to requests of other instances. */
+    hasYielded: boolean;
     /** Monotonic time in milliseconds at which the request is refused. */
     giveUpAt: number;
-    /** Whether the first event can no longer meet the route's target latency. */
-    late: boolean;
     excluded: ReadonlySet<string>;
-    /** Whether a part of the answer has been sent, so that the request can no longer be refused. */
-    answerBegun: boolean;
     /** Whether the memory is still of use. */
     isWanted: () => boolean;
     resolve: (result: Result<DecodeReservation, GatewayRefusal>) => void;
@@ -103,19 +102,36 @@
         const { answerBegun = false, isWanted = () => true } = options;
         return new Promise((resolve, reject) => {
             const since = monotonicMilliseconds();
+            const service = request.service.name;
+            const tokens = Math.ceil(request.promptTokens + OUTPUT_FRACTION * request.outputTokens);
+            const { demand, urgencies } = this.context.loadPolicies;
+            const leave = urgencies.hasSeveral(service)
+                ? demand.enter(service, request.priority, tokens)
+                : () => {};
             this.#waiters.push({
                 request,
-                tokens: Math.ceil(request.promptTokens + OUTPUT_FRACTION * request.outputTokens),
+                service,
+                priority: request.priority,
+                orderPriority: request.priority,
+                tokens,
                 since,
                 late: false,
+                hasYielded: false,
                 giveUpAt: answerBegun
                     ? Number.POSITIVE_INFINITY
                     : Math.min(request.deadline, since + MAXIMUM_WAIT_MILLISECONDS),
                 excluded,
                 answerBegun,
                 isWanted,
-                resolve,
-                reject,
+                resolve: result => {
+                    const isGone = request.signal.aborted || !isWanted();
+                    leave(result.isOk() ? "granted" : isGone ? "gone" : "refused", monotonicMilliseconds());
+                    resolve(result);
+                },
+                reject: error => {
+                    leave("gone", monotonicMilliseconds());
+                    reject(error);
+                },
             });
             this.dispatch();
         });
@@ -144,10 +160,7 @@
         }
     }
 
-    /**
-     * Sorts requests by priority; those whose answer has begun go first, and those that can no longer meet their target
-     * latency last.
-     */
+    /** Sorts requests by the order of their services. */
     #sortWaiters(now: number): void {
         if (this.#waiters.length < 2) {
             return;
@@ -157,13 +170,9 @@
             const neededMilliseconds = promptTokens / this.prefillDispatcher.tokensPerMillisecond
                 + FIRST_EVENT_MILLISECONDS;
             waiter.late = now + neededMilliseconds > receivedAt + route.targetLatencyMilliseconds;
+            waiter.orderPriority = this.context.loadPolicies.of(waiter.service).order.priorityOf(waiter, now);
         }
-        this.#waiters.sort((left, right) =>
-            Number(right.answerBegun) - Number(left.answerBegun)
-            || Number(left.late) - Number(right.late)
-            || left.request.priority - right.request.priority
-            || left.since - right.since
-        );
+        this.#waiters.sort(compareWaiting);
     }
 
     /** Refuses a request or starts to reserve memory for it, unless it must wait. */
@@ -172,8 +181,8 @@
             this.#refuse(waiter);
             return false;
         }
-        const service = waiter.request.service.name;
-        const isBlocked = blockedServices.has(service);
+        const { service } = waiter;
+        const isBlocked = blockedServices.has(service) || this.#mustYield(waiter, now);
         const server = isBlocked ? undefined : this.#choose(waiter, now);
         const refusal = server || isBlocked || waiter.answerBegun ? undefined : this.#findRefusal(waiter);
         if (refusal) {
@@ -192,6 +201,28 @@
         return false;
     }
 
+    /** Finds out whether a request leaves the room to more urgent ones of other instances. */
+    #mustYield(waiter: Waiter, now: number): boolean {
+        const { logger, loadPolicies, metrics } = this.context;
+        const { request, service, priority, tokens } = waiter;
+        const room = () => findRoom(request.service, this.context);
+        if (!loadPolicies.of(service).order.mustYield(waiter, room, now)) {
+            return false;
+        }
+        if (!waiter.hasYielded) {
+            waiter.hasYielded = true;
+            metrics.increment("decode_yields_total", { priority: String(priority) });
+            logger.info("request yields memory", {
+                request: request.id,
+                priority,
+                tokens,
+                demand: loadPolicies.demand.total(service, now),
+                places: room().places(tokens),
+            });
+        }
+        return true;
+    }
+
     /** Closes the queue and refuses the waiting requests. */
     close(): void {
         clearTimeout(this.#timer);
--- a/packages/gateway/decode_queue_test.ts
+++ b/packages/gateway/decode_queue_test.ts
@@ -1,5 +1,6 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { LoadPolicies } from "../decisions/mod.ts";
 import { DecodeQueue } from "./decode_queue.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
@@ -45,6 +46,7 @@
         serverLimits: { admits: () => true, take: () => () => {} },
         serverSubset: { narrow: (list: unknown) => list },
         engineProtocol: { reserve: () => ({}), parseReservation: () => "h1" },
+        loadPolicies: new LoadPolicies(() => undefined),
         metrics: { increment: () => {}, observe: () => {} },
         logger: { info: () => {} },
     } as unknown as GatewayContext;
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -1,3 +1,5 @@
+import { monotonicMilliseconds } from "../clocks/mod.ts";
+import type { LoadPolicies } from "../decisions/mod.ts";
 import type { CellState, Peer, PeerReport } from "../peers/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
@@ -16,6 +18,7 @@
 interface FleetReporterOptions {
     serverLoads: ServerLoadTracker;
     rateLimiter: RateLimiter;
+    loadPolicies: LoadPolicies;
     crashRegistry: CrashRegistry;
     promptParts: PromptPartRegistry;
     leavingServers: LeavingServers;
@@ -52,6 +55,7 @@
     createReport(force: boolean): Omit<PeerReport, keyof Peer> | undefined {
         const { serverLoads, rateLimiter, serverLimits, crashRegistry, promptParts, stageBalancer, readsStore } =
             this.options;
+        const { loadPolicies } = this.options;
         const loads: PeerReport["loads"] = {};
         for (const [id, load] of serverLoads.entries()) {
             const { failures, successes } = load.outcomes;
@@ -70,15 +74,18 @@
             leaving: this.options.leavingServers.firsthand(),
             crashes: crashRegistry.recent(),
         };
-        // The ages in the reports on prompt parts and limits change all the time, so their versions are compared.
-        const versions = [promptParts.version, serverLimits.version];
+        const demand = loadPolicies.demand.report(monotonicMilliseconds());
+        const waiting = Object.values(demand ?? {}).flat().map(([, requests]) => requests);
+        // The ages in the reports on prompt parts and limits change all the time, so their versions are compared; so
+        // do the rates in the demand.
+        const versions = [promptParts.version, serverLimits.version, ...waiting];
         const serialised = JSON.stringify([state, usage.spending, serverUsage.spending, versions]);
         if (!force && serialised === this.#lastReport) {
             return undefined;
         }
         this.#lastReport = serialised;
         const limits = { serverUsage, serverLimits: serverLimits.notices() };
-        return { ...state, ...usage, ...limits, promptParts: promptParts.createReport() };
+        return { ...state, ...usage, ...limits, promptParts: promptParts.createReport(), demand };
     }
 
     /**
@@ -87,9 +94,10 @@
      * @param report The report.
      */
     applyReport(report: PeerReport): void {
-        const { serverLoads, rateLimiter, serverLimits } = this.options;
+        const { serverLoads, rateLimiter, serverLimits, loadPolicies } = this.options;
         serverLoads.setPeerLoads(report.name, report.loads);
         this.#applyServerStates(report);
+        loadPolicies.demand.recordPeer(report.name, report.demand, monotonicMilliseconds());
         rateLimiter.recordPeerReport(report.name, report.incarnation, report);
         if (report.serverUsage) {
             serverLimits.usage.recordPeerReport(report.name, report.incarnation, report.serverUsage);
@@ -114,6 +122,7 @@
             leaving: this.options.leavingServers.firsthand(),
             crashes: crashRegistry.recent(),
             promptParts: promptParts.createReport(),
+            demand: this.options.loadPolicies.demand.summarise(monotonicMilliseconds()),
         };
     }
 
@@ -124,12 +133,13 @@
      */
     applyFleetState(state: CellState): void {
         this.#applyServerStates(state);
+        this.options.loadPolicies.demand.recordOtherCells(state.demand, monotonicMilliseconds());
         this.options.rateLimiter.recordCellUsage(state.usage);
         this.options.serverLimits.usage.recordCellUsage(state.serverUsage);
         this.options.stageBalancer()?.recordOtherCells(state.stageLoads);
     }
 
-    #applyServerStates(state: Omit<CellState, "usage" | "serverUsage" | "stageLoads">): void {
+    #applyServerStates(state: Omit<CellState, "usage" | "serverUsage" | "stageLoads" | "demand">): void {
         const { changing, gone, leaving, crashes } = state;
         const { serverLoads, crashRegistry, promptParts, leavingServers } = this.options;
         this.options.serverLimits.recordPeerNotices(state.serverLimits);
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -3,7 +3,7 @@
 import { BackendConnectionPool } from "../backends/mod.ts";
 import { monotonicMilliseconds, sleep, SuspensionAwareClock } from "../clocks/mod.ts";
 import type { CoordinationStore, EraWitness } from "../coordination/mod.ts";
-import { ServiceUrgencies } from "../decisions/mod.ts";
+import { LoadPolicies } from "../decisions/mod.ts";
 import { Directory } from "../directory/mod.ts";
 import { createLogger, type Logger } from "../logs/mod.ts";
 import { ProcessMemory } from "../memory/mod.ts";
@@ -126,11 +126,12 @@
             isTopRanked: (part, count) => this.#context.serverSubset.isTopRanked(part, count),
         });
         this.#rateLimiter = createRateLimiter(usage, settings.bounds);
-        const urgencies = new ServiceUrgencies(() => this.#directory.configuration);
+        const loadPolicies = new LoadPolicies(() => this.#directory.configuration);
         const reporter = new FleetReporter({
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
             ...crashDetection,
+            loadPolicies,
             leavingServers: serverAccess.leavingServers,
             serverLimits: serverAccess.serverLimits,
             stageBalancer: () => this.#stageLeadership?.balancer,
@@ -164,7 +165,7 @@
             engineProtocol: adapter.engineProtocol,
             serverLoads: this.#serverLoads,
             ...serverAccess,
-            urgencies,
+            loadPolicies,
             retryBudget: new RetryBudget(() => computeRetryLimit(this.settings.bounds), instanceCount),
             instanceCount,
             reportPeriodMilliseconds: () => this.#peerMesh.reportPeriodMilliseconds,
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -1,5 +1,5 @@
 import type { SuspensionAwareClock } from "../clocks/mod.ts";
-import type { ServiceUrgencies } from "../decisions/mod.ts";
+import type { LoadPolicies } from "../decisions/mod.ts";
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { MemoryBudget } from "../memory/mod.ts";
@@ -35,8 +35,8 @@
     leavingServers: LeavingServers;
     /** Limits that servers have named. */
     serverLimits: ServerLimits;
-    /** Urgencies of the services' requests. */
-    urgencies: ServiceUrgencies;
+    /** Policies that decide under load. */
+    loadPolicies: LoadPolicies;
     retryBudget: RetryBudget;
     crashRegistry: CrashRegistry;
     /** Parts of prompts that crash servers. */
--- a/packages/peers/cell_state_schema.ts
+++ b/packages/peers/cell_state_schema.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import { demandReportSchema } from "../decisions/mod.ts";
 import { createEmptyReport, promptPartReportSchema } from "../prompt_parts/mod.ts";
 import { serverLimitNoticeSchema } from "./server_limit_notice_schema.ts";
 import { usageSummarySchema } from "./usage_summary_schema.ts";
@@ -25,4 +26,6 @@
     crashes: z.array(z.tuple([z.string(), z.string()])).max(MAXIMUM_ENTRIES),
     /** Parts of prompts that crash servers. */
     promptParts: promptPartReportSchema.default(createEmptyReport),
+    /** Demand for engine memory; undefined without requests of services that have several priorities. */
+    demand: demandReportSchema.optional(),
 });
--- a/packages/peers/cell_summaries.ts
+++ b/packages/peers/cell_summaries.ts
@@ -1,4 +1,5 @@
 import type { SuspensionAwareClock } from "../clocks/mod.ts";
+import { mergeDemand } from "../decisions/mod.ts";
 import { createEmptyReport, mergePromptPartReports } from "../prompt_parts/mod.ts";
 import { mergeLeaving } from "./_merge_leaving.ts";
 import { mergeLimits } from "./_merge_limits.ts";
@@ -169,4 +170,5 @@
     merged.gone.push(...state.gone);
     merged.leaving = mergeLeaving(merged.leaving, state.leaving);
     merged.crashes.push(...state.crashes);
+    merged.demand = mergeDemand([merged.demand, state.demand]);
 }
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -1,4 +1,5 @@
 import * as z from "zod";
+import { demandReportSchema } from "../decisions/mod.ts";
 import { createEmptyReport, promptPartReportSchema } from "../prompt_parts/mod.ts";
 import { peerSchema } from "./peer_schema.ts";
 import { serverLimitNoticeSchema } from "./server_limit_notice_schema.ts";
@@ -26,4 +27,6 @@
     serverUsage: spendingReportSchema.optional(),
     /** Limits that servers have named to the instance. */
     serverLimits: z.array(serverLimitNoticeSchema).max(1_024).default([]),
+    /** Demand for engine memory; undefined without requests of services that have several priorities. */
+    demand: demandReportSchema.optional(),
 });
