--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -5,5 +5,6 @@
 export { LoadPolicies } from "./load_policies.ts";
 export type { MemoryRoom } from "./memory_room.ts";
 export { mergeDemand } from "./merge_demand.ts";
+export type { TimedRequest } from "./timed_request.ts";
 export type { WaitOutcome } from "./wait_outcome.ts";
 export type { WaitingRequest } from "./waiting_request.ts";
--- a/packages/decisions/service_urgencies.ts
+++ b/packages/decisions/service_urgencies.ts
@@ -26,7 +26,7 @@
      * @returns Whether they do.
      */
     hasSeveral(service: string): boolean {
-        return this.#list(service).length > 1;
+        return this.list(service).length > 1;
     }
 
     /**
@@ -37,11 +37,17 @@
      * @returns The number of more urgent priorities; undefined if the service has a single one.
      */
     rank(service: string, priority: number): number | undefined {
-        const priorities = this.#list(service);
+        const priorities = this.list(service);
         return priorities.length > 1 ? priorities.filter(other => other < priority).length : undefined;
     }
 
-    #list(service: string): number[] {
+    /**
+     * Lists the priorities of a service's streams.
+     *
+     * @param service Name of the service.
+     * @returns The priorities, the most urgent first.
+     */
+    list(service: string): readonly number[] {
         const configuration = this.configuration();
         if (configuration !== this.#listedFor) {
             this.#byService.clear();
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -1,10 +1,13 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
-import { compareWaiting, type WaitingRequest } from "../decisions/mod.ts";
+import { compareWaiting } from "../decisions/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
+import { createWaiter } from "./_create_waiter.ts";
 import { findRoom } from "./_find_room.ts";
+import { refuseWaiter } from "./_refuse_waiter.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
 import { DecodeReserver } from "./decode_reserver.ts";
+import type { DecodeWaiter } from "./decode_waiter.ts";
 import type { EngineClient } from "./engine_client.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
@@ -14,10 +17,6 @@
 
 /** Time in milliseconds after which the queue is checked again if no event triggers it. */
 const CHECK_MILLISECONDS = 25;
-/** Fraction of the maximum output tokens that is reserved; an engine that needs more preempts its newest request. */
-const OUTPUT_FRACTION = 0.45;
-/** Longest time in milliseconds that a request waits for memory before its answer has begun. */
-const MAXIMUM_WAIT_MILLISECONDS = 540;
 /** Expected time in milliseconds from the end of a prefill to the first event. */
 const FIRST_EVENT_MILLISECONDS = 120;
 /** Longest wait in milliseconds at a prefill engine, without the prefill itself, at which memory is reserved. */
@@ -25,22 +24,6 @@
 /** Weight of an engine's failure rate, which reduces the free memory that it is compared by. */
 const FAILURE_PENALTY = 6;
 
-/** A request that waits for memory. */
-interface Waiter extends WaitingRequest {
-    request: GatewayRequest;
-    /** Priority by which it is sorted. */
-    orderPriority: number;
-    /** Whether it has left room to requests of other instances. */
-    hasYielded: boolean;
-    /** Monotonic time in milliseconds at which the request is refused. */
-    giveUpAt: number;
-    excluded: ReadonlySet<string>;
-    /** Whether the memory is still of use. */
-    isWanted: () => boolean;
-    resolve: (result: Result<DecodeReservation, GatewayRefusal>) => void;
-    reject: (error: unknown) => void;
-}
-
 /** Properties of a wait for memory. */
 interface AcquireOptions {
     /** Whether a part of the answer has been sent; then the wait goes first and lasts as long as the request. */
@@ -61,7 +44,7 @@
  * ```
  */
 export class DecodeQueue {
-    #waiters: Waiter[] = [];
+    #waiters: DecodeWaiter[] = [];
     readonly #chooser: ServerChooser;
     readonly #reserver: DecodeReserver;
     #timer: NodeJS.Timeout | undefined;
@@ -101,38 +84,17 @@
     ): Promise<Result<DecodeReservation, GatewayRefusal>> {
         const { answerBegun = false, isWanted = () => true } = options;
         return new Promise((resolve, reject) => {
-            const since = monotonicMilliseconds();
-            const service = request.service.name;
-            const tokens = Math.ceil(request.promptTokens + OUTPUT_FRACTION * request.outputTokens);
-            const { demand, urgencies } = this.context.loadPolicies;
-            const leave = urgencies.hasSeveral(service)
-                ? demand.enter(service, request.priority, tokens)
-                : () => {};
-            this.#waiters.push({
+            const wait = {
                 request,
-                service,
-                priority: request.priority,
-                orderPriority: request.priority,
-                tokens,
-                since,
-                late: false,
-                hasYielded: false,
-                giveUpAt: answerBegun
-                    ? Number.POSITIVE_INFINITY
-                    : Math.min(request.deadline, since + MAXIMUM_WAIT_MILLISECONDS),
                 excluded,
                 answerBegun,
                 isWanted,
-                resolve: result => {
-                    const isGone = request.signal.aborted || !isWanted();
-                    leave(result.isOk() ? "granted" : isGone ? "gone" : "refused", monotonicMilliseconds());
-                    resolve(result);
-                },
-                reject: error => {
-                    leave("gone", monotonicMilliseconds());
-                    reject(error);
-                },
-            });
+                neededMilliseconds: request.promptTokens / this.prefillDispatcher.tokensPerMillisecond
+                    + FIRST_EVENT_MILLISECONDS,
+                resolve,
+                reject,
+            };
+            this.#waiters.push(createWaiter(wait, this.context));
             this.dispatch();
         });
     }
@@ -140,7 +102,7 @@
     /** Reserves memory for waiting requests where enough is expected, and refuses those that have waited too long. */
     dispatch(): void {
         const now = monotonicMilliseconds();
-        const remaining: Waiter[] = [];
+        const remaining: DecodeWaiter[] = [];
         const blockedServices = new Set<string>();
         this.#sortWaiters(now);
         for (const waiter of this.#waiters) {
@@ -166,17 +128,14 @@
             return;
         }
         for (const waiter of this.#waiters) {
-            const { promptTokens, receivedAt, route } = waiter.request;
-            const neededMilliseconds = promptTokens / this.prefillDispatcher.tokensPerMillisecond
-                + FIRST_EVENT_MILLISECONDS;
-            waiter.late = now + neededMilliseconds > receivedAt + route.targetLatencyMilliseconds;
+            waiter.late = now + waiter.neededMilliseconds > waiter.receivedAt + waiter.targetLatencyMilliseconds;
             waiter.orderPriority = this.context.loadPolicies.of(waiter.service).order.priorityOf(waiter, now);
         }
         this.#waiters.sort(compareWaiting);
     }
 
     /** Refuses a request or starts to reserve memory for it, unless it must wait. */
-    #mustWait(waiter: Waiter, now: number, blockedServices: Set<string>): boolean {
+    #mustWait(waiter: DecodeWaiter, now: number, blockedServices: Set<string>): boolean {
         if (waiter.request.signal.aborted || now >= waiter.giveUpAt || !waiter.isWanted()) {
             this.#refuse(waiter);
             return false;
@@ -195,14 +154,14 @@
             if (waiter.excluded.size === 0) {
                 blockedServices.add(service);
             }
-            return true;
+            return !this.#refuseHopeless(waiter, now);
         }
         this.#reserve(waiter, server).catch((error: unknown) => waiter.reject(error));
         return false;
     }
 
     /** Finds out whether a request leaves the room to more urgent ones of other instances. */
-    #mustYield(waiter: Waiter, now: number): boolean {
+    #mustYield(waiter: DecodeWaiter, now: number): boolean {
         const { logger, loadPolicies, metrics } = this.context;
         const { request, service, priority, tokens } = waiter;
         const room = () => findRoom(request.service, this.context);
@@ -223,6 +182,21 @@
         return true;
     }
 
+    /**
+     * Refuses a request that is not expected to get memory in time when it is first found to have to wait. One that has
+     * been at an engine keeps its wait.
+     */
+    #refuseHopeless(waiter: DecodeWaiter, now: number): boolean {
+        const { wait } = this.context.loadPolicies.of(waiter.service);
+        const isFirstPass = !waiter.answerBegun && waiter.excluded.size === 0;
+        const isHopeless = isFirstPass && !waiter.hasWaited && wait.isHopeless(waiter, now);
+        waiter.hasWaited = true;
+        if (isHopeless) {
+            refuseWaiter(waiter, true, this.context);
+        }
+        return isHopeless;
+    }
+
     /** Closes the queue and refuses the waiting requests. */
     close(): void {
         clearTimeout(this.#timer);
@@ -243,7 +217,7 @@
         this.dispatch();
     }
 
-    #choose(waiter: Waiter, now: number): RegisteredServer | undefined {
+    #choose(waiter: DecodeWaiter, now: number): RegisteredServer | undefined {
         const { availability, serverLoads } = this.context;
         const service = waiter.request.service;
         const estimate = this.prefillDispatcher.estimateMilliseconds(waiter.request);
@@ -271,7 +245,7 @@
         return best;
     }
 
-    async #reserve(waiter: Waiter, server: RegisteredServer): Promise<void> {
+    async #reserve(waiter: DecodeWaiter, server: RegisteredServer): Promise<void> {
         const { request, tokens, since } = waiter;
         const reservation = await this.#reserver.reserve({ request, server, tokens, waitingSince: since });
         if (reservation) {
@@ -283,18 +257,11 @@
     }
 
     /** Finds out whether no engine that the request may use will take it in time. */
-    #findRefusal({ request, excluded }: Waiter): GatewayRefusal | undefined {
+    #findRefusal({ request, excluded }: DecodeWaiter): GatewayRefusal | undefined {
         return this.context.availability.findRefusal(request.service.name, "decode", excluded);
     }
 
-    #refuse(waiter: Waiter): void {
-        const expired = monotonicMilliseconds() >= waiter.request.deadline;
-        waiter.resolve(err({
-            status: 503,
-            reason: expired ? "deadline-passed" : "no-capacity",
-            verdict: "not-run",
-            message: "No decode engine has memory for the request",
-            retryAfterMilliseconds: 1_500,
-        }));
+    #refuse(waiter: DecodeWaiter): void {
+        refuseWaiter(waiter, false, this.context);
     }
 }
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -3,7 +3,6 @@
 import { BackendConnectionPool } from "../backends/mod.ts";
 import { monotonicMilliseconds, sleep, SuspensionAwareClock } from "../clocks/mod.ts";
 import type { CoordinationStore, EraWitness } from "../coordination/mod.ts";
-import { LoadPolicies } from "../decisions/mod.ts";
 import { Directory } from "../directory/mod.ts";
 import { createLogger, type Logger } from "../logs/mod.ts";
 import { ProcessMemory } from "../memory/mod.ts";
@@ -12,6 +11,7 @@
 import { ItemReplica, ReplicaFollower } from "../replica/mod.ts";
 import { ShutdownLog, TurnWatch } from "../shutdown/mod.ts";
 import { computeRetryLimit } from "./_compute_retry_limit.ts";
+import { createLoadPolicies } from "./_create_load_policies.ts";
 import { createRateLimiter } from "./_create_rate_limiter.ts";
 import { createShutdownSchedule } from "./_create_shutdown_schedule.ts";
 import { StatusServers } from "./_status_servers.ts";
@@ -126,7 +126,7 @@
             isTopRanked: (part, count) => this.#context.serverSubset.isTopRanked(part, count),
         });
         this.#rateLimiter = createRateLimiter(usage, settings.bounds);
-        const loadPolicies = new LoadPolicies(() => this.#directory.configuration);
+        const loadPolicies = createLoadPolicies(this.#directory, this.#metrics);
         const reporter = new FleetReporter({
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
