--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -93,6 +93,7 @@
         if (refusal) {
             return { kind: "refused", refusal };
         }
+        const priority = organisation?.priority ?? route.priority;
         const [promptTokens, outputTokens] = parseTokenCounts(headerOf(incoming, headers.tokenCounts));
         return {
             kind: "admitted",
@@ -110,7 +111,8 @@
                 resumedStream: this.#findResumedStream(incoming, route),
                 promptParts: parsePromptParts(service.name, headerOf(incoming, headers.promptParts)),
                 isProbe: false,
-                priority: organisation?.priority ?? route.priority,
+                priority,
+                urgencyRank: service.engine && this.context.loadPolicies.urgencies.rank(service.name, priority),
                 receivedAt,
                 callerDeadline,
                 deadline,
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -11,6 +11,8 @@
 import { ItemReplica, ReplicaFollower } from "../replica/mod.ts";
 import { ShutdownLog, TurnWatch } from "../shutdown/mod.ts";
 import { computeRetryLimit } from "./_compute_retry_limit.ts";
+import { createLoadPolicies } from "./_create_load_policies.ts";
+import { createRateLimiter } from "./_create_rate_limiter.ts";
 import { createShutdownSchedule } from "./_create_shutdown_schedule.ts";
 import { StatusServers } from "./_status_servers.ts";
 import { createCrashDetection } from "./create_crash_detection.ts";
@@ -21,7 +23,7 @@
 import type { GatewayContext } from "./gateway_context.ts";
 import { GatewayServer } from "./gateway_server.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
-import { RateLimiter } from "./rate_limiter.ts";
+import type { RateLimiter } from "./rate_limiter.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import { ServerLoadTracker } from "./server_load_tracker.ts";
 import { ServerSubset } from "./server_subset.ts";
@@ -80,7 +82,6 @@
         this.#memory = new ProcessMemory(settings.memoryMegabytes * BYTES_PER_MEGABYTE, this.#metrics, this.#logger);
         this.#store = adapter.openStore(settings.storeAddress, this.#metrics);
         const instanceCount = () => this.instances;
-        const { bounds } = settings;
         const shared = {
             directory: this.#directory,
             clock: this.#clock,
@@ -121,16 +122,13 @@
             serverLoads: this.#serverLoads,
             isTopRanked: (part, count) => this.#context.serverSubset.isTopRanked(part, count),
         });
-        this.#rateLimiter = new RateLimiter({
-            ...usage,
-            windowMilliseconds: bounds.quotaWindowSeconds * MILLISECONDS_PER_SECOND,
-            excess: bounds.quotaExcess,
-            slack: bounds.quotaSlack,
-        });
+        this.#rateLimiter = createRateLimiter(usage, settings.bounds);
+        const loadPolicies = createLoadPolicies(this.#directory, this.#metrics);
         const reporter = new FleetReporter({
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
             ...crashDetection,
+            loadPolicies,
             leavingServers: serverAccess.leavingServers,
             serverLimits: serverAccess.serverLimits,
             stageBalancer: () => this.#stageLeadership?.balancer,
@@ -164,6 +162,7 @@
             engineProtocol: adapter.engineProtocol,
             serverLoads: this.#serverLoads,
             ...serverAccess,
+            loadPolicies,
             retryBudget: new RetryBudget(() => computeRetryLimit(this.settings.bounds), instanceCount),
             instanceCount,
             reportPeriodMilliseconds: () => this.#peerMesh.reportPeriodMilliseconds,
