--- a/packages/gateway/create_server_access.ts
+++ b/packages/gateway/create_server_access.ts
@@ -3,6 +3,7 @@
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import { EngineSpeeds } from "../speeds/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { LeavingServers } from "./leaving_servers.ts";
@@ -11,6 +12,7 @@
 import { ServerAvailability } from "./server_availability.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerLimits } from "./server_limits.ts";
+import type { ServerLoadTracker } from "./server_load_tracker.ts";
 import type { SharedUsageOptions } from "./shared_usage_options.ts";
 
 /** Dependencies of the access to servers. */
@@ -18,6 +20,7 @@
     connectionPool: BackendConnectionPool;
     headers: ProtocolHeaders;
     directory: Directory;
+    serverLoads: ServerLoadTracker;
     clock: SuspensionAwareClock;
     /** Usage of limits over all instances. */
     usage: Omit<SharedUsageOptions, "windowMilliseconds">;
@@ -41,8 +44,8 @@
  */
 export function createServerAccess(
     options: ServerAccessOptions,
-): Pick<GatewayContext, "availability" | "leavingServers" | "serverClient" | "serverLimits"> {
-    const { connectionPool, headers, directory, settings } = options;
+): Pick<GatewayContext, "availability" | "engineSpeeds" | "leavingServers" | "serverClient" | "serverLimits"> {
+    const { connectionPool, headers, directory, serverLoads, settings, metrics, logger } = options;
     const leavingServers = new LeavingServers({
         ...options,
         drainMilliseconds: () => settings().bounds.drainMilliseconds,
@@ -52,7 +55,13 @@
         maximumMilliseconds: () => settings().maximumPauseMilliseconds,
     });
     const serverLimits = new ServerLimits({ ...options, ...options.usage });
+    const setFactor = (id: string, factor: number) => {
+        serverLoads.get(id).speedFactor = factor;
+    };
+    const engineSpeeds = new EngineSpeeds(directory, setFactor, logger);
+    metrics.gauge("engines_of_differing_speed", () => engineSpeeds.differing);
     return {
+        engineSpeeds,
         serverLimits,
         leavingServers,
         availability: new ServerAvailability(directory, leavingServers, pausedServers, serverLimits),
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -1,5 +1,6 @@
 import type { CellState, Peer, PeerReport } from "../peers/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
+import type { EngineSpeeds } from "../speeds/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
@@ -20,6 +21,7 @@
     promptParts: PromptPartRegistry;
     leavingServers: LeavingServers;
     serverLimits: ServerLimits;
+    engineSpeeds: EngineSpeeds;
     /** Undefined before the instance has started. */
     stageBalancer(): StageBalancer | undefined;
     /** Whether the last read of the store succeeded. */
@@ -69,6 +71,8 @@
             gone: serverLoads.gone(),
             leaving: this.options.leavingServers.firsthand(),
             crashes: crashRegistry.recent(),
+            // Left out of the message where it is undefined.
+            speeds: this.options.engineSpeeds.report(),
         };
         // The ages in the reports on prompt parts and limits change all the time, so their versions are compared.
         const versions = [promptParts.version, serverLimits.version];
@@ -89,6 +93,7 @@
     applyReport(report: PeerReport): void {
         const { serverLoads, rateLimiter, serverLimits } = this.options;
         serverLoads.setPeerLoads(report.name, report.loads);
+        this.options.engineSpeeds.applyReport(report.name, report.speeds);
         this.#applyServerStates(report);
         rateLimiter.recordPeerReport(report.name, report.incarnation, report);
         if (report.serverUsage) {
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -113,6 +113,7 @@
         const serverAccess = createServerAccess({
             ...shared,
             connectionPool: this.#connectionPool,
+            serverLoads: this.#serverLoads,
             headers: adapter.headers,
             usage,
             rankOf: server => this.#context.serverSubset.rankOf(server),
@@ -134,8 +135,7 @@
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
             ...crashDetection,
-            leavingServers: serverAccess.leavingServers,
-            serverLimits: serverAccess.serverLimits,
+            ...serverAccess,
             stageBalancer: () => this.#stageLeadership?.balancer,
             readsStore: () => this.#replicaFollower?.connected ?? false,
         });
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -4,6 +4,7 @@
 import type { MemoryBudget } from "../memory/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
+import type { EngineSpeeds } from "../speeds/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { DirectoryUpdater } from "./directory_updater.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
@@ -34,6 +35,8 @@
     leavingServers: LeavingServers;
     /** Limits that servers have named. */
     serverLimits: ServerLimits;
+    /** Speeds of the engines, learned from runs. */
+    engineSpeeds: EngineSpeeds;
     retryBudget: RetryBudget;
     crashRegistry: CrashRegistry;
     /** Parts of prompts that crash servers. */
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -2,6 +2,7 @@
 import { readResponseBody } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
+import { EngineChooser } from "../speeds/mod.ts";
 import { backendHeaders } from "./backend_headers.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
@@ -10,8 +11,6 @@
 import type { PrefillResult } from "./prefill_result.ts";
 import { ServerChooser } from "./server_chooser.ts";
 
-/** Cost, in prompt tokens, of a transfer to another failure domain when a prefill engine is chosen. */
-const CROSS_DOMAIN_COST_TOKENS = 600;
 /** Speed of an engine, in prompt tokens per millisecond, that is assumed before the first measurement. */
 const INITIAL_TOKENS_PER_MILLISECOND = 25;
 /** Weight of the newest measurement. */
@@ -23,12 +22,14 @@
 /** Time in milliseconds that a local prefill must save, since the decode engine computes it beside its other work. */
 const MINIMUM_LOCAL_PREFILL_GAIN_MILLISECONDS = 600;
 const NO_SERVERS: ReadonlySet<string> = new Set();
-/** Speed in prompt tokens per millisecond below which a prefill engine counts as failed. */
+/** Speed in prompt tokens per millisecond below which a prefill engine counts as failed, unless it is known to be slow. */
 const SLOWEST_TOKENS_PER_MILLISECOND = 12;
+/** Fraction of a slow engine's known speed below which it counts as failed. */
+const SLOWEST_FRACTION = 0.5;
+/** Speed in prompt tokens per millisecond below which every prefill engine counts as failed. */
+const SLOWEST_KNOWN_TOKENS_PER_MILLISECOND = 3;
 /** Time in milliseconds that is added to the timeout of each prefill. */
 const BASE_TIMEOUT_MILLISECONDS = 300;
-/** Weight of an engine's failure rate in its cost. */
-const FAILURE_PENALTY = 6;
 const BODY_TIMEOUT_MILLISECONDS = 500;
 const AVOID_MILLISECONDS = 800;
 const MAXIMUM_ATTEMPTS = 3;
@@ -46,6 +47,7 @@
  */
 export class PrefillDispatcher {
     readonly #chooser: ServerChooser;
+    readonly #engineChooser = new EngineChooser();
     #tokensPerMillisecond = INITIAL_TOKENS_PER_MILLISECOND;
 
     /**
@@ -55,7 +57,7 @@
         this.#chooser = new ServerChooser(context);
     }
 
-    /** Measured speed of a prefill engine, in prompt tokens per millisecond. */
+    /** Measured speed of the median prefill engine, in prompt tokens per millisecond. */
     get tokensPerMillisecond(): number {
         return this.#tokensPerMillisecond;
     }
@@ -69,7 +71,7 @@
     estimateMilliseconds(request: GatewayRequest): number {
         const server = this.#choose(request, undefined, NO_SERVERS);
         return server
-            ? (this.#queuedTokens(server) + request.promptTokens) / this.#tokensPerMillisecond
+            ? (this.#queuedTokens(server) + request.promptTokens) / this.#speedOf(server)
             : Number.POSITIVE_INFINITY;
     }
 
@@ -87,7 +89,7 @@
         estimate = this.estimateMilliseconds(request),
     ): boolean {
         const tokens = this.#queuedTokens(server) + request.promptTokens;
-        const localMilliseconds = tokens / (this.#tokensPerMillisecond * LOCAL_PREFILL_SPEED_FRACTION);
+        const localMilliseconds = tokens / (this.#speedOf(server) * LOCAL_PREFILL_SPEED_FRACTION);
         return estimate > localMilliseconds + MINIMUM_LOCAL_PREFILL_GAIN_MILLISECONDS;
     }
 
@@ -122,6 +124,7 @@
                 engine: server.id,
                 tokens: request.promptTokens,
                 tokensBefore,
+                speedFactor: Number(this.context.serverLoads.get(server.id).speedFactor.toFixed(2)),
                 milliseconds: Math.round(monotonicMilliseconds() - startedAt),
                 outcome: result.isOk() ? "done" : result.error,
             });
@@ -140,26 +143,50 @@
     ): RegisteredServer | undefined {
         const { availability, serverLoads } = this.context;
         const now = monotonicMilliseconds();
-        let best: RegisteredServer | undefined;
-        let bestCost = Number.POSITIVE_INFINITY;
         const engines = availability.usableServers(request.service.name, "prefill");
         const eligible = engines.filter(server =>
             serverLoads.get(server.id).avoidedUntil <= now && !tried.has(server.id) && this.#chooser.admits(server)
         );
-        for (const server of this.context.serverSubset.narrow(availability.preferStaying(eligible), engines)) {
-            const load = serverLoads.get(server.id);
-            const transferCost = !target || server.failureDomain === target.failureDomain
-                ? 0
-                : CROSS_DOMAIN_COST_TOKENS;
-            const cost = (this.#queuedTokens(server) + request.promptTokens) * (1 + FAILURE_PENALTY * load.failureRate)
-                + transferCost
-                + Math.random();
-            if (cost < bestCost) {
-                best = server;
-                bestCost = cost;
-            }
+        const preferred = this.context.serverSubset.narrow(availability.preferStaying(eligible), engines);
+        const candidates = preferred.map(server => ({
+            server,
+            queuedTokens: this.#queuedTokens(server),
+            failureRate: serverLoads.get(server.id).failureRate,
+            isRemote: target !== undefined && server.failureDomain !== target.failureDomain,
+            speedFactor: serverLoads.get(server.id).speedFactor,
+            savedTokens: 0,
+        }));
+        return this.#engineChooser.choosePrefill(candidates, request.promptTokens)?.server;
+    }
+
+    /** Speed of an engine in prompt tokens per millisecond. */
+    #speedOf(server: RegisteredServer): number {
+        return this.#tokensPerMillisecond * this.context.serverLoads.get(server.id).speedFactor;
+    }
+
+    /** Speed in prompt tokens per millisecond below which an engine counts as failed. */
+    #slowestSpeed(server: RegisteredServer): number {
+        const known = Math.max(SLOWEST_KNOWN_TOKENS_PER_MILLISECOND, SLOWEST_FRACTION * this.#speedOf(server));
+        return Math.min(SLOWEST_TOKENS_PER_MILLISECOND, known);
+    }
+
+    /**
+     * Learns from a prefill: the speed of its engine in comparison with the median, corrected for the prompts that were
+     * queued before it, and the speed of the median from engines that were idle.
+     */
+    #learn(server: RegisteredServer, tokens: number, queuedTokens: number, milliseconds: number, idle: boolean): void {
+        if (tokens <= MINIMUM_SAMPLE_TOKENS || milliseconds <= 0) {
+            return;
+        }
+        const { engineSpeeds, serverLoads } = this.context;
+        const expectedMilliseconds = (queuedTokens + tokens) / this.#tokensPerMillisecond;
+        // The more prompts were queued before it, the less is known of when they were finished.
+        const weight = tokens / (queuedTokens + tokens);
+        engineSpeeds.record(server, "prefill", Math.log(expectedMilliseconds / milliseconds), weight);
+        if (idle) {
+            const median = tokens / milliseconds / serverLoads.get(server.id).speedFactor;
+            this.#tokensPerMillisecond += SAMPLE_WEIGHT * (median - this.#tokensPerMillisecond);
         }
-        return best;
     }
 
     /** Known prompt tokens of unfinished prefills at an engine. */
@@ -180,11 +207,12 @@
         const { headers, engineProtocol, serverClient, serverLoads, metrics } = this.context;
         const load = serverLoads.get(server.id);
         const startedAt = monotonicMilliseconds();
+        const queuedTokens = this.#queuedTokens(server);
         const idle = load.total().prefillTokens === 0;
         load.prefillTokens += request.promptTokens;
         // The timeout allows for prefills that peers have sent since their last reports.
         const timeout = BASE_TIMEOUT_MILLISECONDS + this.#reportDelay()
-            + load.total().prefillTokens / SLOWEST_TOKENS_PER_MILLISECOND;
+            + load.total().prefillTokens / this.#slowestSpeed(server);
         load.active++;
         load.recordSend();
         try {
@@ -234,10 +262,7 @@
             const milliseconds = monotonicMilliseconds() - startedAt;
             metrics.observe("prefill", milliseconds);
             load.recordSuccess();
-            if (idle && request.promptTokens > MINIMUM_SAMPLE_TOKENS) {
-                this.#tokensPerMillisecond += SAMPLE_WEIGHT
-                    * (request.promptTokens / milliseconds - this.#tokensPerMillisecond);
-            }
+            this.#learn(server, request.promptTokens, queuedTokens, milliseconds, idle);
             return ok(handle);
         }
         finally {
--- a/packages/gateway/server_load.ts
+++ b/packages/gateway/server_load.ts
@@ -24,6 +24,8 @@
     prefillTokens = 0;
     /** Monotonic time in milliseconds until which the server is not chosen. */
     avoidedUntil = 0;
+    /** Speed of an engine as a factor of the median; 1 unless it is known to differ notably. */
+    speedFactor = 1;
     #averageResponseMilliseconds: number | undefined;
     #averageUpdatedAt = 0;
     #failures = 0;
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -1,5 +1,6 @@
 import * as z from "zod";
 import { createEmptyReport, promptPartReportSchema } from "../prompt_parts/mod.ts";
+import { speedReportSchema } from "../speeds/mod.ts";
 import { peerSchema } from "./peer_schema.ts";
 import { serverLimitNoticeSchema } from "./server_limit_notice_schema.ts";
 import { spendingReportSchema } from "./spending_report_schema.ts";
@@ -26,4 +27,6 @@
     serverUsage: spendingReportSchema.optional(),
     /** Limits that servers have named to the instance. */
     serverLimits: z.array(serverLimitNoticeSchema).max(1_024).default([]),
+    /** Engines whose speed differs from the others'; undefined if there is none. */
+    speeds: speedReportSchema.optional(),
 });
