--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -2,6 +2,7 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
 import { logFailure } from "../logs/mod.ts";
+import { ReferencePace } from "../speeds/mod.ts";
 import { withoutHeaders } from "./_without_headers.ts";
 import { backendHeaders } from "./backend_headers.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
@@ -11,6 +12,7 @@
 import type { PassOutcome } from "./pass_outcome.ts";
 import type { PassProgress } from "./pass_progress.ts";
 import { relayEvents } from "./relay_events.ts";
+import { RunPace } from "./run_pace.ts";
 import { SilenceWatch } from "./silence_watch.ts";
 
 /** Time in milliseconds that an engine is avoided after it did not answer. */
@@ -44,6 +46,8 @@
  * ```
  */
 export class DecodePass {
+    readonly #reference = new ReferencePace();
+
     /**
      * @param context Shared objects of the gateway.
      */
@@ -58,14 +62,28 @@
      */
     async run(run: DecodeRun, onFirstEvent: () => void): Promise<PassOutcome> {
         const watch = this.#watch(run);
+        const pace = this.#measure(run);
+        const onEvent = () => {
+            pace.recordEvent();
+            onFirstEvent();
+        };
         try {
-            return await this.#send(run, watch, onFirstEvent);
+            const outcome = await this.#send(run, watch, onEvent);
+            pace.recordOutcome(outcome);
+            return outcome;
         }
         finally {
             watch.close();
         }
     }
 
+    #measure({ request, reservation, progress, localPrefillTokens }: DecodeRun): RunPace {
+        const { engineSpeeds, serverLoads } = this.context;
+        const isWhole = localPrefillTokens === 0 && progress.lastEventId === undefined;
+        const { active } = serverLoads.get(reservation.server.id).total();
+        return new RunPace({ request, reservation, active, isWhole, engineSpeeds, reference: this.#reference });
+    }
+
     /** Watches for silence, which counts as one failure of the engine even where the run goes on. */
     #watch({ request, reservation, localPrefillTokens, findSuccessor }: DecodeRun): SilenceWatch {
         const load = this.context.serverLoads.get(reservation.server.id);
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -1,6 +1,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
+import { EngineChooser } from "../speeds/mod.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
 import { DecodeReserver } from "./decode_reserver.ts";
 import type { EngineClient } from "./engine_client.ts";
@@ -20,8 +21,6 @@
 const FIRST_EVENT_MILLISECONDS = 120;
 /** Longest wait in milliseconds at a prefill engine, without the prefill itself, at which memory is reserved. */
 const MAXIMUM_PREFILL_WAIT_MILLISECONDS = 200;
-/** Weight of an engine's failure rate, which reduces the free memory that it is compared by. */
-const FAILURE_PENALTY = 6;
 
 /** A request that waits for memory. */
 interface Waiter {
@@ -64,6 +63,7 @@
 export class DecodeQueue {
     #waiters: Waiter[] = [];
     readonly #chooser: ServerChooser;
+    readonly #engineChooser = new EngineChooser();
     readonly #reserver: DecodeReserver;
     #timer: NodeJS.Timeout | undefined;
 
@@ -226,18 +226,18 @@
                 && (prefillWait < MAXIMUM_PREFILL_WAIT_MILLISECONDS
                     || this.prefillDispatcher.isLocalPrefillFaster(waiter.request, server, estimate));
         });
-        let best: RegisteredServer | undefined;
-        let highestPreference = 0;
-        for (const server of this.context.serverSubset.narrow(availability.preferStaying(eligible), engines)) {
+        const preferred = this.context.serverSubset.narrow(availability.preferStaying(eligible), engines);
+        const candidates = preferred.map(server => {
             const load = serverLoads.get(server.id);
-            const free = (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
-            const preference = free / (1 + FAILURE_PENALTY * load.failureRate);
-            if (preference > highestPreference) {
-                best = server;
-                highestPreference = preference;
-            }
-        }
-        return best;
+            return {
+                server,
+                freeTokens: (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens,
+                failureRate: load.failureRate,
+                speedFactor: load.speedFactor,
+                savedTokens: 0,
+            };
+        });
+        return this.#engineChooser.chooseDecode(candidates)?.server;
     }
 
     async #reserve(waiter: Waiter, server: RegisteredServer): Promise<void> {
