--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -1,6 +1,6 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { filterRawHeaders } from "../headers/mod.ts";
-import { parsePromptParts } from "../prompt_parts/mod.ts";
+import { parsePromptParts, parsePromptSections } from "../prompt_parts/mod.ts";
 import { refuseUnconfirmed } from "./_refuse_unconfirmed.ts";
 import { refuseUnknown } from "./_refuse_unknown.ts";
 import { chooseService } from "./choose_service.ts";
@@ -106,6 +106,7 @@
                 promptTokens,
                 outputTokens,
                 promptParts: parsePromptParts(service.name, headerOf(incoming, headers.promptParts)),
+                promptSections: parsePromptSections(service.name, headerOf(incoming, headers.promptParts)),
                 isProbe: false,
                 priority: organisation?.priority ?? route.priority,
                 receivedAt,
--- a/packages/gateway/create_server_access.ts
+++ b/packages/gateway/create_server_access.ts
@@ -3,6 +3,7 @@
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import { PromptMemory } from "../prompt_memory/mod.ts";
 import { EngineSpeeds } from "../speeds/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
@@ -44,7 +45,10 @@
  */
 export function createServerAccess(
     options: ServerAccessOptions,
-): Pick<GatewayContext, "availability" | "engineSpeeds" | "leavingServers" | "serverClient" | "serverLimits"> {
+): Pick<
+    GatewayContext,
+    "availability" | "engineSpeeds" | "leavingServers" | "promptMemory" | "serverClient" | "serverLimits"
+> {
     const { connectionPool, headers, directory, serverLoads, settings, metrics, logger } = options;
     const leavingServers = new LeavingServers({
         ...options,
@@ -60,8 +64,12 @@
     };
     const engineSpeeds = new EngineSpeeds(directory, setFactor, logger);
     metrics.gauge("engines_of_differing_speed", () => engineSpeeds.differing);
+    const promptMemory = settings().promptMemory ? new PromptMemory(options.usage.instanceCount) : undefined;
+    metrics.gauge("prompt_memory_confidence", () => promptMemory?.confidenceOf("first") ?? 0, { belief: "first" });
+    metrics.gauge("prompt_memory_confidence", () => promptMemory?.confidenceOf("sent") ?? 0, { belief: "sent" });
     return {
         engineSpeeds,
+        promptMemory,
         serverLimits,
         leavingServers,
         availability: new ServerAvailability(directory, leavingServers, pausedServers, serverLimits),
--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -70,6 +70,10 @@
         try {
             const outcome = await this.#send(run, watch, onEvent);
             pace.recordOutcome(outcome);
+            if (outcome.kind === "completed") {
+                const { request: { promptSections, service }, reservation: { server } } = run;
+                this.context.promptMemory?.recordKept(server, promptSections, service.engine?.memoryTokens ?? 0);
+            }
             return outcome;
         }
         finally {
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -227,6 +227,7 @@
                     || this.prefillDispatcher.isLocalPrefillFaster(waiter.request, server, estimate));
         });
         const preferred = this.context.serverSubset.narrow(availability.preferStaying(eligible), engines);
+        const savings = this.context.promptMemory?.expectFetched(waiter.request.promptSections, preferred);
         const candidates = preferred.map(server => {
             const load = serverLoads.get(server.id);
             return {
@@ -234,7 +235,7 @@
                 freeTokens: (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens,
                 failureRate: load.failureRate,
                 speedFactor: load.speedFactor,
-                savedTokens: 0,
+                savedTokens: savings?.get(server.id)?.tokens ?? 0,
             };
         });
         return this.#engineChooser.chooseDecode(candidates)?.server;
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -3,6 +3,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { MemoryBudget } from "../memory/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { PromptMemory } from "../prompt_memory/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
 import type { EngineSpeeds } from "../speeds/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
@@ -37,6 +38,8 @@
     serverLimits: ServerLimits;
     /** Speeds of the engines, learned from runs. */
     engineSpeeds: EngineSpeeds;
+    /** What engines are expected to keep of prompts; undefined if the settings turn it off. */
+    promptMemory: PromptMemory | undefined;
     retryBudget: RetryBudget;
     crashRegistry: CrashRegistry;
     /** Parts of prompts that crash servers. */
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -1,5 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { OrganisationProfile, ServiceProfile, TrafficRoute } from "../directory/mod.ts";
+import type { PromptSection } from "../prompt_parts/mod.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { RequestMemory } from "./request_memory.ts";
 
@@ -22,6 +23,8 @@
     outputTokens: number;
     /** Parts of the prompt that other requests may share. */
     promptParts: string[];
+    /** All parts of the prompt in order, with their lengths. */
+    promptSections: PromptSection[];
     /** Whether the request runs once to find out whether a blocked part of its prompt still crashes servers. */
     isProbe: boolean;
     /** Priority; 0 is served first. */
--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -53,6 +53,8 @@
     firstStart: z.boolean().default(false),
     /** Longest pause that a server may ask for; a longer one counts as this long. */
     maximumPauseMilliseconds: milliseconds.default(300_000),
+    /** Whether a prompt goes to an engine that is expected to keep its beginning where that saves more than the wait costs. */
+    promptMemory: z.boolean().default(true),
     /** Memory limit of the process. */
     memoryMegabytes: z.number().min(memoryMegabytes.least).default(memoryMegabytes.default),
     /** Limit of the process's file descriptors, files included; without it, the limit that the system has set. */
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -2,32 +2,20 @@
 import { readResponseBody } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
-import { EngineChooser } from "../speeds/mod.ts";
 import { backendHeaders } from "./backend_headers.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
+import type { PrefillChoice } from "./prefill_choice.ts";
+import { PrefillEngines } from "./prefill_engines.ts";
 import type { PrefillFailure } from "./prefill_failure.ts";
 import type { PrefillHandle } from "./prefill_handle.ts";
 import type { PrefillResult } from "./prefill_result.ts";
-import { ServerChooser } from "./server_chooser.ts";
 
-/** Speed of an engine, in prompt tokens per millisecond, that is assumed before the first measurement. */
-const INITIAL_TOKENS_PER_MILLISECOND = 25;
-/** Weight of the newest measurement. */
-const SAMPLE_WEIGHT = 0.1;
-/** Prompt tokens above which the time of a prefill depends on the engine more than on the network. */
-const MINIMUM_SAMPLE_TOKENS = 1_000;
 /** Speed of a local prefill, as a fraction of a prefill engine's speed, since the engine decodes at the same time. */
 const LOCAL_PREFILL_SPEED_FRACTION = 0.45;
 /** Time in milliseconds that a local prefill must save, since the decode engine computes it beside its other work. */
 const MINIMUM_LOCAL_PREFILL_GAIN_MILLISECONDS = 600;
 const NO_SERVERS: ReadonlySet<string> = new Set();
-/** Speed in prompt tokens per millisecond below which a prefill engine counts as failed, unless it is known to be slow. */
-const SLOWEST_TOKENS_PER_MILLISECOND = 12;
-/** Fraction of a slow engine's known speed below which it counts as failed. */
-const SLOWEST_FRACTION = 0.5;
-/** Speed in prompt tokens per millisecond below which every prefill engine counts as failed. */
-const SLOWEST_KNOWN_TOKENS_PER_MILLISECOND = 3;
 /** Time in milliseconds that is added to the timeout of each prefill. */
 const BASE_TIMEOUT_MILLISECONDS = 300;
 const BODY_TIMEOUT_MILLISECONDS = 500;
@@ -46,20 +34,18 @@
  * ```
  */
 export class PrefillDispatcher {
-    readonly #chooser: ServerChooser;
-    readonly #engineChooser = new EngineChooser();
-    #tokensPerMillisecond = INITIAL_TOKENS_PER_MILLISECOND;
+    readonly #engines: PrefillEngines;
 
     /**
      * @param context Shared objects of the gateway.
      */
     constructor(private readonly context: GatewayContext) {
-        this.#chooser = new ServerChooser(context);
+        this.#engines = new PrefillEngines(context);
     }
 
     /** Measured speed of the median prefill engine, in prompt tokens per millisecond. */
     get tokensPerMillisecond(): number {
-        return this.#tokensPerMillisecond;
+        return this.#engines.tokensPerMillisecond;
     }
 
     /**
@@ -69,9 +55,9 @@
      * @returns The time in milliseconds; infinite if no prefill engine is available.
      */
     estimateMilliseconds(request: GatewayRequest): number {
-        const server = this.#choose(request, undefined, NO_SERVERS);
-        return server
-            ? (this.#queuedTokens(server) + request.promptTokens) / this.#speedOf(server)
+        const choice = this.#engines.choose(request, undefined, NO_SERVERS);
+        return choice
+            ? (this.#engines.queuedTokens(choice.server) + request.promptTokens) / this.#engines.speedOf(choice.server)
             : Number.POSITIVE_INFINITY;
     }
 
@@ -88,8 +74,8 @@
         server: RegisteredServer,
         estimate = this.estimateMilliseconds(request),
     ): boolean {
-        const tokens = this.#queuedTokens(server) + request.promptTokens;
-        const localMilliseconds = tokens / (this.#speedOf(server) * LOCAL_PREFILL_SPEED_FRACTION);
+        const tokens = this.#engines.queuedTokens(server) + request.promptTokens;
+        const localMilliseconds = tokens / (this.#engines.speedOf(server) * LOCAL_PREFILL_SPEED_FRACTION);
         return estimate > localMilliseconds + MINIMUM_LOCAL_PREFILL_GAIN_MILLISECONDS;
     }
 
@@ -109,21 +95,26 @@
         repeated: boolean,
     ): Promise<Result<PrefillResult, PrefillFailure>> {
         const tried = new Set<string>();
+        this.context.promptMemory?.recordPrompt(request.service.name, request.promptSections);
         let message = "No prefill engine can take the request";
         for (let attempts = 0; attempts < MAXIMUM_ATTEMPTS && !request.signal.aborted; attempts++) {
-            const server = this.#choose(request, target, tried);
-            if (!server || ((attempts > 0 || repeated) && !this.context.retryBudget.trySpend(request.service.name))) {
+            const choice = this.#engines.choose(request, target, tried);
+            if (!choice || ((attempts > 0 || repeated) && !this.context.retryBudget.trySpend(request.service.name))) {
                 break;
             }
+            const { server, saving, passedOver } = choice;
             tried.add(server.id);
             const startedAt = monotonicMilliseconds();
-            const tokensBefore = this.#queuedTokens(server);
-            const result = await this.#runOn(request, server, extraHeaders);
+            const tokensBefore = this.#engines.queuedTokens(server);
+            this.#countKeepers(choice);
+            const result = await this.#runOn(request, choice, extraHeaders);
             this.context.logger.info("prefill ended", {
                 request: request.id,
                 engine: server.id,
                 tokens: request.promptTokens,
                 tokensBefore,
+                ...saving.belief === "none" ? {} : { expectedSaved: Math.round(saving.tokens), belief: saving.belief },
+                ...passedOver ? { keeper: passedOver.engine, passedOver: passedOver.reason } : {},
                 speedFactor: Number(this.context.serverLoads.get(server.id).speedFactor.toFixed(2)),
                 milliseconds: Math.round(monotonicMilliseconds() - startedAt),
                 outcome: result.isOk() ? "done" : result.error,
@@ -136,64 +127,17 @@
         return err({ message, sent: tried.size > 0 });
     }
 
-    #choose(
-        request: GatewayRequest,
-        target: RegisteredServer | undefined,
-        tried: ReadonlySet<string>,
-    ): RegisteredServer | undefined {
-        const { availability, serverLoads } = this.context;
-        const now = monotonicMilliseconds();
-        const engines = availability.usableServers(request.service.name, "prefill");
-        const eligible = engines.filter(server =>
-            serverLoads.get(server.id).avoidedUntil <= now && !tried.has(server.id) && this.#chooser.admits(server)
-        );
-        const preferred = this.context.serverSubset.narrow(availability.preferStaying(eligible), engines);
-        const candidates = preferred.map(server => ({
-            server,
-            queuedTokens: this.#queuedTokens(server),
-            failureRate: serverLoads.get(server.id).failureRate,
-            isRemote: target !== undefined && server.failureDomain !== target.failureDomain,
-            speedFactor: serverLoads.get(server.id).speedFactor,
-            savedTokens: 0,
-        }));
-        return this.#engineChooser.choosePrefill(candidates, request.promptTokens)?.server;
-    }
-
-    /** Speed of an engine in prompt tokens per millisecond. */
-    #speedOf(server: RegisteredServer): number {
-        return this.#tokensPerMillisecond * this.context.serverLoads.get(server.id).speedFactor;
-    }
-
-    /** Speed in prompt tokens per millisecond below which an engine counts as failed. */
-    #slowestSpeed(server: RegisteredServer): number {
-        const known = Math.max(SLOWEST_KNOWN_TOKENS_PER_MILLISECOND, SLOWEST_FRACTION * this.#speedOf(server));
-        return Math.min(SLOWEST_TOKENS_PER_MILLISECOND, known);
-    }
-
-    /**
-     * Learns from a prefill: the speed of its engine in comparison with the median, corrected for the prompts that were
-     * queued before it, and the speed of the median from engines that were idle.
-     */
-    #learn(server: RegisteredServer, tokens: number, queuedTokens: number, milliseconds: number, idle: boolean): void {
-        if (tokens <= MINIMUM_SAMPLE_TOKENS || milliseconds <= 0) {
-            return;
+    #countKeepers({ saving, passedOver }: PrefillChoice): void {
+        const { metrics } = this.context;
+        if (saving.belief !== "none") {
+            metrics.increment("prompt_keepers_total", { result: "chosen", belief: saving.belief });
+            metrics.increment("prompt_tokens_expected_saved_total", {}, Math.round(saving.tokens));
         }
-        const { engineSpeeds, serverLoads } = this.context;
-        const expectedMilliseconds = (queuedTokens + tokens) / this.#tokensPerMillisecond;
-        // The more prompts were queued before it, the less is known of when they were finished.
-        const weight = tokens / (queuedTokens + tokens);
-        engineSpeeds.record(server, "prefill", Math.log(expectedMilliseconds / milliseconds), weight);
-        if (idle) {
-            const median = tokens / milliseconds / serverLoads.get(server.id).speedFactor;
-            this.#tokensPerMillisecond += SAMPLE_WEIGHT * (median - this.#tokensPerMillisecond);
+        if (passedOver) {
+            metrics.increment("prompt_keepers_total", { result: "passed-over", reason: passedOver.reason });
         }
     }
 
-    /** Known prompt tokens of unfinished prefills at an engine. */
-    #queuedTokens(server: RegisteredServer): number {
-        return this.context.serverLoads.get(server.id).total(this.context.peerLoadWeight()).prefillTokens;
-    }
-
     /** Time in milliseconds by which the reports of peers are older than in a small fleet. */
     #reportDelay(): number {
         return this.context.reportPeriodMilliseconds() * (1 - this.context.peerLoadWeight());
@@ -201,18 +145,18 @@
 
     async #runOn(
         request: GatewayRequest,
-        server: RegisteredServer,
+        { server, saving }: PrefillChoice,
         extraHeaders: string[],
     ): Promise<Result<PrefillHandle, string>> {
         const { headers, engineProtocol, serverClient, serverLoads, metrics } = this.context;
         const load = serverLoads.get(server.id);
         const startedAt = monotonicMilliseconds();
-        const queuedTokens = this.#queuedTokens(server);
+        const queuedTokens = this.#engines.queuedTokens(server);
         const idle = load.total().prefillTokens === 0;
         load.prefillTokens += request.promptTokens;
         // The timeout allows for prefills that peers have sent since their last reports.
         const timeout = BASE_TIMEOUT_MILLISECONDS + this.#reportDelay()
-            + load.total().prefillTokens / this.#slowestSpeed(server);
+            + load.total().prefillTokens / this.#engines.slowestSpeed(server);
         load.active++;
         load.recordSend();
         try {
@@ -262,7 +206,7 @@
             const milliseconds = monotonicMilliseconds() - startedAt;
             metrics.observe("prefill", milliseconds);
             load.recordSuccess();
-            this.#learn(server, request.promptTokens, queuedTokens, milliseconds, idle);
+            this.#engines.learn({ server, request, saving, queuedTokens, idle, milliseconds });
             return ok(handle);
         }
         finally {
