--- a/packages/gateway/stage_balancer.ts
+++ b/packages/gateway/stage_balancer.ts
@@ -167,6 +167,7 @@
             prefillEngines: prefillEngines.length,
             prefillTokens,
             decodeUtilisation,
+            speeds: this.#sumSpeeds(servers, prefillEngines),
         };
         const stage = load.planner.next(division, now);
         if (!stage || now - load.orderedAt <= this.#orderPause(load)) {
@@ -180,6 +181,20 @@
         await this.#changeOne(candidates, stage, load, fence);
     }
 
+    #sumSpeeds(
+        engines: readonly RegisteredServer[],
+        prefillEngines: readonly RegisteredServer[],
+    ): { all: number; prefill: number; fastestPrefill: number; } {
+        const speedOf = ({ id }: RegisteredServer) => this.context.serverLoads.get(id).speedFactor;
+        const sum = (servers: readonly RegisteredServer[]) =>
+            servers.reduce((total, server) => total + speedOf(server), 0);
+        return {
+            all: sum(engines),
+            prefill: sum(prefillEngines),
+            fastestPrefill: Math.max(0, ...prefillEngines.map(speedOf)),
+        };
+    }
+
     #futureStage(server: RegisteredServer): EngineStage | undefined {
         return this.#changing.get(server.id)?.stage ?? server.stage;
     }
--- a/packages/gateway/stage_planner.ts
+++ b/packages/gateway/stage_planner.ts
@@ -15,6 +15,17 @@
 /** Surplus of prefill engines that is tolerated under load, since an engine is unavailable for seconds in a change. */
 const TOLERATED_SURPLUS_ENGINES = 0.7;
 
+/** Distance from the unrounded target, in engines, below which another prefill engine is needed. */
+const TOLERATED_LACK_ENGINES = 1 - TOLERATED_SURPLUS_ENGINES;
+
+/** Sums of the engines' speeds as factors of the median. */
+interface StageSpeeds {
+    all: number;
+    prefill: number;
+    /** Speed of the fastest prefill engine. */
+    fastestPrefill: number;
+}
+
 /** Division of a service's engines between prefill and decode, and their load. */
 interface StageDivision {
     engines: number;
@@ -23,6 +34,8 @@
     prefillTokens: number;
     /** Average decode memory utilisation, from 0 to 1. */
     decodeUtilisation: number;
+    /** Default: all engines are equally fast. */
+    speeds?: StageSpeeds;
 }
 
 /**
@@ -60,21 +73,24 @@
     }
 }
 
-function computeNeededChange(
-    { engines, prefillEngines, prefillTokens, decodeUtilisation }: StageDivision,
-): EngineStage | undefined {
-    const unroundedTarget = PREFILL_FRACTION * engines;
+function computeNeededChange(division: StageDivision): EngineStage | undefined {
+    const { engines, prefillEngines, prefillTokens, decodeUtilisation } = division;
+    const speeds = division.speeds ?? { all: engines, prefill: prefillEngines, fastestPrefill: 1 };
+    const isIdle = decodeUtilisation < IDLE_UTILISATION;
+    // Speeds are known only from runs.
+    const unroundedTarget = PREFILL_FRACTION * (isIdle ? engines : speeds.all);
     const target = Math.min(engines - 1, Math.max(1, Math.round(unroundedTarget)));
-    if (decodeUtilisation < IDLE_UTILISATION) {
+    if (isIdle) {
         return prefillEngines === target ? undefined : prefillEngines > target ? "decode" : "prefill";
     }
-    const overloaded = prefillTokens / Math.max(1, prefillEngines) > OVERLOAD_TOKENS
+    const overloaded = prefillTokens / Math.max(1, speeds.prefill) > OVERLOAD_TOKENS
         && decodeUtilisation < BUSY_UTILISATION;
-    if (prefillEngines < target || overloaded && prefillEngines < engines - 1) {
+    // No change makes the opposite one needed, however fast the engine is that changes.
+    const least = unroundedTarget - TOLERATED_LACK_ENGINES;
+    const isLacking = prefillEngines < Math.min(1, target) || speeds.prefill < Math.min(target - 0.5, least);
+    if ((isLacking || overloaded) && prefillEngines < engines - 1) {
         return "prefill";
     }
-    return prefillEngines > Math.max(1, unroundedTarget + TOLERATED_SURPLUS_ENGINES)
-            && decodeUtilisation > BUSY_UTILISATION
-        ? "decode"
-        : undefined;
+    const isSurplus = prefillEngines > 1 && speeds.prefill - speeds.fastestPrefill > least;
+    return isSurplus && decodeUtilisation > BUSY_UTILISATION ? "decode" : undefined;
 }
