--- a/packages/speeds/engine_speeds.ts
+++ b/packages/speeds/engine_speeds.ts
@@ -162,19 +162,19 @@
         if (confident.size === 0) {
             return factors;
         }
-        // Engines without confident runs count as usual ones.
-        const groups = new Map<string, { id: string; logarithm: number; }[]>();
+        const groups = new Map<string, { id: string; logarithm: number | undefined; }[]>();
         for (const { id, service, stage, startedAt } of this.directory.servers.values()) {
             if (stage !== undefined) {
                 const group = groups.get(`${service}/${stage}`) ?? [];
-                group.push({ id, logarithm: confident.get(`${id}/${startedAt}/${stage}`) ?? 0 });
+                group.push({ id, logarithm: confident.get(`${id}/${startedAt}/${stage}`) });
                 groups.set(`${service}/${stage}`, group);
             }
         }
         for (const engines of groups.values()) {
-            const median = medianOf(engines.map(({ logarithm }) => logarithm));
+            // Engines without confident runs count as usual ones.
+            const median = medianOf(engines.map(({ logarithm }) => logarithm ?? 0));
             for (const { id, logarithm } of engines) {
-                if (Math.abs(logarithm - median) >= NOTABLE_LOGARITHM) {
+                if (logarithm !== undefined && Math.abs(logarithm - median) >= NOTABLE_LOGARITHM) {
                     factors.set(id, Math.exp(logarithm - median));
                 }
             }
@@ -206,5 +206,6 @@
 
 function medianOf(values: readonly number[]): number {
     const sorted = [...values].sort((left, right) => left - right);
-    return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+    const middle = (sorted.length - 1) / 2;
+    return ((sorted[Math.floor(middle)] ?? 0) + (sorted[Math.ceil(middle)] ?? 0)) / 2;
 }
