--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { TrafficRoute } from "../directory/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
-import { parsePromptParts } from "../prompt_parts/mod.ts";
+import { parsePromptParts, parsePromptSections } from "../prompt_parts/mod.ts";
 import { refuseUnconfirmed } from "./_refuse_unconfirmed.ts";
 import { refuseUnknown } from "./_refuse_unknown.ts";
 import { chooseService } from "./choose_service.ts";
@@ -110,6 +110,7 @@
                 outputTokens,
                 resumedStream: this.#findResumedStream(incoming, route),
                 promptParts: parsePromptParts(service.name, headerOf(incoming, headers.promptParts)),
+                promptSections: parsePromptSections(service.name, headerOf(incoming, headers.promptParts)),
                 isProbe: false,
                 priority,
                 urgencyRank: service.engine && this.context.loadPolicies.urgencies.rank(service.name, priority),
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -2,6 +2,7 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { compareWaiting } from "../decisions/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
+import { EngineChooser } from "../speeds/mod.ts";
 import { createWaiter } from "./_create_waiter.ts";
 import { findRoom } from "./_find_room.ts";
 import { refuseWaiter } from "./_refuse_waiter.ts";
@@ -21,8 +22,6 @@
 const FIRST_EVENT_MILLISECONDS = 120;
 /** Longest wait in milliseconds at a prefill engine, without the prefill itself, at which memory is reserved. */
 const MAXIMUM_PREFILL_WAIT_MILLISECONDS = 200;
-/** Weight of an engine's failure rate, which reduces the free memory that it is compared by. */
-const FAILURE_PENALTY = 6;
 
 /** Properties of a wait for memory. */
 interface AcquireOptions {
@@ -48,6 +47,7 @@
 export class DecodeQueue {
     #waiters: DecodeWaiter[] = [];
     readonly #chooser: ServerChooser;
+    readonly #engineChooser = new EngineChooser();
     readonly #reserver: DecodeReserver;
     #timer: NodeJS.Timeout | undefined;
 
@@ -235,18 +235,19 @@
                 && (prefillWait < MAXIMUM_PREFILL_WAIT_MILLISECONDS
                     || this.prefillDispatcher.isLocalPrefillFaster(waiter.request, server, estimate));
         });
-        let best: RegisteredServer | undefined;
-        let highestPreference = 0;
-        for (const server of this.context.serverSubset.narrow(availability.preferStaying(eligible), engines)) {
+        const preferred = this.context.serverSubset.narrow(availability.preferStaying(eligible), engines);
+        const savings = this.context.promptMemory?.expectFetched(waiter.request.promptSections, preferred);
+        const candidates = preferred.map(server => {
             const load = serverLoads.get(server.id);
-            const free = (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
-            const preference = free / (1 + FAILURE_PENALTY * load.failureRate);
-            if (preference > highestPreference) {
-                best = server;
-                highestPreference = preference;
-            }
-        }
-        return best;
+            return {
+                server,
+                freeTokens: (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens,
+                failureRate: load.failureRate,
+                speedFactor: load.speedFactor,
+                savedTokens: savings?.get(server.id)?.tokens ?? 0,
+            };
+        });
+        return this.#engineChooser.chooseDecode(candidates)?.server;
     }
 
     async #reserve(waiter: DecodeWaiter, server: RegisteredServer): Promise<void> {
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -2,6 +2,7 @@
 import type { LoadPolicies } from "../decisions/mod.ts";
 import type { CellState, Peer, PeerReport } from "../peers/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
+import type { EngineSpeeds } from "../speeds/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
@@ -23,6 +24,7 @@
     promptParts: PromptPartRegistry;
     leavingServers: LeavingServers;
     serverLimits: ServerLimits;
+    engineSpeeds: EngineSpeeds;
     /** Undefined before the instance has started. */
     stageBalancer(): StageBalancer | undefined;
     /** Whether the last read of the store succeeded. */
@@ -73,6 +75,8 @@
             gone: serverLoads.gone(),
             leaving: this.options.leavingServers.firsthand(),
             crashes: crashRegistry.recent(),
+            // Left out of the message where it is undefined.
+            speeds: this.options.engineSpeeds.report(),
         };
         const demand = loadPolicies.demand.report(monotonicMilliseconds());
         const waiting = Object.values(demand ?? {}).flat().map(([, requests]) => requests);
@@ -96,6 +100,7 @@
     applyReport(report: PeerReport): void {
         const { serverLoads, rateLimiter, serverLimits, loadPolicies } = this.options;
         serverLoads.setPeerLoads(report.name, report.loads);
+        this.options.engineSpeeds.applyReport(report.name, report.speeds);
         this.#applyServerStates(report);
         loadPolicies.demand.recordPeer(report.name, report.demand, monotonicMilliseconds());
         rateLimiter.recordPeerReport(report.name, report.incarnation, report);
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -111,6 +111,7 @@
         const serverAccess = createServerAccess({
             ...shared,
             connectionPool: this.#connectionPool,
+            serverLoads: this.#serverLoads,
             headers: adapter.headers,
             usage,
             rankOf: server => this.#context.serverSubset.rankOf(server),
@@ -129,8 +130,7 @@
             rateLimiter: this.#rateLimiter,
             ...crashDetection,
             loadPolicies,
-            leavingServers: serverAccess.leavingServers,
-            serverLimits: serverAccess.serverLimits,
+            ...serverAccess,
             stageBalancer: () => this.#stageLeadership?.balancer,
             readsStore: () => this.#replicaFollower?.connected ?? false,
         });
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -1,6 +1,7 @@
 import * as z from "zod";
 import { demandReportSchema } from "../decisions/mod.ts";
 import { createEmptyReport, promptPartReportSchema } from "../prompt_parts/mod.ts";
+import { speedReportSchema } from "../speeds/mod.ts";
 import { peerSchema } from "./peer_schema.ts";
 import { serverLimitNoticeSchema } from "./server_limit_notice_schema.ts";
 import { spendingReportSchema } from "./spending_report_schema.ts";
@@ -29,4 +30,6 @@
     serverLimits: z.array(serverLimitNoticeSchema).max(1_024).default([]),
     /** Demand for engine memory; undefined without requests of services that have several priorities. */
     demand: demandReportSchema.optional(),
+    /** Engines whose speed differs from the others'; undefined if there is none. */
+    speeds: speedReportSchema.optional(),
 });
