--- a/packages/coordination/conditional_write.ts
+++ b/packages/coordination/conditional_write.ts
@@ -1,3 +1,4 @@
+import type { StorePosition } from "../replica/mod.ts";
 import type { StoreLease } from "./store_lease.ts";
 
 /** A write that takes effect only if its condition holds. */
@@ -6,6 +7,8 @@
     value: string;
     /** Whether the item must not exist yet. Default: no condition. */
     isNew?: boolean;
+    /** Position of the item's last change, after which it must not have changed. Default: no condition. */
+    unchangedSince?: StorePosition;
     /** Lease whose expiry or revocation removes the item. */
     lease?: StoreLease;
 }
--- a/packages/directory/directory.ts
+++ b/packages/directory/directory.ts
@@ -3,6 +3,7 @@
 import type { FleetConfiguration } from "./fleet_configuration.ts";
 import type { OrganisationProfile } from "./organisation_profile.ts";
 import type { RegisteredServer } from "./registered_server.ts";
+import type { RolloutOrder } from "./rollout_order.ts";
 import type { ServiceProfile } from "./service_profile.ts";
 import type { TrafficRoute } from "./traffic_route.ts";
 
@@ -24,6 +25,7 @@
     readonly #servers = new Map<string, RegisteredServer>();
     readonly #coldUntil = new Map<string, number>();
     readonly #drainedDomains = new Set<string>();
+    readonly #rolloutOrders = new Map<string, RolloutOrder>();
     readonly #listeners: (() => void)[] = [];
 
     /** The configuration in force; undefined until the first one is applied. */
@@ -36,6 +38,11 @@
         return this.#servers;
     }
 
+    /** Orders to move services to other versions, by service. */
+    get rolloutOrders(): ReadonlyMap<string, RolloutOrder> {
+        return this.#rolloutOrders;
+    }
+
     /**
      * Registers a listener that runs after each change.
      *
@@ -68,6 +75,12 @@
             case "domain-restored":
                 this.#drainedDomains.delete(event.failureDomain);
                 break;
+            case "rollout-ordered":
+                this.#rolloutOrders.set(event.order.service, event.order);
+                break;
+            case "rollout-withdrawn":
+                this.#rolloutOrders.delete(event.service);
+                break;
             case "unreadable":
                 return;
         }
--- a/packages/directory/directory_event.ts
+++ b/packages/directory/directory_event.ts
@@ -1,5 +1,6 @@
 import type { FleetConfiguration } from "./fleet_configuration.ts";
 import type { RegisteredServer } from "./registered_server.ts";
+import type { RolloutOrder } from "./rollout_order.ts";
 
 /** A change of the directory, decoded from a change of a stored item. */
 export type DirectoryEvent =
@@ -8,4 +9,6 @@
     | { kind: "server-removed"; id: string; }
     | { kind: "domain-drained"; failureDomain: string; }
     | { kind: "domain-restored"; failureDomain: string; }
+    | { kind: "rollout-ordered"; order: RolloutOrder; }
+    | { kind: "rollout-withdrawn"; service: string; }
     | { kind: "unreadable"; key: string; message: string; };
--- a/packages/directory/mod.ts
+++ b/packages/directory/mod.ts
@@ -8,6 +8,7 @@
 export type { OrganisationProfile } from "./organisation_profile.ts";
 export type { RegisteredServer } from "./registered_server.ts";
 export { RemovalDelay } from "./removal_delay.ts";
+export type { RolloutOrder } from "./rollout_order.ts";
 export type { ServiceProfile } from "./service_profile.ts";
 export type { TrafficRoute } from "./traffic_route.ts";
 export type { WeightedService } from "./weighted_service.ts";
--- a/packages/directory/registered_server.ts
+++ b/packages/directory/registered_server.ts
@@ -16,6 +16,8 @@
     slots: number;
     /** Remaining time in milliseconds for which the server was cold when the registration was written. */
     coldMilliseconds: number;
+    /** Version of the server's software; undefined if unknown. */
+    version?: string;
     /** Unix time in milliseconds of the server's start; 0 if unknown. */
     startedAt: number;
 }
--- a/packages/gateway/directory_updater.ts
+++ b/packages/gateway/directory_updater.ts
@@ -223,6 +223,12 @@
                     age,
                 });
                 break;
+            case "rollout-ordered":
+                logger.info("roll-out ordered", { ...event.order, era, revision, age });
+                break;
+            case "rollout-withdrawn":
+                logger.info("roll-out withdrawn", { service: event.service, era, revision, age });
+                break;
             case "unreadable":
         }
     }
--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -25,6 +25,10 @@
     quotaExcess: ratio.default(0),
     /** Units by which an organisation's limit may be exceeded in addition. */
     quotaSlack: z.number().min(0).default(0),
+    /** Fraction of a service's requests that a version under trial may get. */
+    exposureShare: z.number().min(0).max(1).default(0.1),
+    /** Requests that a version under trial may get in addition, over all instances. */
+    exposureSlack: z.number().min(0).default(0),
     /** Shortest time between the orders of two leaders to the same server. */
     leaseMilliseconds: milliseconds.default(3_000),
     /** Whether engines refuse orders with an outdated fencing token. */
