--- a/packages/gateway/cell_usage_test.ts
+++ b/packages/gateway/cell_usage_test.ts
@@ -99,6 +99,7 @@
             createState: () => ({
                 usage: limiter.summarise(members.partition.cellOf(name)?.members.length ?? 1),
                 serverUsage: [],
+                versionOutcomes: [],
                 serverLimits: [],
                 stageLoads: {},
                 changing: [],
--- a/packages/gateway/create_server_access.ts
+++ b/packages/gateway/create_server_access.ts
@@ -3,6 +3,7 @@
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { ItemReplica } from "../replica/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { LeavingServers } from "./leaving_servers.ts";
@@ -11,6 +12,7 @@
 import { ServerAvailability } from "./server_availability.ts";
 import { ServerClient } from "./server_client.ts";
 import { ServerLimits } from "./server_limits.ts";
+import { ServiceRollouts } from "./service_rollouts.ts";
 import type { SharedUsageOptions } from "./shared_usage_options.ts";
 
 /** Dependencies of the access to servers. */
@@ -18,6 +20,7 @@
     connectionPool: BackendConnectionPool;
     headers: ProtocolHeaders;
     directory: Directory;
+    replica: ItemReplica;
     clock: SuspensionAwareClock;
     /** Usage of limits over all instances. */
     usage: Omit<SharedUsageOptions, "windowMilliseconds">;
@@ -41,7 +44,7 @@
  */
 export function createServerAccess(
     options: ServerAccessOptions,
-): Pick<GatewayContext, "availability" | "leavingServers" | "serverClient" | "serverLimits"> {
+): Pick<GatewayContext, "availability" | "leavingServers" | "rollouts" | "serverClient" | "serverLimits"> {
     const { connectionPool, headers, directory, settings } = options;
     const leavingServers = new LeavingServers({
         ...options,
@@ -55,6 +58,7 @@
     return {
         serverLimits,
         leavingServers,
+        rollouts: new ServiceRollouts({ ...options, ...options.usage }),
         availability: new ServerAvailability(directory, leavingServers, pausedServers, serverLimits),
         serverClient: new ServerClient(connectionPool, headers, leavingServers, pausedServers, serverLimits),
     };
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -213,7 +213,7 @@
     }
 
     #choose(waiter: Waiter, now: number): RegisteredServer | undefined {
-        const { availability, serverLoads } = this.context;
+        const { availability, rollouts, serverLoads } = this.context;
         const service = waiter.request.service;
         const estimate = this.prefillDispatcher.estimateMilliseconds(waiter.request);
         const prefillWait = estimate - waiter.request.promptTokens / this.prefillDispatcher.tokensPerMillisecond;
@@ -228,7 +228,8 @@
         });
         let best: RegisteredServer | undefined;
         let highestPreference = 0;
-        for (const server of this.context.serverSubset.narrow(availability.preferStaying(eligible), engines)) {
+        const selected = availability.preferStaying(rollouts.select(service.name, waiter.request.route.name, eligible));
+        for (const server of this.context.serverSubset.narrow(selected, rollouts.alike(selected, engines))) {
             const load = serverLoads.get(server.id);
             const free = (service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
             const preference = free / (1 + FAILURE_PENALTY * load.failureRate);
--- a/packages/gateway/decode_queue_test.ts
+++ b/packages/gateway/decode_queue_test.ts
@@ -41,6 +41,11 @@
             preferStaying: (list: unknown) => list,
             findRefusal: () => undefined,
         },
+        rollouts: {
+            select: (_service: string, _route: string, list: unknown) => list,
+            alike: (_selected: unknown, list: unknown) => list,
+            count: () => {},
+        },
         serverLoads: { get: (id: string) => loads.get(id), admits: () => true },
         serverLimits: { admits: () => true, take: () => () => {} },
         serverSubset: { narrow: (list: unknown) => list },
--- a/packages/gateway/decode_reserver.ts
+++ b/packages/gateway/decode_reserver.ts
@@ -54,6 +54,7 @@
         const requestedAt = monotonicMilliseconds();
         load.reservedTokens += tokens;
         load.active++;
+        this.context.rollouts.count(server, request.route.name);
         const releasePlace = this.context.serverLimits.take(server);
         let reservationId: string | undefined;
         try {
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -5,6 +5,8 @@
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { ServerLimits } from "./server_limits.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
+import type { SharedUsage } from "./shared_usage.ts";
+import type { SpendingReport } from "./spending_report.ts";
 import type { StageBalancer } from "./stage_balancer.ts";
 
 /** Time in milliseconds that a server is avoided after a peer reported it as terminated or changing its stage. */
@@ -20,6 +22,8 @@
     promptParts: PromptPartRegistry;
     leavingServers: LeavingServers;
     serverLimits: ServerLimits;
+    /** Outcomes of requests while roll-outs last. */
+    versionOutcomes: SharedUsage;
     /** Undefined before the instance has started. */
     stageBalancer(): StageBalancer | undefined;
     /** Whether the last read of the store succeeded. */
@@ -62,6 +66,7 @@
         }
         const usage = rateLimiter.report();
         const serverUsage = serverLimits.usage.report();
+        const versionOutcomes = this.options.versionOutcomes.report();
         const state = {
             readsStore: readsStore(),
             loads,
@@ -72,13 +77,20 @@
         };
         // The ages in the reports on prompt parts and limits change all the time, so their versions are compared.
         const versions = [promptParts.version, serverLimits.version];
-        const serialised = JSON.stringify([state, usage.spending, serverUsage.spending, versions]);
+        const serialised = JSON.stringify([
+            state,
+            usage.spending,
+            serverUsage.spending,
+            versionOutcomes.spending,
+            versions,
+        ]);
         if (!force && serialised === this.#lastReport) {
             return undefined;
         }
         this.#lastReport = serialised;
         const limits = { serverUsage, serverLimits: serverLimits.notices() };
-        return { ...state, ...usage, ...limits, promptParts: promptParts.createReport() };
+        const outcomes = hasOutcomes(versionOutcomes) ? { versionOutcomes } : {};
+        return { ...state, ...usage, ...limits, ...outcomes, promptParts: promptParts.createReport() };
     }
 
     /**
@@ -87,13 +99,16 @@
      * @param report The report.
      */
     applyReport(report: PeerReport): void {
-        const { serverLoads, rateLimiter, serverLimits } = this.options;
+        const { serverLoads, rateLimiter, serverLimits, versionOutcomes } = this.options;
         serverLoads.setPeerLoads(report.name, report.loads);
         this.#applyServerStates(report);
         rateLimiter.recordPeerReport(report.name, report.incarnation, report);
         if (report.serverUsage) {
             serverLimits.usage.recordPeerReport(report.name, report.incarnation, report.serverUsage);
         }
+        if (report.versionOutcomes) {
+            versionOutcomes.recordPeerReport(report.name, report.incarnation, report.versionOutcomes);
+        }
     }
 
     /**
@@ -107,6 +122,9 @@
         return {
             usage: rateLimiter.summarise(cellInstances),
             serverUsage: serverLimits.usage.summarise(cellInstances),
+            versionOutcomes: Object.keys(this.options.versionOutcomes.totals).length > 0
+                ? this.options.versionOutcomes.summarise(cellInstances)
+                : [],
             serverLimits: serverLimits.notices(),
             stageLoads: stageBalancer()?.cellLoads() ?? {},
             changing: stageBalancer()?.changing() ?? [],
@@ -126,10 +144,11 @@
         this.#applyServerStates(state);
         this.options.rateLimiter.recordCellUsage(state.usage);
         this.options.serverLimits.usage.recordCellUsage(state.serverUsage);
+        this.options.versionOutcomes.recordCellUsage(state.versionOutcomes);
         this.options.stageBalancer()?.recordOtherCells(state.stageLoads);
     }
 
-    #applyServerStates(state: Omit<CellState, "usage" | "serverUsage" | "stageLoads">): void {
+    #applyServerStates(state: Omit<CellState, "usage" | "serverUsage" | "stageLoads" | "versionOutcomes">): void {
         const { changing, gone, leaving, crashes } = state;
         const { serverLoads, crashRegistry, promptParts, leavingServers } = this.options;
         this.options.serverLimits.recordPeerNotices(state.serverLimits);
@@ -139,3 +158,8 @@
         promptParts.applyReport(state.promptParts);
     }
 }
+
+/** Whether requests were counted by a process that reports or by one that it remembers. */
+function hasOutcomes({ spending, ended }: SpendingReport): boolean {
+    return [spending, ...Object.values(ended).map(([, units]) => units)].some(units => Object.keys(units).length > 0);
+}
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -89,12 +89,12 @@
             settings: () => this.settings,
             metrics: this.#metrics,
             logger: this.#logger,
+            replica: this.#replica,
+            store: this.#store,
         };
         const storeReading = createStoreReading({
             ...shared,
             decodeItem: change => adapter.decodeItem(change),
-            store: this.#store,
-            replica: this.#replica,
             isReader: () => this.#peerMesh.isReader(),
         });
         this.#directoryUpdater = storeReading.directoryUpdater;
@@ -136,6 +136,7 @@
             ...crashDetection,
             leavingServers: serverAccess.leavingServers,
             serverLimits: serverAccess.serverLimits,
+            versionOutcomes: serverAccess.rollouts.usage,
             stageBalancer: () => this.#stageLeadership?.balancer,
             readsStore: () => this.#replicaFollower?.connected ?? false,
         });
@@ -148,11 +149,7 @@
             },
             seedAddresses: settings.seedAddresses,
             isFirstStart: settings.firstStart,
-            store: this.#store,
-            replica: this.#replica,
-            clock: this.#clock,
-            metrics: this.#metrics,
-            logger: this.#logger,
+            ...shared,
             readsStore: () => this.#replicaFollower?.connected ?? false,
             onNewerPosition: position => this.#replicaFollower?.catchUpTo(position),
             createReport: force => reporter.createReport(force),
@@ -165,6 +162,7 @@
             ...shared,
             headers: adapter.headers,
             engineProtocol: adapter.engineProtocol,
+            encodeRolloutStatus: status => adapter.encodeRolloutStatus(status),
             serverLoads: this.#serverLoads,
             ...serverAccess,
             retryBudget: new RetryBudget(() => computeRetryLimit(this.settings.bounds), instanceCount),
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -7,6 +7,7 @@
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { DirectoryUpdater } from "./directory_updater.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
+import type { GatewayAdapter } from "./gateway_adapter.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
@@ -17,6 +18,7 @@
 import type { ServerLimits } from "./server_limits.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
 import type { ServerSubset } from "./server_subset.ts";
+import type { ServiceRollouts } from "./service_rollouts.ts";
 
 /** Objects that the parts of the gateway share. */
 export interface GatewayContext {
@@ -24,8 +26,12 @@
     settings: () => GatewaySettings;
     headers: ProtocolHeaders;
     engineProtocol: EngineProtocol;
+    /** Encodes what the operator reads of a roll-out. */
+    encodeRolloutStatus: GatewayAdapter["encodeRolloutStatus"];
     directory: Directory;
     serverLoads: ServerLoadTracker;
+    /** Divides requests between the versions of servers while roll-outs last. */
+    rollouts: ServiceRollouts;
     /** Sends requests to backend servers. */
     serverClient: ServerClient;
     /** Decides which servers may get requests. */
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -52,7 +52,7 @@
         let keyRefusal: GatewayRefusal | undefined;
         while (sends < MAXIMUM_SENDS && !request.signal.aborted) {
             keyRefusal = refuseKey(request.key, this.context);
-            const server = this.#chooser.choose(request.service.name, tried);
+            const server = this.#chooser.choose(request.service.name, request.route.name, tried);
             if (!server || runs >= request.route.maximumServers || keyRefusal) {
                 break;
             }
@@ -158,7 +158,9 @@
     /** Chooses another server for a request whose server is slow, and spends a retry. */
     #chooseOther(request: GatewayRequest, tried: ReadonlySet<string>): RegisteredServer | undefined {
         const service = request.service.name;
-        const server = refuseKey(request.key, this.context) ? undefined : this.#chooser.choose(service, tried);
+        const server = refuseKey(request.key, this.context)
+            ? undefined
+            : this.#chooser.choose(service, request.route.name, tried);
         return server && this.context.retryBudget.trySpend(service) ? server : undefined;
     }
 
--- a/packages/gateway/plain_send.ts
+++ b/packages/gateway/plain_send.ts
@@ -42,7 +42,8 @@
         server: RegisteredServer,
         findSuccessor?: () => Promise<RegisteredServer | undefined>,
     ): Promise<SendOutcome> {
-        const { headers, serverClient, serverLoads, directory } = this.context;
+        const { headers, rollouts, serverClient, serverLoads, directory } = this.context;
+        const route = request.route.name;
         const load = serverLoads.get(server.id);
         const startedAt = monotonicMilliseconds();
         const remaining = request.deadline - startedAt;
@@ -54,6 +55,7 @@
         };
         load.active++;
         load.recordSend();
+        rollouts.count(server, route);
         try {
             const response = await serverClient.send(server, {
                 method: request.method,
@@ -67,9 +69,11 @@
             watch?.recordAnswer();
             if (response.isErr()) {
                 if (watch?.successor) {
+                    rollouts.record(server, route, undefined);
                     const fault = { ...response.error, kind: "timeout", message: "No answer in time" };
                     return this.#recordFault(load, fault, recordFailure);
                 }
+                rollouts.recordFault(server, route, response.error);
                 if (response.error.kind === "reset") {
                     this.context.crashRegistry.recordBrokenConnection(request, server);
                 }
@@ -100,6 +104,8 @@
                 }
                 return { kind: "not-run", message: `The server answered with status ${status}` };
             }
+            const isValid = body && (status >= 300 || isSignedUnencoded(response.value, headers.signature));
+            rollouts.recordAnswer(server, route, status, isValid ? monotonicMilliseconds() - startedAt : undefined);
             if (!body) {
                 recordFailure();
                 return { kind: "may-have-run", message: "The server's answer broke off" };
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -35,6 +35,8 @@
 /** Time in milliseconds after which a reset shows that the engine still ran when it received the prompt. */
 const MINIMUM_RUN_MILLISECONDS = 50;
 const MAXIMUM_RESPONSE_BYTES = 65_536;
+/** End of the names under which prefills are counted for the judgement of versions, beside decodes. */
+const PREFILL_SUFFIX = ":prefill";
 
 /**
  * Sends prompts to prefill engines.
@@ -138,7 +140,7 @@
         target: RegisteredServer | undefined,
         tried: ReadonlySet<string>,
     ): RegisteredServer | undefined {
-        const { availability, serverLoads } = this.context;
+        const { availability, rollouts, serverLoads } = this.context;
         const now = monotonicMilliseconds();
         let best: RegisteredServer | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
@@ -146,7 +148,9 @@
         const eligible = engines.filter(server =>
             serverLoads.get(server.id).avoidedUntil <= now && !tried.has(server.id) && this.#chooser.admits(server)
         );
-        for (const server of this.context.serverSubset.narrow(availability.preferStaying(eligible), engines)) {
+        const route = request.route.name + PREFILL_SUFFIX;
+        const selected = availability.preferStaying(rollouts.select(request.service.name, route, eligible));
+        for (const server of this.context.serverSubset.narrow(selected, rollouts.alike(selected, engines))) {
             const load = serverLoads.get(server.id);
             const transferCost = !target || server.failureDomain === target.failureDomain
                 ? 0
@@ -177,9 +181,10 @@
         server: RegisteredServer,
         extraHeaders: string[],
     ): Promise<Result<PrefillHandle, string>> {
-        const { headers, engineProtocol, serverClient, serverLoads, metrics } = this.context;
+        const { headers, engineProtocol, rollouts, serverClient, serverLoads, metrics } = this.context;
         const load = serverLoads.get(server.id);
         const startedAt = monotonicMilliseconds();
+        const routeName = request.route.name + PREFILL_SUFFIX;
         const idle = load.total().prefillTokens === 0;
         load.prefillTokens += request.promptTokens;
         // The timeout allows for prefills that peers have sent since their last reports.
@@ -187,6 +192,7 @@
             + load.total().prefillTokens / SLOWEST_TOKENS_PER_MILLISECOND;
         load.active++;
         load.recordSend();
+        rollouts.count(server, routeName);
         try {
             const response = await serverClient.send(server, {
                 method: request.method,
@@ -212,6 +218,7 @@
                     this.context.serverEndProbe.start(server);
                 }
                 if (response.error.kind !== "aborted") {
+                    rollouts.recordFault(server, routeName, response.error);
                     load.recordFailure();
                     load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
                 }
@@ -223,6 +230,7 @@
                 : undefined;
             metrics.increment("prefills_total", { result: handle ? "done" : String(response.value.status) });
             if (!handle) {
+                rollouts.recordAnswer(server, routeName, response.value.status, undefined);
                 load.recordFailure();
                 load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
                 if (response.value.status === 421) {
@@ -233,6 +241,7 @@
             }
             const milliseconds = monotonicMilliseconds() - startedAt;
             metrics.observe("prefill", milliseconds);
+            rollouts.recordAnswer(server, routeName, 200, milliseconds);
             load.recordSuccess();
             if (idle && request.promptTokens > MINIMUM_SAMPLE_TOKENS) {
                 this.#tokensPerMillisecond += SAMPLE_WEIGHT
--- a/packages/gateway/server_chooser.ts
+++ b/packages/gateway/server_chooser.ts
@@ -10,7 +10,7 @@
  *
  * @example
  * ```ts
- * const server = new ServerChooser(context).choose("orders", new Set());
+ * const server = new ServerChooser(context).choose("orders", "status", new Set());
  * ```
  */
 export class ServerChooser {
@@ -23,11 +23,12 @@
      * Chooses a server.
      *
      * @param service Name of the service.
+     * @param route Name of the request's route.
      * @param tried Ids of the servers that the request was already sent to.
      * @returns The server, or undefined if none may be used.
      */
-    choose(service: string, tried: ReadonlySet<string>): RegisteredServer | undefined {
-        const { availability, serverLoads } = this.context;
+    choose(service: string, route: string, tried: ReadonlySet<string>): RegisteredServer | undefined {
+        const { availability, rollouts, serverLoads } = this.context;
         const now = monotonicMilliseconds();
         let best: RegisteredServer | undefined;
         let bestCost = Number.POSITIVE_INFINITY;
@@ -37,10 +38,11 @@
             ...servers.map(({ id }) => serverLoads.get(id).averageResponseMilliseconds ?? Number.POSITIVE_INFINITY),
         );
         const untried = servers.filter(server => !tried.has(server.id) && this.admits(server));
-        const healthy = untried.filter(({ id }) => serverLoads.get(id).avoidedUntil <= now);
-        const eligible = availability.preferStaying(healthy.length > 0 ? healthy : untried);
+        const selected = rollouts.select(service, route, untried);
+        const healthy = selected.filter(({ id }) => serverLoads.get(id).avoidedUntil <= now);
+        const eligible = availability.preferStaying(healthy.length > 0 ? healthy : selected);
         const peerLoadWeight = this.context.peerLoadWeight();
-        for (const server of this.context.serverSubset.narrow(eligible, servers)) {
+        for (const server of this.context.serverSubset.narrow(eligible, rollouts.alike(eligible, servers))) {
             const load = serverLoads.get(server.id);
             const expected = load.averageResponseMilliseconds ?? (Number.isFinite(fastest) ? fastest : 1);
             const waiting = (load.total(peerLoadWeight).active + 1) / Math.max(1, server.slots);
--- a/packages/gateway/shared_usage.ts
+++ b/packages/gateway/shared_usage.ts
@@ -1,8 +1,10 @@
 import type { UsageSummary } from "../peers/mod.ts";
 import { addUnits } from "./_add_units.ts";
+import { admittedWithin } from "./_admitted_within.ts";
 import { computeSilentUsage } from "./_compute_silent_usage.ts";
 import { createUsageSummary } from "./_create_usage_summary.ts";
 import type { PeerUsage } from "./_peer_usage.ts";
+import { sumSpending } from "./_sum_spending.ts";
 import { UsageWindows } from "./_usage_windows.ts";
 import type { SharedUsageOptions } from "./shared_usage_options.ts";
 import type { SpendingReport } from "./spending_report.ts";
@@ -15,10 +17,10 @@
 const CELL_TRANSIT_MILLISECONDS = 3 * REPORT_TRANSIT_MILLISECONDS;
 /** Time in milliseconds for which an instance that has fallen silent may have gone on after its last report. */
 const UNREPORTED_MILLISECONDS = 500;
-/** Time in milliseconds for which it is remembered which peers' reports count. */
-const MEMBERS_LIFETIME_MILLISECONDS = 5;
 /** Length in milliseconds of the window in which requested units are counted. */
 const DEMAND_WINDOW_MILLISECONDS = 1_000;
+/** Time in milliseconds for which it is remembered which peers' reports count. */
+const MEMBERS_LIFETIME_MILLISECONDS = 5;
 
 /**
  * Counts what all instances together use of limits in a sliding window. Each instance counts its own usage, that which
@@ -64,6 +66,11 @@
         return this.#version;
     }
 
+    /** Units that all known instances have used in the window, by key. */
+    get totals(): Record<string, number> {
+        return sumSpending([...this.summarise(0), ...this.#cellUsage.usage]);
+    }
+
     /**
      * Reports the usage in the window to peers.
      *
@@ -290,8 +297,3 @@
         }
     }
 }
-
-/** Units that an instance may have admitted in a time of which no report has come: everything that was requested. */
-function admittedWithin(requestedPerWindow: number, milliseconds: number): number {
-    return requestedPerWindow * milliseconds / DEMAND_WINDOW_MILLISECONDS;
-}
--- a/packages/gateway/stage_leadership.ts
+++ b/packages/gateway/stage_leadership.ts
@@ -1,13 +1,15 @@
 import { type CoordinationStore, Leadership } from "../coordination/mod.ts";
 import type { ItemReplica } from "../replica/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import { RolloutDecider } from "./rollout_decider.ts";
 import { StageBalancer } from "./stage_balancer.ts";
 
 /** Store key of the item that names the leader, which orders engines to change their stage. */
 const STAGE_LEADER_KEY = "laburnumslip/stage-leader";
 
 /**
- * This instance's part in the election of the leader that orders engines to change their stage, and the orders.
+ * This instance's part in the election of the leader that orders engines to change their stage and decides on roll-outs,
+ * and the orders and decisions.
  *
  * @example
  * ```ts
@@ -18,6 +20,7 @@
 export class StageLeadership {
     readonly #leadership: Leadership;
     readonly balancer: StageBalancer;
+    readonly #rolloutDecider: RolloutDecider;
 
     /**
      * @param context Shared objects of the gateway.
@@ -38,6 +41,7 @@
             logger: context.logger,
         });
         this.balancer = new StageBalancer(context, this.#leadership, name);
+        this.#rolloutDecider = new RolloutDecider(context, this.#leadership, store, replica);
     }
 
     /**
@@ -46,7 +50,7 @@
      * @returns A promise that resolves once the store has responded or the call has timed out.
      */
     async close(): Promise<void> {
-        await this.balancer.close();
+        await Promise.all([this.balancer.close(), this.#rolloutDecider.close()]);
         await this.#leadership.close();
     }
 }
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -4,6 +4,7 @@
 import { chooseFinalRefusal } from "./_choose_final_refusal.ts";
 import { createPassProgress } from "./_create_pass_progress.ts";
 import { createStreamRefusal } from "./_create_stream_refusal.ts";
+import { recordPass } from "./_record_pass.ts";
 import { spendRetry } from "./_spend_retry.ts";
 import { CrashEvidence } from "./crash_evidence.ts";
 import { DecodePass } from "./decode_pass.ts";
@@ -205,7 +206,9 @@
                 endLocalPrefill();
                 evidence.recordEvent();
             };
+            const startedAt = monotonicMilliseconds();
             const outcome = await this.#decodePass.run(run, recordEvent).finally(endLocalPrefill);
+            recordPass(request, reservation, outcome, monotonicMilliseconds() - startedAt, this.context);
             evidence.recordOutcome(outcome);
             return this.#applyOutcome(outcome, prefilled.unwrapOr(undefined), reservation, progress);
         }
--- a/packages/peers/cell_state_schema.ts
+++ b/packages/peers/cell_state_schema.ts
@@ -11,6 +11,8 @@
     usage: z.array(usageSummarySchema).max(MAXIMUM_ENTRIES),
     /** Usage of servers' limits. */
     serverUsage: z.array(usageSummarySchema).max(MAXIMUM_ENTRIES).default([]),
+    /** Outcomes of requests by version of their servers. */
+    versionOutcomes: z.array(usageSummarySchema).max(MAXIMUM_ENTRIES).default([]),
     /** Limits that servers have named. */
     serverLimits: z.array(serverLimitNoticeSchema).max(MAXIMUM_ENTRIES).default([]),
     /** By model service: prompt tokens of unfinished prefills, and reserved tokens. */
--- a/packages/peers/cell_summaries.ts
+++ b/packages/peers/cell_summaries.ts
@@ -116,6 +116,7 @@
         const merged: CellState = {
             usage: [],
             serverUsage: [],
+            versionOutcomes: [],
             serverLimits: [],
             stageLoads: {},
             changing: [],
@@ -126,6 +127,7 @@
         };
         const usage = new UsageSum();
         const serverUsage = new UsageSum();
+        const versionOutcomes = new UsageSum();
         for (const cell of cells) {
             const entry = this.#entries.get(cell);
             if (!entry) {
@@ -136,6 +138,7 @@
             const isFresh = age <= SUMMARY_LIFETIME_MILLISECONDS;
             usage.add(state.usage, age, isFresh);
             serverUsage.add(state.serverUsage, age, isFresh);
+            versionOutcomes.add(state.versionOutcomes, age, isFresh);
             merged.serverLimits = mergeLimits(merged.serverLimits, state.serverLimits, age);
             if (isFresh) {
                 addState(merged, state);
@@ -145,8 +148,14 @@
         for (const { summary: { state }, at } of this.#replaced) {
             usage.addReplaced(state.usage, now - at);
             serverUsage.addReplaced(state.serverUsage, now - at);
+            versionOutcomes.addReplaced(state.versionOutcomes, now - at);
         }
-        return { ...merged, usage: usage.summaries(), serverUsage: serverUsage.summaries() };
+        return {
+            ...merged,
+            usage: usage.summaries(),
+            serverUsage: serverUsage.summaries(),
+            versionOutcomes: versionOutcomes.summaries(),
+        };
     }
 
     #removeExpired(now: number): void {
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -24,6 +24,8 @@
     ...spendingReportSchema.shape,
     /** Usage of servers' limits; undefined from an instance that does not count it. */
     serverUsage: spendingReportSchema.optional(),
+    /** Outcomes of requests by version of their servers; undefined while no roll-out lasts. */
+    versionOutcomes: spendingReportSchema.optional(),
     /** Limits that servers have named to the instance. */
     serverLimits: z.array(serverLimitNoticeSchema).max(1_024).default([]),
 });
--- /dev/null
+++ b/packages/rollouts/phase_change.ts
@@ -0,0 +1,7 @@
+import type { RolloutPhase } from "./rollout_phase.ts";
+
+/** A phase that a roll-out enters, and why. */
+export interface PhaseChange {
+    phase: RolloutPhase;
+    reason: string;
+}
