--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -230,7 +230,9 @@
                 : undefined;
             metrics.increment("prefills_total", { result: handle ? "done" : String(response.value.status) });
             if (!handle) {
-                rollouts.recordAnswer(server, routeName, response.value.status, undefined);
+                if (response.value.status !== 421 && response.value.headers[headers.notRun] === undefined) {
+                    rollouts.record(server, routeName, undefined);
+                }
                 load.recordFailure();
                 load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
                 if (response.value.status === 421) {
@@ -241,7 +243,7 @@
             }
             const milliseconds = monotonicMilliseconds() - startedAt;
             metrics.observe("prefill", milliseconds);
-            rollouts.recordAnswer(server, routeName, 200, milliseconds);
+            rollouts.record(server, routeName, milliseconds);
             load.recordSuccess();
             if (idle && request.promptTokens > MINIMUM_SAMPLE_TOKENS) {
                 this.#tokensPerMillisecond += SAMPLE_WEIGHT
