--- a/packages/gateway/create_server_access.ts
+++ b/packages/gateway/create_server_access.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import { PromptMemory } from "../prompt_memory/mod.ts";
+import type { ItemReplica } from "../replica/mod.ts";
 import { EngineSpeeds } from "../speeds/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
@@ -14,6 +15,7 @@
 import { ServerClient } from "./server_client.ts";
 import { ServerLimits } from "./server_limits.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
+import { ServiceRollouts } from "./service_rollouts.ts";
 import type { SharedUsageOptions } from "./shared_usage_options.ts";
 
 /** Dependencies of the access to servers. */
@@ -22,6 +24,7 @@
     headers: ProtocolHeaders;
     directory: Directory;
     serverLoads: ServerLoadTracker;
+    replica: ItemReplica;
     clock: SuspensionAwareClock;
     /** Usage of limits over all instances. */
     usage: Omit<SharedUsageOptions, "windowMilliseconds">;
@@ -47,7 +50,7 @@
     options: ServerAccessOptions,
 ): Pick<
     GatewayContext,
-    "availability" | "engineSpeeds" | "leavingServers" | "promptMemory" | "serverClient" | "serverLimits"
+    "availability" | "engineSpeeds" | "leavingServers" | "promptMemory" | "rollouts" | "serverClient" | "serverLimits"
 > {
     const { connectionPool, headers, directory, serverLoads, settings, metrics, logger } = options;
     const leavingServers = new LeavingServers({
@@ -72,6 +75,7 @@
         promptMemory,
         serverLimits,
         leavingServers,
+        rollouts: new ServiceRollouts({ ...options, ...options.usage }),
         availability: new ServerAvailability(directory, leavingServers, pausedServers, serverLimits),
         serverClient: new ServerClient(connectionPool, headers, leavingServers, pausedServers, serverLimits),
     };
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -221,7 +221,7 @@
     }
 
     #choose(waiter: DecodeWaiter, now: number): RegisteredServer | undefined {
-        const { availability, serverLoads } = this.context;
+        const { availability, rollouts, serverLoads } = this.context;
         const service = waiter.request.service;
         const estimate = this.prefillDispatcher.estimateMilliseconds(waiter.request);
         const prefillWait = estimate - waiter.request.promptTokens / this.prefillDispatcher.tokensPerMillisecond;
@@ -235,7 +235,8 @@
                 && (prefillWait < MAXIMUM_PREFILL_WAIT_MILLISECONDS
                     || this.prefillDispatcher.isLocalPrefillFaster(waiter.request, server, estimate));
         });
-        const preferred = this.context.serverSubset.narrow(availability.preferStaying(eligible), engines);
+        const selected = availability.preferStaying(rollouts.select(service.name, waiter.request.route.name, eligible));
+        const preferred = this.context.serverSubset.narrow(selected, rollouts.alike(selected, engines));
         const savings = this.context.promptMemory?.expectFetched(waiter.request.promptSections, preferred);
         const candidates = preferred.map(server => {
             const load = serverLoads.get(server.id);
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -8,6 +8,8 @@
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { ServerLimits } from "./server_limits.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
+import type { SharedUsage } from "./shared_usage.ts";
+import type { SpendingReport } from "./spending_report.ts";
 import type { StageBalancer } from "./stage_balancer.ts";
 
 /** Time in milliseconds that a server is avoided after a peer reported it as terminated or changing its stage. */
@@ -25,6 +27,8 @@
     leavingServers: LeavingServers;
     serverLimits: ServerLimits;
     engineSpeeds: EngineSpeeds;
+    /** Outcomes of requests while roll-outs last. */
+    versionOutcomes: SharedUsage;
     /** Undefined before the instance has started. */
     stageBalancer(): StageBalancer | undefined;
     /** Whether the last read of the store succeeded. */
@@ -68,6 +72,7 @@
         }
         const usage = rateLimiter.report();
         const serverUsage = serverLimits.usage.report();
+        const versionOutcomes = this.options.versionOutcomes.report();
         const state = {
             readsStore: readsStore(),
             loads,
@@ -83,13 +88,20 @@
         // The ages in the reports on prompt parts and limits change all the time, so their versions are compared; so
         // do the rates in the demand.
         const versions = [promptParts.version, serverLimits.version, ...waiting];
-        const serialised = JSON.stringify([state, usage.spending, serverUsage.spending, versions]);
+        const serialised = JSON.stringify([
+            state,
+            usage.spending,
+            serverUsage.spending,
+            versionOutcomes.spending,
+            versions,
+        ]);
         if (!force && serialised === this.#lastReport) {
             return undefined;
         }
         this.#lastReport = serialised;
         const limits = { serverUsage, serverLimits: serverLimits.notices() };
-        return { ...state, ...usage, ...limits, promptParts: promptParts.createReport(), demand };
+        const outcomes = hasOutcomes(versionOutcomes) ? { versionOutcomes } : {};
+        return { ...state, ...usage, ...limits, ...outcomes, promptParts: promptParts.createReport(), demand };
     }
 
     /**
@@ -98,7 +110,7 @@
      * @param report The report.
      */
     applyReport(report: PeerReport): void {
-        const { serverLoads, rateLimiter, serverLimits, loadPolicies } = this.options;
+        const { serverLoads, rateLimiter, serverLimits, loadPolicies, versionOutcomes } = this.options;
         serverLoads.setPeerLoads(report.name, report.loads);
         this.options.engineSpeeds.applyReport(report.name, report.speeds);
         this.#applyServerStates(report);
@@ -107,6 +119,9 @@
         if (report.serverUsage) {
             serverLimits.usage.recordPeerReport(report.name, report.incarnation, report.serverUsage);
         }
+        if (report.versionOutcomes) {
+            versionOutcomes.recordPeerReport(report.name, report.incarnation, report.versionOutcomes);
+        }
     }
 
     /**
@@ -120,6 +135,9 @@
         return {
             usage: rateLimiter.summarise(cellInstances),
             serverUsage: serverLimits.usage.summarise(cellInstances),
+            versionOutcomes: Object.keys(this.options.versionOutcomes.totals).length > 0
+                ? this.options.versionOutcomes.summarise(cellInstances)
+                : [],
             serverLimits: serverLimits.notices(),
             stageLoads: stageBalancer()?.cellLoads() ?? {},
             changing: stageBalancer()?.changing() ?? [],
@@ -141,10 +159,13 @@
         this.options.loadPolicies.demand.recordOtherCells(state.demand, monotonicMilliseconds());
         this.options.rateLimiter.recordCellUsage(state.usage);
         this.options.serverLimits.usage.recordCellUsage(state.serverUsage);
+        this.options.versionOutcomes.recordCellUsage(state.versionOutcomes);
         this.options.stageBalancer()?.recordOtherCells(state.stageLoads);
     }
 
-    #applyServerStates(state: Omit<CellState, "usage" | "serverUsage" | "stageLoads" | "demand">): void {
+    #applyServerStates(
+        state: Omit<CellState, "usage" | "serverUsage" | "stageLoads" | "demand" | "versionOutcomes">,
+    ): void {
         const { changing, gone, leaving, crashes } = state;
         const { serverLoads, crashRegistry, promptParts, leavingServers } = this.options;
         this.options.serverLimits.recordPeerNotices(state.serverLimits);
@@ -154,3 +175,8 @@
         promptParts.applyReport(state.promptParts);
     }
 }
+
+/** Whether requests were counted by a process that reports or by one that it remembers. */
+function hasOutcomes({ spending, ended }: SpendingReport): boolean {
+    return [spending, ...Object.values(ended).map(([, units]) => units)].some(units => Object.keys(units).length > 0);
+}
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -88,12 +88,12 @@
             settings: () => this.settings,
             metrics: this.#metrics,
             logger: this.#logger,
+            replica: this.#replica,
+            store: this.#store,
         };
         this.#storeReading = new StoreReading({
             ...shared,
             decodeItem: change => adapter.decodeItem(change),
-            store: this.#store,
-            replica: this.#replica,
             isReader: () => this.#peerMesh.isReader(),
             instanceCount,
         });
@@ -131,6 +131,7 @@
             ...crashDetection,
             loadPolicies,
             ...serverAccess,
+            versionOutcomes: serverAccess.rollouts.usage,
             stageBalancer: () => this.#stageLeadership?.balancer,
             readsStore: () => this.#replicaFollower?.connected ?? false,
         });
@@ -143,11 +144,7 @@
             },
             seedAddresses: settings.seedAddresses,
             isFirstStart: settings.firstStart,
-            store: this.#store,
-            replica: this.#replica,
-            clock: this.#clock,
-            metrics: this.#metrics,
-            logger: this.#logger,
+            ...shared,
             readsStore: () => this.#replicaFollower?.connected ?? false,
             onNewerPosition: position => this.#replicaFollower?.catchUpTo(position),
             createReport: force => reporter.createReport(force),
@@ -160,6 +157,7 @@
             ...shared,
             headers: adapter.headers,
             engineProtocol: adapter.engineProtocol,
+            encodeRolloutStatus: status => adapter.encodeRolloutStatus(status),
             serverLoads: this.#serverLoads,
             ...serverAccess,
             loadPolicies,
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -2,6 +2,7 @@
 import { readResponseBody } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
+import { prefillRouteName } from "./_prefill_route_name.ts";
 import { backendHeaders } from "./backend_headers.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
@@ -148,10 +149,11 @@
         { server, saving }: PrefillChoice,
         extraHeaders: string[],
     ): Promise<Result<PrefillHandle, string>> {
-        const { headers, engineProtocol, serverClient, serverLoads, metrics } = this.context;
+        const { headers, engineProtocol, rollouts, serverClient, serverLoads, metrics } = this.context;
         const load = serverLoads.get(server.id);
         const startedAt = monotonicMilliseconds();
         const queuedTokens = this.#engines.queuedTokens(server);
+        const routeName = prefillRouteName(request.route);
         const idle = load.total().prefillTokens === 0;
         load.prefillTokens += request.promptTokens;
         // The timeout allows for prefills that peers have sent since their last reports.
@@ -159,6 +161,7 @@
             + load.total().prefillTokens / this.#engines.slowestSpeed(server);
         load.active++;
         load.recordSend();
+        rollouts.count(server, routeName);
         try {
             const response = await serverClient.send(server, {
                 method: request.method,
@@ -184,6 +187,7 @@
                     this.context.serverEndProbe.start(server);
                 }
                 if (response.error.kind !== "aborted") {
+                    rollouts.recordFault(server, routeName, response.error);
                     load.recordFailure();
                     load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
                 }
@@ -195,6 +199,9 @@
                 : undefined;
             metrics.increment("prefills_total", { result: handle ? "done" : String(response.value.status) });
             if (!handle) {
+                if (response.value.status !== 421 && response.value.headers[headers.notRun] === undefined) {
+                    rollouts.record(server, routeName, undefined);
+                }
                 load.recordFailure();
                 load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
                 if (response.value.status === 421) {
@@ -205,6 +212,7 @@
             }
             const milliseconds = monotonicMilliseconds() - startedAt;
             metrics.observe("prefill", milliseconds);
+            rollouts.record(server, routeName, milliseconds);
             load.recordSuccess();
             this.#engines.learn({ server, request, saving, queuedTokens, idle, milliseconds });
             return ok(handle);
--- a/packages/gateway/prefill_engines.ts
+++ b/packages/gateway/prefill_engines.ts
@@ -2,6 +2,7 @@
 import type { RegisteredServer } from "../directory/mod.ts";
 import type { ExpectedSaving } from "../prompt_memory/mod.ts";
 import { EngineChooser } from "../speeds/mod.ts";
+import { prefillRouteName } from "./_prefill_route_name.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { PrefillChoice } from "./prefill_choice.ts";
@@ -77,14 +78,16 @@
         target: RegisteredServer | undefined,
         tried: ReadonlySet<string>,
     ): PrefillChoice | undefined {
-        const { availability, serverLoads, serverSubset, promptMemory } = this.context;
+        const { availability, rollouts, serverLoads, serverSubset, promptMemory } = this.context;
         const now = monotonicMilliseconds();
         const engines = availability.usableServers(request.service.name, "prefill");
         const eligible = engines.filter(server =>
             serverLoads.get(server.id).avoidedUntil <= now && !tried.has(server.id)
             && this.#serverChooser.admits(server)
         );
-        const preferred = serverSubset.narrow(availability.preferStaying(eligible), engines);
+        const admitted = rollouts.select(request.service.name, prefillRouteName(request.route), eligible);
+        const selected = availability.preferStaying(admitted);
+        const preferred = serverSubset.narrow(selected, rollouts.alike(selected, engines));
         const savings = this.#samples < MINIMUM_SAMPLES
             ? NO_SAVINGS
             : promptMemory?.expectSavings(request.promptSections, preferred) ?? NO_SAVINGS;
