--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -266,6 +266,9 @@
         if (gone || isBlocked || answerBegun) {
             return gone;
         }
+        if (softwareVersion === undefined) {
+            return availability.findRefusal(service, "decode", excluded);
+        }
         const others = availability.usableServers(service, "decode").filter(server => !hasVersion(server, waiter));
         return availability.findRefusal(service, "decode", new Set([...excluded, ...others.map(({ id }) => id)]));
     }
--- a/packages/stream_versions/served_versions.ts
+++ b/packages/stream_versions/served_versions.ts
@@ -111,12 +111,12 @@
      * Brings the list in the store up to date, if this instance writes it: adds versions that are registered, and removes
      * those whose streams nobody takes up any more.
      *
-     * @returns A promise that resolves once the writes have ended; those that fail are tried again at the next call.
+     * @returns Whether all writes succeeded; those that failed are tried again at the next call.
      */
-    async record(): Promise<void> {
+    async record(): Promise<boolean> {
         const { replica, store, isWriter, clock, logger } = this.options;
         if (!replica.isFilled || !isWriter()) {
-            return;
+            return true;
         }
         const now = clock.now();
         const registered = this.#registered();
@@ -134,13 +134,13 @@
             const versions = [...kept, ...lacking].sort();
             const written = await store.write([{ key, value: JSON.stringify(versions) }]);
             const outcome = written.isOk() ? written.value.kind : written.error.message;
-            const level = outcome === "stored" ? "info" : "warn";
-            logger[level](outcome === "stored" ? "software versions recorded" : "software versions not recorded", {
-                service,
-                versions,
-                outcome,
-            });
+            if (outcome !== "stored") {
+                logger.warn("software versions not recorded", { service, versions, outcome });
+                return false;
+            }
+            logger.info("software versions recorded", { service, versions });
         }
+        return true;
     }
 
     /** Versions of the registered servers, by service, of the services whose streams callers may take up. */
--- a/packages/stream_versions/stream_ledger.ts
+++ b/packages/stream_versions/stream_ledger.ts
@@ -62,16 +62,16 @@
      * Records the streams that have begun at this instance since the last call.
      *
      * @param services Names of the services whose streams are recorded.
-     * @returns A promise that resolves once the write has ended; streams of one that failed are recorded at the next call.
+     * @returns Whether the write succeeded; streams of one that failed are recorded at the next call.
      */
-    async record(services: ReadonlySet<string>): Promise<void> {
+    async record(services: ReadonlySet<string>): Promise<boolean> {
         const { self, origins, replica, store, metrics, logger, unixTime = Date.now } = this.options;
         if (services.size === 0 || !replica.isFilled) {
-            return;
+            return true;
         }
         const added = origins.unrecorded(services);
         if (added.size === 0) {
-            return;
+            return true;
         }
         const period = Math.floor(unixTime() / PERIOD_MILLISECONDS);
         const key = `${KEY_PREFIX}${self}/${period % ITEMS}`;
@@ -81,11 +81,12 @@
         metrics.increment("stream_records_total", { result: outcome === "stored" ? "stored" : "failed" });
         if (outcome !== "stored") {
             logger.warn("streams not recorded", { streams: added.size, outcome });
-            return;
+            return false;
         }
         this.#last = batch;
         origins.markRecorded(added.keys());
         logger.info("streams recorded", { streams: added.size, inItem: batch.origins.size, period });
+        return true;
     }
 
     /** Streams of a period that an item holds: those of this process, or of the one before it. */
--- a/packages/stream_versions/stream_ledger_test.ts
+++ b/packages/stream_versions/stream_ledger_test.ts
@@ -71,9 +71,9 @@
     origins.begin("s1", origin);
     origins.begin("s2", { ...origin, service: "others" });
     state.isAway = true;
-    await ledger.record(MODELS);
+    expect(await ledger.record(MODELS)).toBe(false);
     state.isAway = false;
-    await ledger.record(MODELS);
+    expect(await ledger.record(MODELS)).toBe(true);
     const later = start("b").origins;
     expect(later.find("s1")).toEqual(origin);
     expect(later.find("s2")).toBeUndefined();
--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -14,6 +14,8 @@
 /** Largest number of writes that all instances together make in a second. */
 const RECORDS_PER_SECOND = 100;
 const MILLISECONDS_PER_SECOND = 1_000;
+/** Pause after a write that failed. */
+const FAILED_PAUSE_MILLISECONDS = 1_000;
 /** Age of the directory above which a version that is not in it may be in service. */
 const MAXIMUM_DIRECTORY_AGE_MILLISECONDS = 5_000;
 /** Longest wait for the record of a stream that began a moment ago at another instance. */
@@ -40,6 +42,7 @@
     readonly #served: ServedVersions;
     readonly #ledger: StreamLedger;
     #task: PeriodicTask | undefined;
+    /** Monotonic time in milliseconds from which the next write may be made. */
     #recordAt = 0;
 
     /**
@@ -111,11 +114,11 @@
     async #step(): Promise<void> {
         this.#origins.removeExpired();
         this.#served.observe();
-        await this.#served.record();
-        const now = monotonicMilliseconds();
-        if (now >= this.#recordAt) {
-            this.#recordAt = now + this.options.instanceCount() / RECORDS_PER_SECOND * MILLISECONDS_PER_SECOND;
-            await this.#ledger.record(this.#served.mixedServices());
+        if (monotonicMilliseconds() < this.#recordAt) {
+            return;
         }
+        const isRecorded = await this.#served.record() && await this.#ledger.record(this.#served.mixedServices());
+        const pause = this.options.instanceCount() / RECORDS_PER_SECOND * MILLISECONDS_PER_SECOND;
+        this.#recordAt = monotonicMilliseconds() + Math.max(pause, isRecorded ? 0 : FAILED_PAUSE_MILLISECONDS);
     }
 }
