--- a/packages/gateway/server_availability.ts
+++ b/packages/gateway/server_availability.ts
@@ -107,19 +107,21 @@
     }
 
     /**
-     * Finds out whether a stream can be refused at once, since no server of the version that began it may get requests.
+     * Finds out whether a stream can be refused at once, since only servers of other versions than the one that began it may
+     * get requests.
      *
      * @param service Name of the service.
      * @param softwareVersion The version.
-     * @returns The refusal; undefined if a server of the version is in service.
+     * @returns The refusal; undefined if a server of the version is in service, or none of any.
      */
     refuseVersion(service: string, softwareVersion: string): GatewayRefusal | undefined {
         const servers = this.directory.usableServers(service);
-        return servers.some(server => server.softwareVersion === softwareVersion) ? undefined : {
+        const isGone = servers.length > 0 && servers.every(server => server.softwareVersion !== softwareVersion);
+        return !isGone ? undefined : {
             status: 503,
             reason: "stream-version-gone",
             verdict: "not-run",
-            message: "No server of the software version that began the stream is in service",
+            message: "Only servers of other software versions than the stream's are in service",
             retryAfterMilliseconds: VERSION_RETRY_AFTER_MILLISECONDS,
         };
     }
