--- a/packages/decisions/_urgency_record.ts
+++ b/packages/decisions/_urgency_record.ts
@@ -3,7 +3,7 @@
 /** Time in milliseconds within which granted and refused tokens count as recent. */
 const RATE_LIFETIME_MILLISECONDS = 4_000;
 
-/** What this instance's requests of one service and one priority wait for and were granted. */
+/** What this instance's requests of one service and one urgency wait for and were granted. */
 export class UrgencyRecord {
     waiting = 0;
     waitingTokens = 0;
--- a/packages/decisions/compare_waiting.ts
+++ b/packages/decisions/compare_waiting.ts
@@ -1,11 +1,11 @@
 import type { WaitingRequest } from "./waiting_request.ts";
 
-/** A waiting request with the priority that its order gives to it. */
-type RankedRequest = Pick<WaitingRequest, "answerBegun" | "late" | "since"> & { orderPriority: number; };
+/** A waiting request with the urgency that its order gives to it. */
+type RankedRequest = Pick<WaitingRequest, "answerBegun" | "late" | "since"> & { orderUrgency: number; };
 
 /**
  * Compares two waiting requests: those whose answer has begun go first, and those that can no longer meet their target
- * latency last; then by priority, then by arrival.
+ * latency last; then by urgency, then by arrival.
  *
  * @param left A request.
  * @param right Another one.
@@ -18,6 +18,6 @@
 export function compareWaiting(left: RankedRequest, right: RankedRequest): number {
     return Number(right.answerBegun) - Number(left.answerBegun)
         || Number(left.late) - Number(right.late)
-        || left.orderPriority - right.orderPriority
+        || left.orderUrgency - right.orderUrgency
         || left.since - right.since;
 }
--- a/packages/decisions/fleet_demand.ts
+++ b/packages/decisions/fleet_demand.ts
@@ -7,7 +7,7 @@
 
 /** Age in milliseconds above which a report no longer counts, so that an instance then acts on what it knows itself. */
 const REPORT_LIFETIME_MILLISECONDS = 1_500;
-/** Rate in tokens per second below which a priority without waiting requests is left out of reports. */
+/** Rate in tokens per second below which an urgency without waiting requests is left out of reports. */
 const REPORTED_RATE = 1;
 
 interface ReceivedReport {
@@ -16,7 +16,7 @@
 }
 
 /**
- * Demand for engine memory at all instances, by service and priority: that of this instance, that which the members of
+ * Demand for engine memory at all instances, by service and urgency: that of this instance, that which the members of
  * its cell report, and the sum of the other cells. Times are monotonic times in milliseconds.
  *
  * @example
@@ -36,12 +36,12 @@
      * Counts a request that waits for memory.
      *
      * @param service Name of the service.
-     * @param priority Priority of the request.
+     * @param urgency Urgency of the request.
      * @param tokens Tokens that it waits for.
      * @returns A function that ends the wait, given its outcome and the time; later calls have no effect.
      */
-    enter(service: string, priority: number, tokens: number): (outcome: WaitOutcome, now: number) => void {
-        const record = this.#recordOf(service, priority);
+    enter(service: string, urgency: number, tokens: number): (outcome: WaitOutcome, now: number) => void {
+        const record = this.#recordOf(service, urgency);
         record.waiting++;
         record.waitingTokens += tokens;
         let ended = false;
@@ -68,11 +68,11 @@
         const report: DemandReport = {};
         for (const [service, records] of this.#own) {
             const entries: DemandReport[string] = [];
-            for (const [priority, { waiting, waitingTokens, granted, refused }] of records) {
+            for (const [urgency, { waiting, waitingTokens, granted, refused }] of records) {
                 const rates = [granted, refused].map(rate => Math.round(rate.perSecond(now)));
                 const [grantedRate = 0, refusedRate = 0] = rates;
                 if (waiting > 0 || grantedRate + refusedRate >= REPORTED_RATE) {
-                    entries.push([priority, waiting, waitingTokens, grantedRate, refusedRate]);
+                    entries.push([urgency, waiting, waitingTokens, grantedRate, refusedRate]);
                 }
             }
             if (entries.length > 0) {
@@ -151,22 +151,22 @@
     /**
      * Returns the tokens that requests of this instance wait for.
      *
-     * @param priority Priority of the requests.
+     * @param urgency Urgency of the requests.
      * @returns The tokens, of all services together.
      */
-    ownWaitingTokens(priority: number): number {
+    ownWaitingTokens(urgency: number): number {
         let tokens = 0;
         for (const records of this.#own.values()) {
-            tokens += records.get(priority)?.waitingTokens ?? 0;
+            tokens += records.get(urgency)?.waitingTokens ?? 0;
         }
         return tokens;
     }
 
-    #recordOf(service: string, priority: number): UrgencyRecord {
+    #recordOf(service: string, urgency: number): UrgencyRecord {
         const records = this.#own.get(service) ?? new Map<number, UrgencyRecord>();
         this.#own.set(service, records);
-        const record = records.get(priority) ?? new UrgencyRecord();
-        records.set(priority, record);
+        const record = records.get(urgency) ?? new UrgencyRecord();
+        records.set(urgency, record);
         return record;
     }
 
--- a/packages/decisions/fleet_order.ts
+++ b/packages/decisions/fleet_order.ts
@@ -5,14 +5,14 @@
 import type { WaitingRequest } from "./waiting_request.ts";
 
 /**
- * Fraction of the share of all requests that are served, below which a priority counts as starved. Callers need each
+ * Fraction of the share of all requests that are served, below which an urgency counts as starved. Callers need each
  * kind of request to be served at least a quarter as often as all.
  */
 const STARVED_FRACTION = 0.4;
 
 /**
- * One order by priority over all instances: head-of-the-line priorities (L. Kleinrock, Queueing Systems, volume 2, 1976,
- * chapter 3). While room is short, a request yields to more urgent ones that wait at other instances. A priority that is
+ * One order by urgency over all instances: head-of-the-line priorities (L. Kleinrock, Queueing Systems, volume 2, 1976,
+ * chapter 3). While room is short, a request yields to more urgent ones that wait at other instances. An urgency that is
  * starved goes beside the most urgent one and yields to none until it is served again.
  *
  * @example
@@ -22,10 +22,10 @@
  * ```
  */
 export class FleetOrder implements MemoryOrder {
-    #starved: { service: string; at: number; priorities: ReadonlySet<number>; } = {
+    #starved: { service: string; at: number; urgencies: ReadonlySet<number>; } = {
         service: "",
         at: Number.NEGATIVE_INFINITY,
-        priorities: new Set(),
+        urgencies: new Set(),
     };
 
     /**
@@ -34,16 +34,16 @@
     constructor(private readonly demand: FleetDemand) {}
 
     /**
-     * Returns the priority by which a request is sorted.
+     * Returns the urgency by which a request is sorted.
      *
      * @param request The request.
      * @param now Monotonic time in milliseconds.
-     * @returns Its priority; that of the most urgent requests if its own is starved.
+     * @returns Its urgency; that of the most urgent requests if its own is starved.
      */
-    priorityOf(request: WaitingRequest, now: number): number {
+    urgencyOf(request: WaitingRequest, now: number): number {
         return this.#isStarved(request, now)
-            ? Math.min(request.priority, ...this.demand.total(request.service, now).map(({ priority }) => priority))
-            : request.priority;
+            ? Math.min(request.urgency, ...this.demand.total(request.service, now).map(({ urgency }) => urgency))
+            : request.urgency;
     }
 
     /**
@@ -70,14 +70,14 @@
 
     /** More urgent requests that wait at other instances; undefined if there are none. */
     #urgentDemand(
-        { service, priority }: WaitingRequest,
+        { service, urgency }: WaitingRequest,
         share: number,
         now: number,
     ): { waiting: number; tokens: number; } | undefined {
         let waiting = 0;
         let tokens = 0;
         for (const demand of this.demand.ofOthers(service, share, now)) {
-            if (demand.priority < priority) {
+            if (demand.urgency < urgency) {
                 waiting += demand.waiting;
                 tokens += demand.waitingTokens;
             }
@@ -85,12 +85,12 @@
         return waiting > 0 ? { waiting, tokens } : undefined;
     }
 
-    #isStarved({ service, priority }: WaitingRequest, now: number): boolean {
+    #isStarved({ service, urgency }: WaitingRequest, now: number): boolean {
         if (this.#starved.service !== service || this.#starved.at !== now) {
-            const priorities = listStarved(this.demand.total(service, now));
-            this.#starved = { service, at: now, priorities };
+            const urgencies = listStarved(this.demand.total(service, now));
+            this.#starved = { service, at: now, urgencies };
         }
-        return this.#starved.priorities.has(priority);
+        return this.#starved.urgencies.has(urgency);
     }
 }
 
@@ -99,7 +99,7 @@
     const refused = demands.reduce((sum, demand) => sum + demand.refusedRate, 0);
     const lowest = STARVED_FRACTION * servedFraction(granted, refused);
     const starved = demands.filter(demand => servedFraction(demand.grantedRate, demand.refusedRate) < lowest);
-    return new Set(starved.map(({ priority }) => priority));
+    return new Set(starved.map(({ urgency }) => urgency));
 }
 
 function servedFraction(grantedRate: number, refusedRate: number): number {
--- a/packages/decisions/fleet_order_test.ts
+++ b/packages/decisions/fleet_order_test.ts
@@ -9,7 +9,7 @@
 type Entries = DemandReport[string];
 
 function createRequest(fields: Partial<WaitingRequest> = {}): WaitingRequest {
-    return { service: "models", priority: 2, tokens: TOKENS, since: 0, late: false, answerBegun: false, ...fields };
+    return { service: "models", urgency: 2, tokens: TOKENS, since: 0, late: false, answerBegun: false, ...fields };
 }
 
 /** More urgent requests with two places' worth of tokens. */
@@ -35,8 +35,8 @@
     ["requests of other cells spread over all engines", { cells: URGENT, places: 1, share: 0.1, yields: false }],
     ["all engines are shared with other cells", { cells: URGENT, places: 2, yields: true }],
     ["large urgent requests need larger places", { peer: [[0, 1, 4 * TOKENS, 9, 0]], places: 3, yields: true }],
-    ["its priority is starved", { peer: [...URGENT, [2, 0, 0, 10, 90]], places: 0, yields: false }],
-    ["its priority is served less often", { peer: [...URGENT, [2, 0, 0, 60, 40]], places: 0, yields: true }],
+    ["its urgency is starved", { peer: [...URGENT, [2, 0, 0, 10, 90]], places: 0, yields: false }],
+    ["its urgency is served less often", { peer: [...URGENT, [2, 0, 0, 60, 40]], places: 0, yields: true }],
 ])("a request leaves room to others: %s", (_name, { peer, cells, age = 0, places, share = 1, request, yields }) => {
     const demand = new FleetDemand();
     demand.recordPeer("other", peer && { models: peer }, 0);
@@ -45,13 +45,13 @@
     expect(new FleetOrder(demand).mustYield(createRequest(request), () => room, age)).toBe(yields);
 });
 
-test("a starved priority is sorted with the most urgent one until it is served", () => {
+test("a starved urgency is sorted with the most urgent one until it is served", () => {
     const demand = new FleetDemand();
     const order = new FleetOrder(demand);
     demand.recordPeer("other", { models: [[0, 1, TOKENS, 100, 0], [2, 0, 0, 10, 90]] }, 0);
-    expect(order.priorityOf(createRequest(), 0)).toBe(0);
+    expect(order.urgencyOf(createRequest(), 0)).toBe(0);
     demand.recordPeer("other", { models: [[0, 1, TOKENS, 100, 0], [2, 0, 0, 60, 40]] }, 1);
-    expect(order.priorityOf(createRequest(), 1)).toBe(2);
+    expect(order.urgencyOf(createRequest(), 1)).toBe(2);
 });
 
 test("demand is reported while requests wait and while rates are recent, and adds up over cells", () => {
--- a/packages/decisions/instance_order.ts
+++ b/packages/decisions/instance_order.ts
@@ -2,7 +2,7 @@
 import type { WaitingRequest } from "./waiting_request.ts";
 
 /**
- * Order of the requests of one instance by priority, whatever waits at others.
+ * Order of the requests of one instance by urgency, whatever waits at others.
  *
  * @example
  * ```ts
@@ -11,13 +11,13 @@
  */
 export class InstanceOrder implements MemoryOrder {
     /**
-     * Returns the priority of the request.
+     * Returns the urgency of the request.
      *
      * @param request The request.
-     * @returns Its priority.
+     * @returns Its urgency.
      */
-    priorityOf(request: WaitingRequest): number {
-        return request.priority;
+    urgencyOf(request: WaitingRequest): number {
+        return request.urgency;
     }
 
     /**
--- a/packages/decisions/load_patterns_test.ts
+++ b/packages/decisions/load_patterns_test.ts
@@ -7,7 +7,7 @@
 import { FleetOrder } from "./fleet_order.ts";
 import { InstanceOrder } from "./instance_order.ts";
 import type { MemoryOrder } from "./memory_order.ts";
-import { ServiceUrgencies } from "./service_urgencies.ts";
+import type { ServiceUrgencies } from "./service_urgencies.ts";
 import { SpreadReturn } from "./spread_return.ts";
 import { TargetWait } from "./target_wait.ts";
 import type { TimedRequest } from "./timed_request.ts";
@@ -34,7 +34,7 @@
     repeats: number;
     giveUpAt: number;
     hasWaited: boolean;
-    orderPriority: number;
+    orderUrgency: number;
     leave: ReturnType<FleetDemand["enter"]>;
 }
 
@@ -45,15 +45,7 @@
     impatient?: number;
 }
 
-const urgencies = new ServiceUrgencies(() =>
-    ({
-        routes: TARGETS.map((_, priority) => ({
-            kind: "stream",
-            priority,
-            services: [{ service: "models", weight: 1 }],
-        })),
-    }) as never
-);
+const urgencies = { rank: (_service: string, urgency: number) => urgency } as ServiceUrgencies;
 
 class Instance {
     readonly demand = new FleetDemand();
@@ -69,7 +61,7 @@
             ? new FleetOrder(this.demand)
             : policy === "former"
             ? new InstanceOrder()
-            : { priorityOf: () => 0, mustYield: () => false };
+            : { urgencyOf: () => 0, mustYield: () => false };
         this.wait = isFleet ? new TargetWait(estimator) : new FixedWait();
         this.returns = isFleet ? new SpreadReturn(estimator, urgencies, index) : new FixedReturn();
     }
@@ -84,17 +76,17 @@
     const free = new Array<number>(ENGINES).fill(ENGINE_TOKENS);
     const events: { at: number; run: () => void; }[] = [];
     const tally = TARGETS.map(() => ({ asked: 0, onTime: 0, late: 0, refused: 0, worth: 0 }));
-    const send = (priority: number, tokens: number, firstSentAt: number, now: number, repeats: number) => {
+    const send = (urgency: number, tokens: number, firstSentAt: number, now: number, repeats: number) => {
         const instance = random.pick(instances);
         const timed = {
-            ...{ service: "models", priority, tokens, since: now, late: false, answerBegun: false, receivedAt: now },
+            ...{ service: "models", urgency, tokens, since: now, late: false, answerBegun: false, receivedAt: now },
             deadline: firstSentAt + DEADLINE_MILLISECONDS,
-            targetLatencyMilliseconds: TARGETS[priority]!,
+            targetLatencyMilliseconds: TARGETS[urgency]!,
             neededMilliseconds: NEEDED_MILLISECONDS,
         };
         const giveUpAt = instance.wait.giveUpAt(timed);
-        const leave = instance.demand.enter("models", priority, tokens);
-        const fields = { firstSentAt, repeats, giveUpAt, hasWaited: false, orderPriority: priority, leave };
+        const leave = instance.demand.enter("models", urgency, tokens);
+        const fields = { firstSentAt, repeats, giveUpAt, hasWaited: false, orderUrgency: urgency, leave };
         instance.waiters.push({ ...timed, ...fields });
     };
     const refuse = (caller: Caller, instance: Instance, now: number) => {
@@ -102,12 +94,12 @@
         caller.leave("refused", now);
         const ignoresDelay = random.next() < impatient;
         if (caller.repeats >= (ignoresDelay ? 4 : 1)) {
-            tally[caller.priority]!.refused++;
+            tally[caller.urgency]!.refused++;
             return;
         }
         const at = now + (ignoresDelay ? STEP_MILLISECONDS : Math.min(delay, (caller.deadline - now) / 3));
-        const { priority, tokens, firstSentAt, repeats } = caller;
-        events.push({ at, run: () => send(priority, tokens, firstSentAt, at, repeats + 1) });
+        const { urgency, tokens, firstSentAt, repeats } = caller;
+        events.push({ at, run: () => send(urgency, tokens, firstSentAt, at, repeats + 1) });
     };
     /** Grants memory, refuses, or returns that the request must wait. */
     const mustWait = (caller: Caller, instance: Instance, isBlocked: boolean, now: number): boolean => {
@@ -137,18 +129,18 @@
                 free[engine]! += caller.tokens;
             },
         });
-        const isOnTime = now + NEEDED_MILLISECONDS <= caller.firstSentAt + TARGETS[caller.priority]!;
-        tally[caller.priority]![isOnTime ? "onTime" : "late"]++;
-        tally[caller.priority]!.worth += WORTH[caller.priority]![isOnTime ? 0 : 1]!;
+        const isOnTime = now + NEEDED_MILLISECONDS <= caller.firstSentAt + TARGETS[caller.urgency]!;
+        tally[caller.urgency]![isOnTime ? "onTime" : "late"]++;
+        tally[caller.urgency]!.worth += WORTH[caller.urgency]![isOnTime ? 0 : 1]!;
         return false;
     };
     for (let now = 0; now < (SECONDS + 15) * 1_000; now += STEP_MILLISECONDS) {
         const second = Math.floor(now / 1_000);
-        rates(second).forEach((rate, priority) => {
+        rates(second).forEach((rate, urgency) => {
             for (let due = rate * STEP_MILLISECONDS / 1_000; second < SECONDS && due > 0; due--) {
                 if (arrivals.next() < due) {
-                    tally[priority]!.asked++;
-                    send(priority, arrivals.integer(2_000, 4_000), now, now, 0);
+                    tally[urgency]!.asked++;
+                    send(urgency, arrivals.integer(2_000, 4_000), now, now, 0);
                 }
             }
         });
@@ -161,7 +153,7 @@
             let isBlocked = false;
             instance.waiters.forEach(waiter => {
                 waiter.late = now + NEEDED_MILLISECONDS > waiter.receivedAt + waiter.targetLatencyMilliseconds;
-                waiter.orderPriority = instance.order.priorityOf(waiter, now);
+                waiter.orderUrgency = instance.order.urgencyOf(waiter, now);
             });
             const sorted = instance.waiters.sort(compareWaiting);
             instance.waiters = [];
--- a/packages/decisions/load_policies.ts
+++ b/packages/decisions/load_policies.ts
@@ -20,7 +20,7 @@
 }
 
 /**
- * Chooses the policies that decide under load for each service. One whose requests have several priorities by the
+ * Chooses the policies that decide under load for each service. One whose requests have several urgencies by the
  * configuration gets those that order requests over all instances and set their waits by their targets.
  *
  * @example
@@ -30,7 +30,7 @@
  * ```
  */
 export class LoadPolicies {
-    /** Demand for engine memory at all instances, of services with several priorities. */
+    /** Demand for engine memory at all instances, of services with several urgencies. */
     readonly demand = new FleetDemand();
     readonly urgencies: ServiceUrgencies;
     /** Expects the waits of such services. */
--- a/packages/decisions/merge_demand.ts
+++ b/packages/decisions/merge_demand.ts
@@ -22,7 +22,7 @@
         const sum = new DemandSum();
         reports.forEach(report => sum.add(report?.[service]));
         merged[service] = sum.demands().map(demand => [
-            demand.priority,
+            demand.urgency,
             demand.waiting,
             demand.waitingTokens,
             demand.grantedRate,
--- a/packages/decisions/mod.ts
+++ b/packages/decisions/mod.ts
@@ -1,6 +1,7 @@
 /** Decisions under load: order of waiting, waits, refusals and returns. No network; times are passed in. */
 export { compareWaiting } from "./compare_waiting.ts";
 export { computeEnginePriority } from "./compute_engine_priority.ts";
+export { computeUrgency } from "./compute_urgency.ts";
 export { demandReportSchema } from "./demand_report_schema.ts";
 export { LoadPolicies } from "./load_policies.ts";
 export type { MemoryRoom } from "./memory_room.ts";
--- a/packages/decisions/service_urgencies.ts
+++ b/packages/decisions/service_urgencies.ts
@@ -1,13 +1,16 @@
 import type { FleetConfiguration } from "../directory/mod.ts";
 import { listUrgencies } from "./list_urgencies.ts";
 
+/** Largest number of ranks; an engine has ten priorities, two for each rank. */
+const MAXIMUM_RANKS = 5;
+
 /**
  * Urgencies of each service by the configuration in force.
  *
  * @example
  * ```ts
  * const urgencies = new ServiceUrgencies(() => directory.configuration);
- * urgencies.rank("models", 2); // 1 if the service has the priorities 0 and 2
+ * urgencies.rank("models", 202); // 1 if the service has the urgencies 0 and 202
  * ```
  */
 export class ServiceUrgencies {
@@ -30,22 +33,27 @@
     }
 
     /**
-     * Returns the position of a priority among those of a service.
+     * Returns the rank of an urgency among those of a service.
      *
      * @param service Name of the service.
-     * @param priority The priority; 0 is served first.
-     * @returns The number of more urgent priorities; undefined if the service has a single one.
+     * @param urgency The urgency; the lowest number is served first.
+     * @returns The rank, from 0 to 4; undefined if the service has a single urgency.
      */
-    rank(service: string, priority: number): number | undefined {
-        const priorities = this.list(service);
-        return priorities.length > 1 ? priorities.filter(other => other < priority).length : undefined;
+    rank(service: string, urgency: number): number | undefined {
+        const urgencies = this.list(service);
+        if (urgencies.length <= 1) {
+            return undefined;
+        }
+        const moreUrgent = urgencies.filter(other => other < urgency).length;
+        const ranks = Math.min(MAXIMUM_RANKS, urgencies.length);
+        return Math.min(ranks - 1, Math.floor(moreUrgent * ranks / urgencies.length));
     }
 
     /**
-     * Lists the priorities of a service's streams.
+     * Lists the urgencies of a service's streams.
      *
      * @param service Name of the service.
-     * @returns The priorities, the most urgent first.
+     * @returns The urgencies, the one that is served first at the beginning.
      */
     list(service: string): readonly number[] {
         const configuration = this.configuration();
@@ -53,11 +61,11 @@
             this.#byService.clear();
             this.#listedFor = configuration;
         }
-        let priorities = this.#byService.get(service);
-        if (!priorities) {
-            priorities = configuration ? listUrgencies(configuration, service) : [];
-            this.#byService.set(service, priorities);
+        let urgencies = this.#byService.get(service);
+        if (!urgencies) {
+            urgencies = configuration ? listUrgencies(configuration, service) : [];
+            this.#byService.set(service, urgencies);
         }
-        return priorities;
+        return urgencies;
     }
 }
--- a/packages/decisions/spread_return.ts
+++ b/packages/decisions/spread_return.ts
@@ -48,7 +48,7 @@
     delayMilliseconds(request: WaitingRequest, now: number): number {
         const expected = this.estimator.expectMilliseconds(request, now) ?? 0;
         const delay = Math.min(MAXIMUM_DELAY_MILLISECONDS, Math.max(MINIMUM_DELAY_MILLISECONDS, expected));
-        const rank = this.urgencies.rank(request.service, request.priority) ?? 0;
+        const rank = this.urgencies.rank(request.service, request.urgency) ?? 0;
         return delay * (1 + JITTER_FRACTION * this.#random.next()) + rank * URGENCY_STEP_MILLISECONDS;
     }
 }
--- a/packages/decisions/urgency_demand.ts
+++ b/packages/decisions/urgency_demand.ts
@@ -1,7 +1,7 @@
-/** Demand for engine memory by the requests of a service that have one priority. */
+/** Demand for engine memory by the requests of a service that have one urgency. */
 export interface UrgencyDemand {
-    /** Priority of the requests; 0 is served first. */
-    priority: number;
+    /** Urgency of the requests; the lowest number is served first. */
+    urgency: number;
     /** Number of requests that wait. */
     waiting: number;
     /** Tokens that they wait for. */
--- a/packages/decisions/wait_estimator.ts
+++ b/packages/decisions/wait_estimator.ts
@@ -2,7 +2,7 @@
 import type { WaitingRequest } from "./waiting_request.ts";
 
 const MILLISECONDS_PER_SECOND = 1_000;
-/** Fraction of the granted tokens that every priority is expected to get at least. */
+/** Fraction of the granted tokens that every urgency is expected to get at least. */
 const MINIMUM_SHARE = 0.1;
 
 /**
@@ -22,21 +22,21 @@
     constructor(private readonly demand: FleetDemand) {}
 
     /**
-     * Expects the wait of a request behind all that wait with its priority or a more urgent one.
+     * Expects the wait of a request behind all that wait with its urgency or a more urgent one.
      *
      * @param request The request; it counts itself if it waits already.
      * @param now Monotonic time in milliseconds.
      * @returns The time in milliseconds; undefined if no tokens were granted recently.
      */
-    expectMilliseconds(request: Pick<WaitingRequest, "service" | "priority">, now: number): number | undefined {
-        const { service, priority } = request;
+    expectMilliseconds(request: Pick<WaitingRequest, "service" | "urgency">, now: number): number | undefined {
+        const { service, urgency } = request;
         let grantedRate = 0;
         let urgentRate = 0;
         let tokensAhead = 0;
         for (const demand of this.demand.total(service, now)) {
             grantedRate += demand.grantedRate;
-            urgentRate += demand.priority < priority ? demand.grantedRate + demand.refusedRate : 0;
-            tokensAhead += demand.priority <= priority ? demand.waitingTokens : 0;
+            urgentRate += demand.urgency < urgency ? demand.grantedRate + demand.refusedRate : 0;
+            tokensAhead += demand.urgency <= urgency ? demand.waitingTokens : 0;
         }
         if (grantedRate === 0) {
             return undefined;
--- a/packages/decisions/waiting_request.ts
+++ b/packages/decisions/waiting_request.ts
@@ -1,8 +1,8 @@
 /** What the order of requests that wait for memory depends on. */
 export interface WaitingRequest {
     service: string;
-    /** Priority; 0 is served first. */
-    priority: number;
+    /** Urgency; the lowest number is served first. */
+    urgency: number;
     /** Tokens that it waits for. */
     tokens: number;
     /** Monotonic time in milliseconds at which the wait began. */
--- a/packages/gateway/_create_load_policies.ts
+++ b/packages/gateway/_create_load_policies.ts
@@ -1,21 +1,38 @@
 import { randomInt } from "node:crypto";
 import { LoadPolicies } from "../decisions/mod.ts";
 import type { Directory } from "../directory/mod.ts";
+import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 
 const MAXIMUM_SEED = 2 ** 32;
 
-/** Creates the policies that decide under load, with a gauge of the waiting tokens for each priority of a stream. */
-export function createLoadPolicies(directory: Directory, metrics: Metrics): LoadPolicies {
+/** Shared objects that the policies depend on. */
+interface Dependencies {
+    directory: Directory;
+    metrics: Metrics;
+    logger: Logger;
+}
+
+/**
+ * Creates the policies that decide under load. For each service with several urgencies, there is a log line when they
+ * change, and a gauge of the tokens that wait.
+ */
+export function createLoadPolicies({ directory, metrics, logger }: Dependencies): LoadPolicies {
     const policies = new LoadPolicies(() => directory.configuration, randomInt(MAXIMUM_SEED));
     const known = new Set<number>();
+    const logged = new Map<string, string>();
     directory.onChange(() => {
-        const services = directory.configuration?.services.filter(({ engine }) => engine) ?? [];
-        for (const priority of services.flatMap(({ name }) => policies.urgencies.list(name))) {
-            if (!known.has(priority)) {
-                known.add(priority);
-                const read = () => policies.demand.ownWaitingTokens(priority);
-                metrics.gauge("decode_waiting_tokens", read, { priority: String(priority) });
+        for (const { name } of directory.configuration?.services.filter(({ engine }) => engine) ?? []) {
+            const urgencies = policies.urgencies.list(name);
+            if ((logged.get(name) ?? "") === urgencies.join() || !policies.urgencies.hasSeveral(name)) {
+                continue;
+            }
+            logged.set(name, urgencies.join());
+            logger.info("urgencies of a service", { service: name, urgencies });
+            for (const urgency of urgencies.filter(listed => !known.has(listed))) {
+                known.add(urgency);
+                const read = () => policies.demand.ownWaitingTokens(urgency);
+                metrics.gauge("decode_waiting_tokens", read, { urgency: String(urgency) });
             }
         }
     });
--- a/packages/gateway/_create_waiter.ts
+++ b/packages/gateway/_create_waiter.ts
@@ -14,12 +14,12 @@
     context: GatewayContext,
 ): DecodeWaiter {
     const { request, answerBegun, isWanted } = wait;
-    const { promptTokens, outputTokens, priority, receivedAt, deadline, route } = request;
+    const { promptTokens, outputTokens, urgency, receivedAt, deadline, route } = request;
     const { loadPolicies } = context;
     const service = request.service.name;
     const timed = {
         service,
-        priority,
+        urgency,
         tokens: Math.ceil(promptTokens + OUTPUT_FRACTION * outputTokens),
         since: monotonicMilliseconds(),
         late: false,
@@ -30,12 +30,12 @@
         neededMilliseconds: wait.neededMilliseconds,
     };
     const leave = loadPolicies.urgencies.hasSeveral(service)
-        ? loadPolicies.demand.enter(service, priority, timed.tokens)
+        ? loadPolicies.demand.enter(service, urgency, timed.tokens)
         : () => {};
     return {
         ...wait,
         ...timed,
-        orderPriority: priority,
+        orderUrgency: urgency,
         hasWaited: false,
         hasYielded: false,
         giveUpAt: answerBegun ? Number.POSITIVE_INFINITY : loadPolicies.of(service).wait.giveUpAt(timed),
--- a/packages/gateway/_refuse_waiter.ts
+++ b/packages/gateway/_refuse_waiter.ts
@@ -5,7 +5,7 @@
 
 /** Ends a wait with a refusal; `isHopeless` if memory is not expected in time. */
 export function refuseWaiter(waiter: DecodeWaiter, isHopeless: boolean, context: GatewayContext): void {
-    const { request, service, priority, tokens } = waiter;
+    const { request, service, urgency, tokens } = waiter;
     const { loadPolicies, logger, metrics } = context;
     const now = monotonicMilliseconds();
     const isExpired = now >= request.deadline;
@@ -13,11 +13,11 @@
     if (loadPolicies.urgencies.hasSeveral(service)) {
         const isGone = request.signal.aborted || !waiter.isWanted();
         const cause = isGone ? "gone" : isHopeless ? "not-in-time" : "wait-ended";
-        metrics.increment("decode_refusals_total", { priority: String(priority), cause });
+        metrics.increment("decode_refusals_total", { urgency: String(urgency), cause });
         logger.info("decode memory not granted", {
             request: request.id,
             cause,
-            priority,
+            urgency,
             tokens,
             waitedMilliseconds: Math.round(now - waiter.since),
             leftMilliseconds: Math.round(waiter.giveUpAt - now),
--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { computeUrgency } from "../decisions/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
 import { parsePromptParts } from "../prompt_parts/mod.ts";
 import { refuseUnconfirmed } from "./_refuse_unconfirmed.ts";
@@ -91,7 +92,7 @@
         if (refusal) {
             return { kind: "refused", refusal };
         }
-        const priority = organisation?.priority ?? route.priority;
+        const urgency = computeUrgency(route.priority, organisation?.priority);
         const [promptTokens, outputTokens] = parseTokenCounts(headerOf(incoming, headers.tokenCounts));
         return {
             kind: "admitted",
@@ -108,8 +109,8 @@
                 outputTokens,
                 promptParts: parsePromptParts(service.name, headerOf(incoming, headers.promptParts)),
                 isProbe: false,
-                priority,
-                urgencyRank: service.engine && this.context.loadPolicies.urgencies.rank(service.name, priority),
+                urgency,
+                urgencyRank: service.engine && this.context.loadPolicies.urgencies.rank(service.name, urgency),
                 receivedAt,
                 callerDeadline,
                 deadline,
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -129,7 +129,7 @@
         }
         for (const waiter of this.#waiters) {
             waiter.late = now + waiter.neededMilliseconds > waiter.receivedAt + waiter.targetLatencyMilliseconds;
-            waiter.orderPriority = this.context.loadPolicies.of(waiter.service).order.priorityOf(waiter, now);
+            waiter.orderUrgency = this.context.loadPolicies.of(waiter.service).order.urgencyOf(waiter, now);
         }
         this.#waiters.sort(compareWaiting);
     }
@@ -163,17 +163,18 @@
     /** Finds out whether a request leaves the room to more urgent ones of other instances. */
     #mustYield(waiter: DecodeWaiter, now: number): boolean {
         const { logger, loadPolicies, metrics } = this.context;
-        const { request, service, priority, tokens } = waiter;
-        const room = () => findRoom(request.service, this.context);
+        const { request, service, urgency, tokens } = waiter;
+        const prefillTokens = MAXIMUM_PREFILL_WAIT_MILLISECONDS * this.prefillDispatcher.tokensPerMillisecond;
+        const room = () => findRoom(request.service, prefillTokens, this.context);
         if (!loadPolicies.of(service).order.mustYield(waiter, room, now)) {
             return false;
         }
         if (!waiter.hasYielded) {
             waiter.hasYielded = true;
-            metrics.increment("decode_yields_total", { priority: String(priority) });
+            metrics.increment("decode_yields_total", { urgency: String(urgency) });
             logger.info("request yields memory", {
                 request: request.id,
-                priority,
+                urgency,
                 tokens,
                 demand: loadPolicies.demand.total(service, now),
                 places: room().places(tokens),
--- a/packages/gateway/decode_queue_test.ts
+++ b/packages/gateway/decode_queue_test.ts
@@ -64,7 +64,7 @@
         id,
         promptTokens,
         outputTokens: 0,
-        priority: 1,
+        urgency: 1,
         receivedAt: monotonicMilliseconds(),
         deadline: monotonicMilliseconds() + 10_000,
         signal: new AbortController().signal,
--- a/packages/gateway/decode_waiter.ts
+++ b/packages/gateway/decode_waiter.ts
@@ -7,8 +7,8 @@
 /** A request that waits for memory of a decode engine. */
 export interface DecodeWaiter extends TimedRequest {
     request: GatewayRequest;
-    /** Priority by which it is sorted. */
-    orderPriority: number;
+    /** Urgency by which it is sorted. */
+    orderUrgency: number;
     /** Whether it has once been found to have to wait. */
     hasWaited: boolean;
     /** Whether it has left room to requests of other instances. */
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -24,9 +24,9 @@
     promptParts: string[];
     /** Whether the request runs once to find out whether a blocked part of its prompt still crashes servers. */
     isProbe: boolean;
-    /** Priority; 0 is served first. */
-    priority: number;
-    /** Number of more urgent priorities of its service; undefined if the service has a single one. */
+    /** Urgency by the priorities of its organisation and route; the lowest number is served first. */
+    urgency: number;
+    /** Rank of its urgency among those of its service; undefined if the service has a single one. */
     urgencyRank: number | undefined;
     /** Monotonic time in milliseconds at which the request's headers were received. */
     receivedAt: number;
--- a/packages/peers/cell_state_schema.ts
+++ b/packages/peers/cell_state_schema.ts
@@ -26,6 +26,6 @@
     crashes: z.array(z.tuple([z.string(), z.string()])).max(MAXIMUM_ENTRIES),
     /** Parts of prompts that crash servers. */
     promptParts: promptPartReportSchema.default(createEmptyReport),
-    /** Demand for engine memory; undefined without requests of services that have several priorities. */
+    /** Demand for engine memory; undefined without requests of services that have several urgencies. */
     demand: demandReportSchema.optional(),
 });
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -27,6 +27,6 @@
     serverUsage: spendingReportSchema.optional(),
     /** Limits that servers have named to the instance. */
     serverLimits: z.array(serverLimitNoticeSchema).max(1_024).default([]),
-    /** Demand for engine memory; undefined without requests of services that have several priorities. */
+    /** Demand for engine memory; undefined without requests of services that have several urgencies. */
     demand: demandReportSchema.optional(),
 });
