--- a/packages/decisions/compute_engine_priority.ts
+++ b/packages/decisions/compute_engine_priority.ts
@@ -1,18 +1,18 @@
-/** Engine priorities for each rank: one for requests on time and one for late ones. */
-const PRIORITIES_PER_RANK = 2;
+/** Ranks of urgency, each with an engine priority for requests on time and one for late ones. */
+const RANKS = 5;
 
 /**
- * Computes the priority of a request at its engine. The requests of one rank that can no longer meet their target
- * come after those that can, and before all of the next rank.
+ * Computes the priority of a request at its engine. Requests that can no longer meet their target come after all that
+ * can, since they must not preempt those.
  *
  * @param rank Rank of its urgency, from 0 to 4.
- * @param isLate Whether the target latency has passed and no part of the answer has been sent.
+ * @param isLate Whether the target can no longer be met and no part of the answer has been sent.
  * @returns The priority, from 0 to 9; 0 is served first.
  * @example
  * ```ts
- * computeEnginePriority(1, true); // 3
+ * computeEnginePriority(1, true); // 6
  * ```
  */
 export function computeEnginePriority(rank: number, isLate: boolean): number {
-    return PRIORITIES_PER_RANK * rank + (isLate ? 1 : 0);
+    return rank + (isLate ? RANKS : 0);
 }
--- a/packages/decisions/fleet_demand.ts
+++ b/packages/decisions/fleet_demand.ts
@@ -2,6 +2,7 @@
 import { UrgencyRecord } from "./_urgency_record.ts";
 import type { DemandReport } from "./demand_report.ts";
 import { mergeDemand } from "./merge_demand.ts";
+import type { TimedRequest } from "./timed_request.ts";
 import type { UrgencyDemand } from "./urgency_demand.ts";
 import type { WaitOutcome } from "./wait_outcome.ts";
 
@@ -22,7 +23,7 @@
  * @example
  * ```ts
  * const demand = new FleetDemand();
- * const leave = demand.enter("models", 0, 3_000, now);
+ * const leave = demand.enter(request);
  * demand.recordPeer("instance-2", { models: [[1, 2, 6_000, 0, 0]] }, now);
  * leave("granted", now + 80);
  * ```
@@ -33,26 +34,18 @@
     #otherCells: ReceivedReport = { report: {}, at: Number.NEGATIVE_INFINITY };
 
     /**
-     * Counts a request that waits for memory.
+     * Counts a request that waits for memory, until its target can no longer be met.
      *
-     * @param service Name of the service.
-     * @param urgency Urgency of the request.
-     * @param tokens Tokens that it waits for.
+     * @param request The request.
      * @returns A function that ends the wait, given its outcome and the time; later calls have no effect.
      */
-    enter(service: string, urgency: number, tokens: number): (outcome: WaitOutcome, now: number) => void {
+    enter(request: TimedRequest): (outcome: WaitOutcome, now: number) => void {
+        const { service, urgency, tokens, receivedAt, targetLatencyMilliseconds, neededMilliseconds } = request;
         const record = this.#recordOf(service, urgency);
-        record.waiting++;
-        record.waitingTokens += tokens;
-        let ended = false;
+        const wait = { tokens, onTimeUntil: receivedAt + targetLatencyMilliseconds - neededMilliseconds };
+        record.waiting.add(wait);
         return (outcome, now) => {
-            if (ended) {
-                return;
-            }
-            ended = true;
-            record.waiting--;
-            record.waitingTokens -= tokens;
-            if (outcome !== "gone") {
+            if (record.waiting.delete(wait) && outcome !== "gone") {
                 record[outcome].add(tokens, now);
             }
         };
@@ -68,11 +61,12 @@
         const report: DemandReport = {};
         for (const [service, records] of this.#own) {
             const entries: DemandReport[string] = [];
-            for (const [urgency, { waiting, waitingTokens, granted, refused }] of records) {
-                const rates = [granted, refused].map(rate => Math.round(rate.perSecond(now)));
-                const [grantedRate = 0, refusedRate = 0] = rates;
-                if (waiting > 0 || grantedRate + refusedRate >= REPORTED_RATE) {
-                    entries.push([urgency, waiting, waitingTokens, grantedRate, refusedRate]);
+            for (const [urgency, record] of records) {
+                const { requests, tokens } = record.onTime(now);
+                const grantedRate = Math.round(record.granted.perSecond(now));
+                const refusedRate = Math.round(record.refused.perSecond(now));
+                if (requests > 0 || grantedRate + refusedRate >= REPORTED_RATE) {
+                    entries.push([urgency, requests, tokens, grantedRate, refusedRate]);
                 }
             }
             if (entries.length > 0) {
@@ -152,14 +146,11 @@
      * Returns the tokens that requests of this instance wait for.
      *
      * @param urgency Urgency of the requests.
-     * @returns The tokens, of all services together.
+     * @returns The tokens, of all services together, with those of late requests.
      */
     ownWaitingTokens(urgency: number): number {
-        let tokens = 0;
-        for (const records of this.#own.values()) {
-            tokens += records.get(urgency)?.waitingTokens ?? 0;
-        }
-        return tokens;
+        const waiting = [...this.#own.values()].flatMap(records => [...records.get(urgency)?.waiting ?? []]);
+        return waiting.reduce((sum, { tokens }) => sum + tokens, 0);
     }
 
     #recordOf(service: string, urgency: number): UrgencyRecord {
--- a/packages/decisions/target_wait.ts
+++ b/packages/decisions/target_wait.ts
@@ -4,7 +4,7 @@
 import type { WaitPolicy } from "./wait_policy.ts";
 
 /** Multiple of the time left above which an expected wait, which is an average, counts as too long. */
-const CERTAINTY_FACTOR = 1.5;
+const CERTAINTY_FACTOR = 2;
 
 /**
  * A request waits as long as its first event can meet the target latency, and no shorter than with {@linkcode FixedWait}.
--- a/packages/decisions/urgency_demand.ts
+++ b/packages/decisions/urgency_demand.ts
@@ -2,7 +2,7 @@
 export interface UrgencyDemand {
     /** Urgency of the requests; the lowest number is served first. */
     urgency: number;
-    /** Number of requests that wait. */
+    /** Number of requests that wait and can still meet their target latency. */
     waiting: number;
     /** Tokens that they wait for. */
     waitingTokens: number;
--- a/packages/gateway/_create_waiter.ts
+++ b/packages/gateway/_create_waiter.ts
@@ -30,7 +30,7 @@
         neededMilliseconds: wait.neededMilliseconds,
     };
     const leave = loadPolicies.urgencies.hasSeveral(service)
-        ? loadPolicies.demand.enter(service, urgency, timed.tokens)
+        ? loadPolicies.demand.enter(timed)
         : () => {};
     return {
         ...wait,
--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -111,6 +111,7 @@
                 isProbe: false,
                 urgency,
                 urgencyRank: service.engine && this.context.loadPolicies.urgencies.rank(service.name, urgency),
+                isLate: false,
                 receivedAt,
                 callerDeadline,
                 deadline,
--- a/packages/gateway/backend_headers.ts
+++ b/packages/gateway/backend_headers.ts
@@ -25,8 +25,8 @@
         headers.push(names.organisation, request.organisation.name);
     }
     if (request.urgencyRank !== undefined) {
-        const isLate = now > request.receivedAt + request.route.targetLatencyMilliseconds
-            && !request.response.headersSent;
+        const isLate = !request.response.headersSent
+            && (request.isLate || now > request.receivedAt + request.route.targetLatencyMilliseconds);
         headers.push(names.enginePriority, String(computeEnginePriority(request.urgencyRank, isLate)));
     }
     return headers;
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -250,6 +250,8 @@
         const { request, tokens, since } = waiter;
         const reservation = await this.#reserver.reserve({ request, server, tokens, waitingSince: since });
         if (reservation) {
+            const firstEventAt = monotonicMilliseconds() + waiter.neededMilliseconds;
+            request.isLate = firstEventAt > waiter.receivedAt + waiter.targetLatencyMilliseconds;
             waiter.resolve(ok(reservation));
             return;
         }
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -28,6 +28,8 @@
     urgency: number;
     /** Rank of its urgency among those of its service; undefined if the service has a single one. */
     urgencyRank: number | undefined;
+    /** Whether the first event could no longer meet the target latency when memory was last granted. */
+    isLate: boolean;
     /** Monotonic time in milliseconds at which the request's headers were received. */
     receivedAt: number;
     /** Monotonic time in milliseconds at which the caller gives up. */
