--- a/packages/decisions/fleet_demand.ts
+++ b/packages/decisions/fleet_demand.ts
@@ -2,12 +2,13 @@
 import { UrgencyRecord } from "./_urgency_record.ts";
 import type { DemandReport } from "./demand_report.ts";
 import { mergeDemand } from "./merge_demand.ts";
+import type { TimedRequest } from "./timed_request.ts";
 import type { UrgencyDemand } from "./urgency_demand.ts";
 import type { WaitOutcome } from "./wait_outcome.ts";
 
 /** Age in milliseconds above which a report no longer counts, so that an instance then acts on what it knows itself. */
 const REPORT_LIFETIME_MILLISECONDS = 1_500;
-/** Rate in tokens per second below which a priority without waiting requests is left out of reports. */
+/** Rate in tokens per second below which an urgency without waiting requests is left out of reports. */
 const REPORTED_RATE = 1;
 
 interface ReceivedReport {
@@ -16,13 +17,13 @@
 }
 
 /**
- * Demand for engine memory at all instances, by service and priority: that of this instance, that which the members of
+ * Demand for engine memory at all instances, by service and urgency: that of this instance, that which the members of
  * its cell report, and the sum of the other cells. Times are monotonic times in milliseconds.
  *
  * @example
  * ```ts
  * const demand = new FleetDemand();
- * const leave = demand.enter("models", 0, 3_000, now);
+ * const leave = demand.enter(request);
  * demand.recordPeer("instance-2", { models: [[1, 2, 6_000, 0, 0]] }, now);
  * leave("granted", now + 80);
  * ```
@@ -33,26 +34,18 @@
     #otherCells: ReceivedReport = { report: {}, at: Number.NEGATIVE_INFINITY };
 
     /**
-     * Counts a request that waits for memory.
+     * Counts a request that waits for memory, until its target can no longer be met.
      *
-     * @param service Name of the service.
-     * @param priority Priority of the request.
-     * @param tokens Tokens that it waits for.
+     * @param request The request.
      * @returns A function that ends the wait, given its outcome and the time; later calls have no effect.
      */
-    enter(service: string, priority: number, tokens: number): (outcome: WaitOutcome, now: number) => void {
-        const record = this.#recordOf(service, priority);
-        record.waiting++;
-        record.waitingTokens += tokens;
-        let ended = false;
+    enter(request: TimedRequest): (outcome: WaitOutcome, now: number) => void {
+        const { service, urgency, tokens, receivedAt, targetLatencyMilliseconds, neededMilliseconds } = request;
+        const record = this.#recordOf(service, urgency);
+        const wait = { tokens, onTimeUntil: receivedAt + targetLatencyMilliseconds - neededMilliseconds };
+        record.waiting.add(wait);
         return (outcome, now) => {
-            if (ended) {
-                return;
-            }
-            ended = true;
-            record.waiting--;
-            record.waitingTokens -= tokens;
-            if (outcome !== "gone") {
+            if (record.waiting.delete(wait) && outcome !== "gone") {
                 record[outcome].add(tokens, now);
             }
         };
@@ -68,11 +61,12 @@
         const report: DemandReport = {};
         for (const [service, records] of this.#own) {
             const entries: DemandReport[string] = [];
-            for (const [priority, { waiting, waitingTokens, granted, refused }] of records) {
-                const rates = [granted, refused].map(rate => Math.round(rate.perSecond(now)));
-                const [grantedRate = 0, refusedRate = 0] = rates;
-                if (waiting > 0 || grantedRate + refusedRate >= REPORTED_RATE) {
-                    entries.push([priority, waiting, waitingTokens, grantedRate, refusedRate]);
+            for (const [urgency, record] of records) {
+                const { requests, tokens } = record.onTime(now);
+                const grantedRate = Math.round(record.granted.perSecond(now));
+                const refusedRate = Math.round(record.refused.perSecond(now));
+                if (requests > 0 || grantedRate + refusedRate >= REPORTED_RATE) {
+                    entries.push([urgency, requests, tokens, grantedRate, refusedRate]);
                 }
             }
             if (entries.length > 0) {
@@ -151,22 +145,19 @@
     /**
      * Returns the tokens that requests of this instance wait for.
      *
-     * @param priority Priority of the requests.
-     * @returns The tokens, of all services together.
+     * @param urgency Urgency of the requests.
+     * @returns The tokens, of all services together, with those of late requests.
      */
-    ownWaitingTokens(priority: number): number {
-        let tokens = 0;
-        for (const records of this.#own.values()) {
-            tokens += records.get(priority)?.waitingTokens ?? 0;
-        }
-        return tokens;
+    ownWaitingTokens(urgency: number): number {
+        const waiting = [...this.#own.values()].flatMap(records => [...records.get(urgency)?.waiting ?? []]);
+        return waiting.reduce((sum, { tokens }) => sum + tokens, 0);
     }
 
-    #recordOf(service: string, priority: number): UrgencyRecord {
+    #recordOf(service: string, urgency: number): UrgencyRecord {
         const records = this.#own.get(service) ?? new Map<number, UrgencyRecord>();
         this.#own.set(service, records);
-        const record = records.get(priority) ?? new UrgencyRecord();
-        records.set(priority, record);
+        const record = records.get(urgency) ?? new UrgencyRecord();
+        records.set(urgency, record);
         return record;
     }
 
--- a/packages/decisions/urgency_demand.ts
+++ b/packages/decisions/urgency_demand.ts
@@ -1,8 +1,8 @@
-/** Demand for engine memory by the requests of a service that have one priority. */
+/** Demand for engine memory by the requests of a service that have one urgency. */
 export interface UrgencyDemand {
-    /** Priority of the requests; 0 is served first. */
-    priority: number;
-    /** Number of requests that wait. */
+    /** Urgency of the requests; the lowest number is served first. */
+    urgency: number;
+    /** Number of requests that wait and can still meet their target latency. */
     waiting: number;
     /** Tokens that they wait for. */
     waitingTokens: number;
--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { computeUrgency } from "../decisions/mod.ts";
 import type { TrafficRoute } from "../directory/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
 import { parsePromptParts, parsePromptSections } from "../prompt_parts/mod.ts";
@@ -93,7 +94,7 @@
         if (refusal) {
             return { kind: "refused", refusal };
         }
-        const priority = organisation?.priority ?? route.priority;
+        const urgency = computeUrgency(route.priority, organisation?.priority);
         const [promptTokens, outputTokens] = parseTokenCounts(headerOf(incoming, headers.tokenCounts));
         return {
             kind: "admitted",
@@ -112,8 +113,9 @@
                 promptParts: parsePromptParts(service.name, headerOf(incoming, headers.promptParts)),
                 promptSections: parsePromptSections(service.name, headerOf(incoming, headers.promptParts)),
                 isProbe: false,
-                priority,
-                urgencyRank: service.engine && this.context.loadPolicies.urgencies.rank(service.name, priority),
+                urgency,
+                urgencyRank: service.engine && this.context.loadPolicies.urgencies.rank(service.name, urgency),
+                isLate: false,
                 receivedAt,
                 callerDeadline,
                 deadline,
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -30,10 +30,12 @@
     promptSections: PromptSection[];
     /** Whether the request runs once to find out whether a blocked part of its prompt still crashes servers. */
     isProbe: boolean;
-    /** Priority; 0 is served first. */
-    priority: number;
-    /** Number of more urgent priorities of its service; undefined if the service has a single one. */
+    /** Urgency by the priorities of its organisation and route; the lowest number is served first. */
+    urgency: number;
+    /** Rank of its urgency among those of its service; undefined if the service has a single one. */
     urgencyRank: number | undefined;
+    /** Whether the first event could no longer meet the target latency when memory was last granted. */
+    isLate: boolean;
     /** Monotonic time in milliseconds at which the request's headers were received. */
     receivedAt: number;
     /** Monotonic time in milliseconds at which the caller gives up. */
