--- a/packages/backends/_response_bytes.ts
+++ b/packages/backends/_response_bytes.ts
@@ -1,5 +1,6 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
+import { readBuffers } from "../memory/mod.ts";
 
 const HEAD_END = Buffer.from("\r\n\r\n");
 /** Bytes of a head that must be kept to find its end in the next read. */
@@ -41,6 +42,7 @@
     }
 
     readonly #receive = (chunk: Buffer): void => {
+        readBuffers.count(chunk);
         if (this.#head) {
             this.#head = Buffer.concat([this.#head.subarray(-HEAD_END_OVERLAP), chunk]);
             this.#interimResponses = 0;
--- a/packages/backends/read_response_body.ts
+++ b/packages/backends/read_response_body.ts
@@ -1,3 +1,4 @@
+import { PieceCollector } from "../memory/mod.ts";
 import type { BackendResponse } from "./backend_response.ts";
 import type { BodyMemory } from "./body_memory.ts";
 import { isWholeBody } from "./is_whole_body.ts";
@@ -23,30 +24,33 @@
     memory?: BodyMemory,
 ): Promise<Buffer | undefined> {
     return new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let length = 0;
+        const pieces = new PieceCollector();
         let isWaiting = false;
         const finish = (body: Buffer | undefined) => {
             clearTimeout(timer);
             if (body === undefined) {
+                pieces.clear();
                 response.close();
             }
             resolve(body);
         };
         const timer = setTimeout(() => finish(undefined), timeoutMilliseconds);
         response.body.on("data", (chunk: Buffer) => {
-            length += chunk.length;
-            if (length > maximumBytes) {
+            if (pieces.length + chunk.length > maximumBytes) {
                 finish(undefined);
                 return;
             }
-            chunks.push(chunk);
+            pieces.append(chunk);
             if (memory && !memory.tryHold(chunk.length)) {
                 isWaiting = true;
                 response.body.pause();
+                // A paused body still takes what one more read of its connection brings.
+                const { socket } = response.body;
+                socket?.pause();
                 void memory.hold(chunk.length).then(hasRoom => {
                     isWaiting = false;
                     if (hasRoom) {
+                        socket?.resume();
                         response.body.resume();
                     }
                     else {
@@ -56,7 +60,7 @@
             }
         });
         const end = () => {
-            const body = Buffer.concat(chunks);
+            const body = pieces.concat();
             finish(isWholeBody(response, body) ? body : undefined);
         };
         response.body.on("end", end);
--- a/packages/callers/_exchange_memory.ts
+++ b/packages/callers/_exchange_memory.ts
@@ -1,16 +1,23 @@
 import type { IncomingMessage } from "node:http";
+import { AnswerMemory } from "../backends/mod.ts";
 import { type MemoryBudget, type MemoryReservation, tryReserveInstead } from "../memory/mod.ts";
 
 /** Memory of a request, its response and the call to a server, beside headers, body and answer. */
 const REQUEST_OVERHEAD_BYTES = 32 * 1_024;
 /** Headers are held as received, by name and in the call to a server. */
 const HEADER_COPIES = 3;
+/** Most bytes that one read of a connection to a server brings before it can be held back. */
+const READ_BYTES = 65_536;
 
 /** Memory that one request and its answer hold in the process. */
 export class ExchangeMemory {
     readonly #answers: MemoryReservation[] = [];
+    /** Memory of services' answers. */
+    readonly serviceAnswers: AnswerMemory;
 
-    private constructor(private readonly budget: MemoryBudget, private readonly request: MemoryReservation) {}
+    private constructor(private readonly budget: MemoryBudget, private readonly request: MemoryReservation) {
+        this.serviceAnswers = new AnswerMemory(budget, 0);
+    }
 
     /** Size in bytes that a request takes besides its body. */
     static overheadBytes(request: IncomingMessage): number {
@@ -34,6 +41,15 @@
         return this.request.tryGrow(bytes);
     }
 
+    /** Makes room for the first read of a service's answer; without it, the request must not be sent. */
+    tryExpectAnswer(): boolean {
+        if (!this.request.tryGrow(READ_BYTES)) {
+            return false;
+        }
+        this.serviceAnswers.addOwn(READ_BYTES);
+        return true;
+    }
+
     /** Reserves memory for a part of the answer once there is room; returns false if the signal aborts first. */
     async reserveAnswer(bytes: number, signal: AbortSignal): Promise<boolean> {
         const [reservation] = this.#answers;
@@ -50,6 +66,7 @@
     /** Releases everything. */
     close(): void {
         this.request.close();
+        this.serviceAnswers.close();
         this.#answers.forEach(reservation => reservation.close());
     }
 }
--- a/packages/callers/caller_server.ts
+++ b/packages/callers/caller_server.ts
@@ -15,7 +15,7 @@
 import { createServer } from "./_create_server.ts";
 import { discardBody } from "./_discard_body.ts";
 import type { Exchange } from "./_exchange.ts";
-import type { ExchangeMemory } from "./_exchange_memory.ts";
+import { ExchangeMemory } from "./_exchange_memory.ts";
 import { failResponse } from "./_fail_response.ts";
 import { LastResponses } from "./_last_responses.ts";
 import { listModels } from "./_list_models.ts";
@@ -177,6 +177,7 @@
         if (refusal && !response.writableEnded) {
             if (refusal.reason === "memory-full" && !request.complete) {
                 discardBody(request);
+                memory?.close();
             }
             writeRefusal(response, refusal);
         }
@@ -231,6 +232,7 @@
                 request,
                 maximumBodyBytes(request, this.options),
                 bytes => memory.tryGrowRequest(bytes * bodyCopies(request)),
+                () => ExchangeMemory.hasRoom(this.options.memory),
             );
             if (body.isErr()) {
                 if (body.error.reason !== "memory-full") {
--- a/packages/callers/service_handler.ts
+++ b/packages/callers/service_handler.ts
@@ -9,6 +9,7 @@
 import { Refusal } from "../verdicts/mod.ts";
 import { callerGone } from "./_caller_gone.ts";
 import type { Exchange } from "./_exchange.ts";
+import { memoryFull } from "./_memory_full.ts";
 import { writeBody } from "./_write_body.ts";
 import type { ServiceHandlerOptions } from "./service_handler_options.ts";
 
@@ -57,6 +58,9 @@
      * @returns The refusal to send, if any.
      */
     async handle(exchange: Exchange, name: string, route: Route): Promise<Refusal | undefined> {
+        if (!exchange.memory.tryExpectAnswer()) {
+            return memoryFull();
+        }
         this.#retryBudget.recordRequest();
         const response = route.kind === "once-only"
             ? await this.#callAtMostOnce(exchange, name, route)
@@ -87,7 +91,7 @@
                 request,
                 route.timeoutMilliseconds,
                 () => !exchange.signal.aborted,
-                (bytes, signal) => exchange.memory.reserveAnswer(bytes, signal),
+                exchange.memory.serviceAnswers,
             );
             if (response.isOk() && !response.value.isDoubtful) {
                 return response.value;
@@ -197,7 +201,7 @@
                 toServiceRequest(exchange),
                 route.timeoutMilliseconds,
                 () => !exchange.signal.aborted,
-                (bytes, signal) => exchange.memory.reserveAnswer(bytes, signal),
+                exchange.memory.serviceAnswers,
             );
             if (response.isOk()) {
                 const { status, headers, body } = response.value;
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -4,6 +4,7 @@
 import { filterRawHeaders } from "../headers/mod.ts";
 import { logFailure } from "../logs/mod.ts";
 import type { Verdict } from "../verdicts/mod.ts";
+import { MEMORY_REFUSAL } from "./_memory_refusal.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
@@ -44,6 +45,10 @@
      * @returns Whether the request may have run; resolves once the response was sent.
      */
     async forward(request: GatewayRequest): Promise<Verdict> {
+        if (!request.memory.tryExpectAnswer()) {
+            sendRefusal(request, MEMORY_REFUSAL, this.context);
+            return MEMORY_REFUSAL.verdict;
+        }
         const tried = new Set<string>();
         let runs = 0;
         let sends = 0;
@@ -159,7 +164,8 @@
     #chooseOther(request: GatewayRequest, tried: ReadonlySet<string>): RegisteredServer | undefined {
         const service = request.service.name;
         const server = refuseKey(request.key, this.context) ? undefined : this.#chooser.choose(service, tried);
-        return server && this.context.retryBudget.trySpend(service) ? server : undefined;
+        const maySend = server && request.memory.tryExpectAnswer() && this.context.retryBudget.trySpend(service);
+        return maySend ? server : undefined;
     }
 
     #finalRefusal(request: GatewayRequest, refusal: GatewayRefusal | undefined): GatewayRefusal {
--- a/packages/gateway/read_request_body.ts
+++ b/packages/gateway/read_request_body.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import { watchSlowBody } from "../memory/mod.ts";
 import { BodyBuffer } from "./body_buffer.ts";
 import type { CallerExchange } from "./caller_exchange.ts";
 import type { RequestMemory } from "./request_memory.ts";
@@ -38,7 +39,14 @@
         const refuse = (kind: "too-large" | "memory-full") => {
             isRefused = true;
             body.clear();
-            resolve({ kind });
+            // The rest of the body is discarded, which may take as long as the caller likes.
+            memory.close();
+            finish({ kind });
+        };
+        const endWatch = watchSlowBody(() => memory.leavesRoom, () => refuse("memory-full"));
+        const finish = (result: RequestBody) => {
+            endWatch();
+            resolve(result);
         };
         incoming.on("data", (chunk: Buffer) => {
             exchange.bodyBytes += chunk.length;
@@ -52,9 +60,9 @@
                 refuse("memory-full");
             }
         });
-        incoming.on("end", () => resolve({ kind: "read", bytes: body.bytes }));
-        signal.addEventListener("abort", () => resolve({ kind: "given-up" }), { once: true });
-        incoming.on("close", () => resolve({ kind: "broken" }));
-        incoming.on("error", () => resolve({ kind: "broken" }));
+        incoming.on("end", () => finish({ kind: "read", bytes: body.bytes }));
+        signal.addEventListener("abort", () => finish({ kind: "given-up" }), { once: true });
+        incoming.on("close", () => finish({ kind: "broken" }));
+        incoming.on("error", () => finish({ kind: "broken" }));
     });
 }
--- a/packages/gateway/request_memory.ts
+++ b/packages/gateway/request_memory.ts
@@ -1,10 +1,12 @@
-import type { BodyMemory } from "../backends/mod.ts";
+import { AnswerMemory, type BodyMemory } from "../backends/mod.ts";
 import { type MemoryBudget, type MemoryReservation, tryReserveInstead } from "../memory/mod.ts";
 
 /** Bytes of answers that each request may hold besides, so that short ones never wait for those that are not read. */
 const SHORT_ANSWER_BYTES = 8_192;
 /** Memory in bytes of a request without its head and body: objects, timers, its connection to a server and a short answer. */
 const REQUEST_OVERHEAD_BYTES = 16_384 + SHORT_ANSWER_BYTES;
+/** Most bytes that one read of a connection to a server brings before it can be held back. */
+const READ_BYTES = 65_536;
 
 /**
  * Memory that one request holds, with its head, its body and the answers to it, until its response has ended.
@@ -16,18 +18,15 @@
  * ```
  */
 export class RequestMemory implements BodyMemory {
-    #isClosed = false;
-    /** Aborts the waits; undefined before the first. */
-    #waits: AbortController | undefined;
-    #shortAnswerBytes = SHORT_ANSWER_BYTES;
-    #answer: MemoryReservation | undefined;
-    readonly #waited: MemoryReservation[] = [];
+    readonly #answers: AnswerMemory;
 
     private constructor(
         private readonly budget: MemoryBudget,
         private readonly request: MemoryReservation,
         private readonly headBytes: number,
-    ) {}
+    ) {
+        this.#answers = new AnswerMemory(budget, SHORT_ANSWER_BYTES);
+    }
 
     /**
      * Tells whether a request can be accepted when no other one is under way.
@@ -38,7 +37,7 @@
      * @returns Whether it fits.
      */
     static canEverFit(budget: MemoryBudget, headBytes: number, bodyBytes: number): boolean {
-        return REQUEST_OVERHEAD_BYTES + headBytes + bodyBytes <= budget.limit("request");
+        return REQUEST_OVERHEAD_BYTES + READ_BYTES + headBytes + bodyBytes <= budget.limit("request");
     }
 
     /**
@@ -82,44 +81,37 @@
         return missing <= 0 || this.request.tryGrow(missing);
     }
 
+    /** Whether there is room for another request without a body. */
+    get leavesRoom(): boolean {
+        return RequestMemory.hasRoom(this.budget);
+    }
+
+    /**
+     * Makes room for the first read of an answer, which arrives before it can be held back.
+     *
+     * @returns Whether there is room; otherwise the request must not be sent to a server.
+     */
+    tryExpectAnswer(): boolean {
+        if (!this.request.tryGrow(READ_BYTES)) {
+            return false;
+        }
+        this.#answers.addOwn(READ_BYTES);
+        return true;
+    }
+
     /** @inheritdoc */
     tryHold(bytes: number): boolean {
-        if (bytes <= this.#shortAnswerBytes) {
-            this.#shortAnswerBytes -= bytes;
-            return true;
-        }
-        const last = this.#waited.at(-1) ?? this.#answer;
-        if (last) {
-            return last.tryGrow(bytes);
-        }
-        this.#answer = this.#isClosed ? undefined : this.budget.tryReserve(bytes, "answer");
-        return this.#answer !== undefined;
+        return this.#answers.tryHold(bytes);
     }
 
     /** @inheritdoc */
-    async hold(bytes: number): Promise<boolean> {
-        if (this.#isClosed) {
-            return false;
-        }
-        this.#waits ??= new AbortController();
-        const { signal } = this.#waits;
-        const reservation = await this.budget.reserve(bytes, "answer", signal, { mayOverdraw: true });
-        if (reservation && signal.aborted) {
-            reservation.close();
-            return false;
-        }
-        if (reservation) {
-            this.#waited.push(reservation);
-        }
-        return reservation !== undefined;
+    hold(bytes: number): Promise<boolean> {
+        return this.#answers.hold(bytes);
     }
 
     /** Releases all of it. Further calls do nothing. */
     close(): void {
-        this.#isClosed = true;
-        this.#waits?.abort();
         this.request.close();
-        this.#answer?.close();
-        this.#waited.forEach(reservation => reservation.close());
+        this.#answers.close();
     }
 }
--- a/packages/harness/mod.ts
+++ b/packages/harness/mod.ts
@@ -16,3 +16,4 @@
 export { RawServer } from "./raw_server.ts";
 export { sendRequest } from "./send_request.ts";
 export { uncaughtErrorPreload } from "./uncaught_error_preload.ts";
+export { unfinishedBodies } from "./unfinished_bodies.ts";
--- a/packages/memory/memory_budget.ts
+++ b/packages/memory/memory_budget.ts
@@ -82,7 +82,8 @@
      * @param options.mayOverdraw Whether the first of the waiters gets memory beyond the capacity, and any growth of it,
      *     if no other reservation does so. Waiters that hold memory need it, or they could wait for each other. Default:
      *     false.
-     * @returns The reservation; undefined if the signal aborts first or the size exceeds the limit of its use.
+     * @returns The reservation; undefined if the signal aborts first, or if the size exceeds the limit of its use and may
+     *     not.
      */
     async reserve(
         bytes: number,
@@ -90,7 +91,7 @@
         signal: AbortSignal,
         { mayOverdraw = false } = {},
     ): Promise<MemoryReservation | undefined> {
-        if (signal.aborted || bytes > this.limit(use)) {
+        if (signal.aborted || (bytes > this.limit(use) && !mayOverdraw)) {
             return undefined;
         }
         const reservation = this.#waiters.length === 0 ? this.tryReserve(bytes, use) : undefined;
--- a/packages/memory/read_buffer_collector_test.ts
+++ b/packages/memory/read_buffer_collector_test.ts
@@ -24,3 +24,25 @@
     }
     expect(collections).toBe(10);
 });
+
+// Guards against buffers that two collections of the young generation have kept, which V8 leaves until 64 MiB.
+test("old buffers are freed once the memory outside of the heap has grown", () => {
+    const collected: string[] = [];
+    let externalBytes = 30_000_000;
+    const collector = new ReadBufferCollector(({ type }) => collected.push(type), () => externalBytes);
+    const buffer = Buffer.allocUnsafeSlow(READ_BYTES);
+    const readMegabytes = (megabytes: number) => {
+        for (let reads = 0; reads < megabytes * 16; reads++) {
+            collector.count(buffer);
+        }
+    };
+    readMegabytes(4);
+    externalBytes += 8_000_000;
+    readMegabytes(4);
+    expect(collected).toEqual(["minor", "minor"]);
+    externalBytes += 1_000_000;
+    readMegabytes(4);
+    expect(collected).toEqual(["minor", "minor", "minor", "major"]);
+    readMegabytes(4);
+    expect(collected).toEqual(["minor", "minor", "minor", "major", "minor"]);
+});
--- a/packages/pipelining/pipelining_limit.ts
+++ b/packages/pipelining/pipelining_limit.ts
@@ -2,7 +2,7 @@
 import type { Socket } from "node:net";
 import { Server as TlsServer } from "node:tls";
 import { closeAfterReading, type IdleConnections } from "../connections/mod.ts";
-import { MemoryBudget, type MemoryReservation, ReadBufferCollector } from "../memory/mod.ts";
+import { MemoryBudget, type MemoryReservation, readBuffers } from "../memory/mod.ts";
 import { PipelinedConnection } from "./_pipelined_connection.ts";
 import { refuseInput } from "./_refuse_input.ts";
 import type { InputRefusal } from "./input_refusal.ts";
@@ -48,7 +48,7 @@
         }
         const connectionOptions = {
             memory: new MemoryBudget(Number.POSITIVE_INFINITY),
-            readBuffers: new ReadBufferCollector(),
+            readBuffers,
             maximumHeadBytes: () => this.maximumHeadBytes,
             refuse: (socket: Socket, refusal: InputRefusal) => refuseInput(server, socket, refusal),
             ...options,
--- a/packages/services/call_service.ts
+++ b/packages/services/call_service.ts
@@ -1,7 +1,14 @@
 import { err, ok, type Result } from "neverthrow";
 import { request as httpRequest } from "node:http";
 import { connect, type Socket } from "node:net";
-import { type BackendResponse, hasStrayBytes, isWholeBody, onBackendResponse } from "../backends/mod.ts";
+import {
+    type BackendResponse,
+    type BodyMemory,
+    hasStrayBytes,
+    onBackendResponse,
+    readResponseBody,
+} from "../backends/mod.ts";
+import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { removeHopByHopHeaders } from "../headers/mod.ts";
 import { ServiceFailure } from "./service_failure.ts";
 import type { ServiceRequest } from "./service_request.ts";
@@ -11,8 +18,6 @@
 const MAXIMUM_RESPONSE_BYTES = 4 * 1_024 * 1_024;
 const REQUEST_ID_HEADER = "x-request-id";
 
-type ReserveAnswer = (bytes: number, signal: AbortSignal) => Promise<boolean>;
-
 /**
  * Calls a service at most once, over a new connection; the call is never retried.
  *
@@ -22,8 +27,7 @@
  * @param request The call.
  * @param timeoutMilliseconds Time limit for the whole response, counted from the established connection.
  * @param confirmSend Called once the connection is established; if it returns false, nothing is sent.
- * @param reserveAnswer Reserves memory in bytes before the answer is read further; returns false if the signal aborts,
- * which it does at the time limit.
+ * @param memory Memory for the answer; while it has no room, nothing more is read. Default: unbounded.
  * @returns The response, or a failure that states whether the call may have run.
  * @example
  * ```ts
@@ -36,7 +40,7 @@
     request: ServiceRequest,
     timeoutMilliseconds: number,
     confirmSend: () => boolean = () => true,
-    reserveAnswer: ReserveAnswer = async () => true,
+    memory?: BodyMemory,
 ): Promise<Result<ServiceResponse, ServiceFailure>> {
     const socket = await openConnection(address);
     if (socket.isErr()) {
@@ -46,7 +50,7 @@
         socket.value.destroy();
         return err(new ServiceFailure("not-run", "The call was withdrawn before it was sent"));
     }
-    return await sendRequest(socket.value, request, timeoutMilliseconds, reserveAnswer);
+    return await sendRequest(socket.value, request, timeoutMilliseconds, memory);
 }
 
 function openConnection(address: string): Promise<Result<Socket, ServiceFailure>> {
@@ -71,13 +75,12 @@
     socket: Socket,
     request: ServiceRequest,
     timeoutMilliseconds: number,
-    reserveAnswer: ReserveAnswer,
+    memory: BodyMemory | undefined,
 ): Promise<Result<ServiceResponse, ServiceFailure>> {
     return new Promise(resolve => {
-        const abortController = new AbortController();
+        const deadline = monotonicMilliseconds() + timeoutMilliseconds;
         const fail = (message: string) => {
             clearTimeout(timer);
-            abortController.abort();
             socket.destroy();
             resolve(err(new ServiceFailure("may-have-run", `The service's answer was lost: ${message}`)));
         };
@@ -99,46 +102,17 @@
         const correlation = { header: REQUEST_ID_HEADER, value: typeof id === "string" ? id : undefined };
         onBackendResponse(call, correlation, response => {
             received = response;
-            readBody(response, bytes => reserveAnswer(bytes, abortController.signal)).then(
-                body => {
-                    clearTimeout(timer);
-                    const headers = removeHopByHopHeaders(response.body.headers);
-                    resolve(ok({ status: response.status, headers, body, isDoubtful: hasStrayBytes(response) }));
-                },
-                error => fail(String(error)),
-            );
+            const remaining = Math.max(1, deadline - monotonicMilliseconds());
+            void readResponseBody(response, remaining, MAXIMUM_RESPONSE_BYTES, memory).then(body => {
+                if (!body) {
+                    fail("it was cut or too long, another one begins in it, or there was no memory for it in time");
+                    return;
+                }
+                clearTimeout(timer);
+                const headers = removeHopByHopHeaders(response.body.headers);
+                resolve(ok({ status: response.status, headers, body, isDoubtful: hasStrayBytes(response) }));
+            });
         });
         call.end(request.body);
     });
 }
-
-async function readBody(response: BackendResponse, reserve: (bytes: number) => Promise<boolean>): Promise<Buffer> {
-    const chunks: Buffer[] = [];
-    let length = 0;
-    // A declared length is reserved as a whole, so that answers do not wait for each other half-read.
-    let reservedBytes = Number(response.headers["content-length"] ?? 0);
-    if (reservedBytes > MAXIMUM_RESPONSE_BYTES) {
-        throw new Error(`Answer is longer than ${MAXIMUM_RESPONSE_BYTES} bytes`);
-    }
-    if (reservedBytes > 0 && !await reserve(reservedBytes)) {
-        throw new Error("No memory for the answer");
-    }
-    for await (const chunk of response.body) {
-        chunks.push(chunk as Buffer);
-        length += (chunk as Buffer).length;
-        if (length > MAXIMUM_RESPONSE_BYTES) {
-            throw new Error(`Answer is longer than ${MAXIMUM_RESPONSE_BYTES} bytes`);
-        }
-        if (length > reservedBytes) {
-            if (!await reserve(length - reservedBytes)) {
-                throw new Error("No memory for the answer");
-            }
-            reservedBytes = length;
-        }
-    }
-    const body = Buffer.concat(chunks);
-    if (!isWholeBody(response, body)) {
-        throw new Error("Answer was cut or another one begins in it");
-    }
-    return body;
-}
