--- a/packages/backends/backend_connection_pool.ts
+++ b/packages/backends/backend_connection_pool.ts
@@ -94,7 +94,7 @@
                 }
                 settle();
                 resolve(ok(response));
-            });
+            }, reason => fail("malformed", reason));
             outgoing.end(request.body);
         });
     }
--- a/packages/backends/on_backend_response.ts
+++ b/packages/backends/on_backend_response.ts
@@ -3,6 +3,12 @@
 import type { BackendRequest } from "./backend_request.ts";
 import type { BackendResponse } from "./backend_response.ts";
 
+/** Statuses of final answers (RFC 9110, section 15). */
+const LEAST_FINAL_STATUS = 200;
+const LARGEST_STATUS = 599;
+/** Interim responses to one request, beyond which the final one is not waited for. */
+const MAXIMUM_INTERIM_RESPONSES = 100;
+
 /** A body ends with its connection if its last transfer coding is another one. */
 const CHUNKED = /(^|[,\s])chunked\s*$/i;
 
@@ -12,10 +18,11 @@
  * @param outgoing The request; nothing of its response has arrived.
  * @param correlation Header and value with which the server names the request, if it does.
  * @param listener Called with the response once its headers have arrived.
+ * @param refuse Called in its place with the reason if what arrives is no answer; it has to close the connection.
  * @example
  * ```ts
  * const outgoing = request("http://127.0.0.1:80/");
- * onBackendResponse(outgoing, undefined, response => console.log(response.status));
+ * onBackendResponse(outgoing, undefined, response => console.log(response.status), () => outgoing.destroy());
  * outgoing.end();
  * ```
  */
@@ -23,9 +30,25 @@
     outgoing: ClientRequest,
     correlation: BackendRequest["correlation"],
     listener: (response: BackendResponse) => void,
+    refuse: (reason: string) => void,
 ): void {
     const bytes = new ResponseBytes(outgoing);
-    outgoing.on("response", response => listener(toBackendResponse(response, outgoing, correlation, bytes)));
+    let interimResponses = 0;
+    outgoing.on("information", () => {
+        if (++interimResponses === MAXIMUM_INTERIM_RESPONSES) {
+            refuse(`The server sent ${MAXIMUM_INTERIM_RESPONSES} interim responses and no answer`);
+        }
+    });
+    outgoing.on("response", response => {
+        const { statusCode = 0 } = response;
+        const backendResponse = toBackendResponse(response, outgoing, correlation, bytes);
+        if (statusCode < LEAST_FINAL_STATUS || statusCode > LARGEST_STATUS) {
+            refuse(`The server answered with status ${statusCode}, which is none of HTTP`);
+        }
+        else {
+            listener(backendResponse);
+        }
+    });
 }
 
 function toBackendResponse(
--- a/packages/services/call_service.ts
+++ b/packages/services/call_service.ts
@@ -112,7 +112,7 @@
                 const headers = removeHopByHopHeaders(response.body.headers);
                 resolve(ok({ status: response.status, headers, body, isDoubtful: hasStrayBytes(response) }));
             });
-        });
+        }, fail);
         call.end(request.body);
     });
 }
