--- a/packages/gateway/create_server_access.ts
+++ b/packages/gateway/create_server_access.ts
@@ -62,7 +62,7 @@
     const setFactor = (id: string, factor: number) => {
         serverLoads.get(id).speedFactor = factor;
     };
-    const engineSpeeds = new EngineSpeeds(directory, setFactor, logger);
+    const engineSpeeds = new EngineSpeeds(directory, setFactor, logger, settings().engineSpeeds);
     metrics.gauge("engines_of_differing_speed", () => engineSpeeds.differing);
     const promptMemory = settings().promptMemory ? new PromptMemory(options.usage.instanceCount) : undefined;
     metrics.gauge("prompt_memory_confidence", () => promptMemory?.confidenceOf("first") ?? 0, { belief: "first" });
--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -54,7 +54,9 @@
     /** Longest pause that a server may ask for; a longer one counts as this long. */
     maximumPauseMilliseconds: milliseconds.default(300_000),
     /** Whether a prompt goes to an engine that is expected to keep its beginning where that saves more than the wait costs. */
-    promptMemory: z.boolean().default(true),
+    promptMemory: z.boolean().default(false),
+    /** Whether the speed of each engine is learned and bears on the choice of engines and on their division into stages. */
+    engineSpeeds: z.boolean().default(false),
     /** Memory limit of the process. */
     memoryMegabytes: z.number().min(memoryMegabytes.least).default(memoryMegabytes.default),
     /** Limit of the process's file descriptors, files included; without it, the limit that the system has set. */
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -56,8 +56,10 @@
      */
     estimateMilliseconds(request: GatewayRequest): number {
         const choice = this.#engines.choose(request, undefined, NO_SERVERS);
+        // Only the wait depends on the engine, so that callers can tell it from the prefill itself.
         return choice
-            ? (this.#engines.queuedTokens(choice.server) + request.promptTokens) / this.#engines.speedOf(choice.server)
+            ? choice.queuedTokens / this.#engines.speedOf(choice.server)
+                + request.promptTokens / this.tokensPerMillisecond
             : Number.POSITIVE_INFINITY;
     }
 
@@ -105,14 +107,14 @@
             const { server, saving, passedOver } = choice;
             tried.add(server.id);
             const startedAt = monotonicMilliseconds();
-            const tokensBefore = this.#engines.queuedTokens(server);
+            const tokensBefore = choice.queuedTokens;
             this.#countKeepers(choice);
             const result = await this.#runOn(request, choice, extraHeaders);
             this.context.logger.info("prefill ended", {
                 request: request.id,
                 engine: server.id,
                 tokens: request.promptTokens,
-                tokensBefore,
+                tokensBefore: Math.round(tokensBefore),
                 ...saving.belief === "none" ? {} : { expectedSaved: Math.round(saving.tokens), belief: saving.belief },
                 ...passedOver ? { keeper: passedOver.engine, passedOver: passedOver.reason } : {},
                 speedFactor: Number(this.context.serverLoads.get(server.id).speedFactor.toFixed(2)),
--- a/packages/gateway/prefill_engines.ts
+++ b/packages/gateway/prefill_engines.ts
@@ -88,12 +88,14 @@
         const savings = this.#samples < MINIMUM_SAMPLES
             ? NO_SAVINGS
             : promptMemory?.expectSavings(request.promptSections, preferred) ?? NO_SAVINGS;
+        // A fast engine keeps its queue for longer than reports take, and would be overrun if less of it counted.
+        const isUnequal = preferred.some(({ id }) => serverLoads.get(id).speedFactor !== 1);
         const candidates = preferred.map(server => {
             const saving = savings.get(server.id) ?? NO_SAVING;
             return {
                 server,
                 saving,
-                queuedTokens: this.queuedTokens(server),
+                queuedTokens: isUnequal ? serverLoads.get(server.id).total().prefillTokens : this.queuedTokens(server),
                 failureRate: serverLoads.get(server.id).failureRate,
                 isRemote: target !== undefined && server.failureDomain !== target.failureDomain,
                 speedFactor: serverLoads.get(server.id).speedFactor,
@@ -104,7 +106,7 @@
         if (!chosen) {
             return undefined;
         }
-        const { server, saving } = chosen;
+        const { server, saving, queuedTokens } = chosen;
         const keeper = candidates.reduce((best, entry) => entry.savedTokens > best.savedTokens ? entry : best, chosen);
         const passedOver = keeper === chosen ? undefined : {
             engine: keeper.server.id,
@@ -116,7 +118,7 @@
                 ? "queue" as const
                 : "transfer" as const,
         };
-        return { server, saving, passedOver };
+        return { server, queuedTokens, saving, passedOver };
     }
 
     /**
@@ -146,6 +148,9 @@
      * @returns The speed in prompt tokens per millisecond.
      */
     slowestSpeed(server: RegisteredServer): number {
+        if (!this.context.engineSpeeds.isOn) {
+            return SLOWEST_TOKENS_PER_MILLISECOND;
+        }
         const known = Math.max(SLOWEST_KNOWN_TOKENS_PER_MILLISECOND, SLOWEST_FRACTION * this.speedOf(server));
         return Math.min(SLOWEST_TOKENS_PER_MILLISECOND, known);
     }
--- a/packages/gateway/prefill_engines_test.ts
+++ b/packages/gateway/prefill_engines_test.ts
@@ -34,6 +34,7 @@
         serverSubset: { narrow: (list: unknown) => list },
         peerLoadWeight: () => 1,
         engineSpeeds: {
+            isOn: true,
             record: (_: unknown, __: unknown, logarithm: number, weight: number) =>
                 recorded.push({ logarithm, weight }),
         },
--- a/packages/speeds/engine_speeds.ts
+++ b/packages/speeds/engine_speeds.ts
@@ -43,11 +43,13 @@
      * @param setFactor Called with the id of each engine that counts as faster or slower, again and again, and with factor 1
      * when it ceases to.
      * @param logger Gets a line when an engine begins or ceases to count as faster or slower.
+     * @param isOn Whether speeds are learned; without, all engines count as equally fast and nothing is reported.
      */
     constructor(
         private readonly directory: Pick<Directory, "servers" | "isCold">,
         private readonly setFactor: (id: string, factor: number) => void,
         private readonly logger: Logger,
+        readonly isOn = true,
     ) {}
 
     /** Engines that count as faster or slower than the median. */
@@ -64,7 +66,7 @@
      * @param weight How much the run says about the engine, from 0 to 1.
      */
     record(server: RegisteredServer, stage: EngineStage, logarithm: number, weight: number): void {
-        if (!Number.isFinite(logarithm) || this.directory.isCold(server.id)) {
+        if (!this.isOn || !Number.isFinite(logarithm) || this.directory.isCold(server.id)) {
             return;
         }
         let engine = this.#own.get(server.id);
@@ -109,7 +111,7 @@
      * @param report Its report; undefined if all engines are equally fast to it.
      */
     applyReport(peer: string, report: SpeedReport | undefined): void {
-        if (report) {
+        if (report && this.isOn) {
             this.#peers.set(peer, { report, at: monotonicMilliseconds() });
             this.#refresh();
         }
--- a/packages/speeds/engine_speeds_test.ts
+++ b/packages/speeds/engine_speeds_test.ts
@@ -203,3 +203,17 @@
     }
     expect(speedReportSchema.safeParse(cell.instances[0]?.speeds.report()).success).toBe(true);
 });
+
+test("nothing is learned or reported where it is turned off", () => {
+    const factors = new Map<string, number>();
+    const directory = { servers: new Map([["engine-0", createEngine(0)]]), isCold: () => false };
+    const logger = { info: () => {}, warn: () => {}, error: () => {} };
+    const speeds = new EngineSpeeds(directory, (id, factor) => factors.set(id, factor), logger, false);
+    for (let run = 0; run < 20; run++) {
+        speeds.record(createEngine(0), "prefill", -1, 1);
+        vi.advanceTimersByTime(300);
+    }
+    speeds.applyReport("peer", [["engine-0", 1, "prefill", 0.3, 50]]);
+    expect(speeds.report()).toBeUndefined();
+    expect([...factors.values()].filter(factor => factor !== 1)).toEqual([]);
+});
