--- a/packages/decisions/fleet_demand.ts
+++ b/packages/decisions/fleet_demand.ts
@@ -1,5 +1,6 @@
 import { DemandSum } from "./_demand_sum.ts";
 import { UrgencyRecord } from "./_urgency_record.ts";
+import { computeShareUrgency } from "./compute_share_urgency.ts";
 import type { DemandReport } from "./demand_report.ts";
 import { mergeDemand } from "./merge_demand.ts";
 import type { TimedRequest } from "./timed_request.ts";
@@ -149,7 +150,11 @@
      * @returns The tokens, of all services together, with those of late requests.
      */
     ownWaitingTokens(urgency: number): number {
-        const waiting = [...this.#own.values()].flatMap(records => [...records.get(urgency)?.waiting ?? []]);
+        const levels = [false, true].map(isBeyondShare => computeShareUrgency(urgency, isBeyondShare));
+        const records = [...this.#own.values()].flatMap(byUrgency =>
+            levels.flatMap(level => byUrgency.get(level) ?? [])
+        );
+        const waiting = records.flatMap(record => [...record.waiting]);
         return waiting.reduce((sum, { tokens }) => sum + tokens, 0);
     }
 
--- a/packages/decisions/fleet_order.ts
+++ b/packages/decisions/fleet_order.ts
@@ -42,7 +42,7 @@
      */
     urgencyOf(request: WaitingRequest, now: number): number {
         return this.#isStarved(request, now)
-            ? Math.min(request.urgency, ...this.demand.total(request.service, now).map(({ urgency }) => urgency))
+            ? request.urgency - Math.floor(request.urgency) + this.#mostUrgent(request, now)
             : request.urgency;
     }
 
@@ -85,12 +85,17 @@
         return waiting > 0 ? { waiting, tokens } : undefined;
     }
 
+    #mostUrgent({ service, urgency }: WaitingRequest, now: number): number {
+        const urgencies = this.demand.total(service, now).map(demand => Math.floor(demand.urgency));
+        return Math.min(Math.floor(urgency), ...urgencies);
+    }
+
     #isStarved({ service, urgency }: WaitingRequest, now: number): boolean {
         if (this.#starved.service !== service || this.#starved.at !== now) {
             const urgencies = listStarved(this.demand.total(service, now));
             this.#starved = { service, at: now, urgencies };
         }
-        return this.#starved.urgencies.has(urgency);
+        return this.#starved.urgencies.has(Math.floor(urgency));
     }
 }
 
@@ -98,8 +103,17 @@
     const granted = demands.reduce((sum, demand) => sum + demand.grantedRate, 0);
     const refused = demands.reduce((sum, demand) => sum + demand.refusedRate, 0);
     const lowest = STARVED_FRACTION * servedFraction(granted, refused);
-    const starved = demands.filter(demand => servedFraction(demand.grantedRate, demand.refusedRate) < lowest);
-    return new Set(starved.map(({ urgency }) => urgency));
+    const starved = new Set<number>();
+    for (const urgency of new Set(demands.map(demand => Math.floor(demand.urgency)))) {
+        // With the requests beyond their organisations' shares.
+        const own = demands.filter(demand => Math.floor(demand.urgency) === urgency);
+        const ownGranted = own.reduce((sum, demand) => sum + demand.grantedRate, 0);
+        const ownRefused = own.reduce((sum, demand) => sum + demand.refusedRate, 0);
+        if (servedFraction(ownGranted, ownRefused) < lowest) {
+            starved.add(urgency);
+        }
+    }
+    return starved;
 }
 
 function servedFraction(grantedRate: number, refusedRate: number): number {
--- a/packages/decisions/urgency_demand.ts
+++ b/packages/decisions/urgency_demand.ts
@@ -1,6 +1,6 @@
 /** Demand for engine memory by the requests of a service that have one urgency. */
 export interface UrgencyDemand {
-    /** Urgency of the requests; the lowest number is served first. */
+    /** Urgency of the requests with regard to their organisations' shares; the lowest number is served first. */
     urgency: number;
     /** Number of requests that wait and can still meet their target latency. */
     waiting: number;
--- a/packages/decisions/waiting_request.ts
+++ b/packages/decisions/waiting_request.ts
@@ -1,7 +1,7 @@
 /** What the order of requests that wait for memory depends on. */
 export interface WaitingRequest {
     service: string;
-    /** Urgency; the lowest number is served first. */
+    /** Urgency with regard to its organisation's share; the lowest number is served first. */
     urgency: number;
     /** Tokens that it waits for. */
     tokens: number;
--- a/packages/gateway/_create_load_policies.ts
+++ b/packages/gateway/_create_load_policies.ts
@@ -1,8 +1,10 @@
 import { randomInt } from "node:crypto";
-import { LoadPolicies } from "../decisions/mod.ts";
+import { LoadPolicies, type OrganisationRate } from "../decisions/mod.ts";
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import { askedByAll } from "./_asked_by_all.ts";
+import type { SharedUsage } from "./shared_usage.ts";
 
 const MAXIMUM_SEED = 2 ** 32;
 
@@ -17,8 +19,12 @@
  * Creates the policies that decide under load. For each service with several urgencies, there is a log line when they
  * change, and a gauge of the tokens that wait.
  */
-export function createLoadPolicies({ directory, metrics, logger }: Dependencies): LoadPolicies {
-    const policies = new LoadPolicies(() => directory.configuration, randomInt(MAXIMUM_SEED));
+export function createLoadPolicies({ directory, metrics, logger }: Dependencies, usage: SharedUsage): LoadPolicies {
+    const policies = new LoadPolicies(
+        () => directory.configuration,
+        () => listRates(directory, usage),
+        randomInt(MAXIMUM_SEED),
+    );
     const known = new Set<number>();
     const logged = new Map<string, string>();
     directory.onChange(() => {
@@ -38,3 +44,14 @@
     });
     return policies;
 }
+
+/** Lists what organisations ask for within their limits, at all instances. */
+function listRates(directory: Directory, usage: SharedUsage): OrganisationRate[] {
+    const asked = askedByAll(usage);
+    const limited = directory.configuration?.organisations?.filter(({ ratePerSecond }) => ratePerSecond > 0) ?? [];
+    return limited.map(({ name, ratePerSecond, burst }) => ({
+        name,
+        weight: ratePerSecond,
+        askedRate: Math.min(asked[name] ?? 0, ratePerSecond + burst),
+    }));
+}
--- a/packages/gateway/_create_waiter.ts
+++ b/packages/gateway/_create_waiter.ts
@@ -1,4 +1,5 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { computeShareUrgency } from "../decisions/mod.ts";
 import type { DecodeWaiter } from "./decode_waiter.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
@@ -14,14 +15,18 @@
     context: GatewayContext,
 ): DecodeWaiter {
     const { request, answerBegun, isWanted } = wait;
-    const { promptTokens, outputTokens, urgency, receivedAt, deadline, route } = request;
+    const { promptTokens, outputTokens, receivedAt, deadline, route } = request;
     const { loadPolicies } = context;
     const service = request.service.name;
+    const since = monotonicMilliseconds();
+    const { fairness, wait: waitPolicy } = loadPolicies.of(service);
+    const isBeyondShare = !answerBegun && fairness.isBeyondShare(service, request.organisation?.name, since);
+    const urgency = computeShareUrgency(request.urgency, isBeyondShare);
     const timed = {
         service,
         urgency,
         tokens: Math.ceil(promptTokens + OUTPUT_FRACTION * outputTokens),
-        since: monotonicMilliseconds(),
+        since,
         late: false,
         answerBegun,
         receivedAt,
@@ -38,7 +43,7 @@
         orderUrgency: urgency,
         hasWaited: false,
         hasYielded: false,
-        giveUpAt: answerBegun ? Number.POSITIVE_INFINITY : loadPolicies.of(service).wait.giveUpAt(timed),
+        giveUpAt: answerBegun ? Number.POSITIVE_INFINITY : waitPolicy.giveUpAt(timed),
         resolve: result => {
             const isGone = request.signal.aborted || !isWanted();
             leave(result.isOk() ? "granted" : isGone ? "gone" : "refused", monotonicMilliseconds());
--- a/packages/gateway/_refuse_waiter.ts
+++ b/packages/gateway/_refuse_waiter.ts
@@ -5,7 +5,8 @@
 
 /** Ends a wait with a refusal; `isHopeless` if memory is not expected in time. */
 export function refuseWaiter(waiter: DecodeWaiter, isHopeless: boolean, context: GatewayContext): void {
-    const { request, service, urgency, tokens } = waiter;
+    const { request, service, tokens } = waiter;
+    const { urgency } = request;
     const { loadPolicies, logger, metrics } = context;
     const now = monotonicMilliseconds();
     const isExpired = now >= request.deadline;
@@ -18,6 +19,7 @@
             request: request.id,
             cause,
             urgency,
+            isBeyondShare: waiter.urgency > urgency,
             tokens,
             waitedMilliseconds: Math.round(now - waiter.since),
             leftMilliseconds: Math.round(waiter.giveUpAt - now),
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -163,7 +163,8 @@
     /** Finds out whether a request leaves the room to more urgent ones of other instances. */
     #mustYield(waiter: DecodeWaiter, now: number): boolean {
         const { logger, loadPolicies, metrics } = this.context;
-        const { request, service, urgency, tokens } = waiter;
+        const { request, service, tokens } = waiter;
+        const { urgency } = request;
         const prefillTokens = MAXIMUM_PREFILL_WAIT_MILLISECONDS * this.prefillDispatcher.tokensPerMillisecond;
         const room = () => findRoom(request.service, prefillTokens, this.context);
         if (!loadPolicies.of(service).order.mustYield(waiter, room, now)) {
@@ -175,6 +176,7 @@
             logger.info("request yields memory", {
                 request: request.id,
                 urgency,
+                isBeyondShare: waiter.urgency > urgency,
                 tokens,
                 demand: loadPolicies.demand.total(service, now),
                 places: room().places(tokens),
--- a/packages/gateway/decode_queue_test.ts
+++ b/packages/gateway/decode_queue_test.ts
@@ -46,7 +46,7 @@
         serverLimits: { admits: () => true, take: () => () => {} },
         serverSubset: { narrow: (list: unknown) => list },
         engineProtocol: { reserve: () => ({}), parseReservation: () => "h1" },
-        loadPolicies: new LoadPolicies(() => undefined, 1),
+        loadPolicies: new LoadPolicies(() => undefined, () => [], 1),
         metrics: { increment: () => {}, observe: () => {} },
         logger: { info: () => {} },
     } as unknown as GatewayContext;
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -126,7 +126,7 @@
             isTopRanked: (part, count) => this.#context.serverSubset.isTopRanked(part, count),
         });
         this.#rateLimiter = createRateLimiter(usage, settings.bounds);
-        const loadPolicies = createLoadPolicies(shared);
+        const loadPolicies = createLoadPolicies(shared, this.#rateLimiter);
         const reporter = new FleetReporter({
             serverLoads: this.#serverLoads,
             rateLimiter: this.#rateLimiter,
--- a/packages/gateway/shared_usage.ts
+++ b/packages/gateway/shared_usage.ts
@@ -1,7 +1,9 @@
 import type { UsageSummary } from "../peers/mod.ts";
 import { addUnits } from "./_add_units.ts";
+import { admittedWithin } from "./_admitted_within.ts";
 import { computeSilentUsage } from "./_compute_silent_usage.ts";
 import { createUsageSummary } from "./_create_usage_summary.ts";
+import { demandWindowMilliseconds } from "./_demand_window_milliseconds.ts";
 import type { PeerUsage } from "./_peer_usage.ts";
 import { UsageWindows } from "./_usage_windows.ts";
 import type { SharedUsageOptions } from "./shared_usage_options.ts";
@@ -17,8 +19,6 @@
 const UNREPORTED_MILLISECONDS = 500;
 /** Time in milliseconds for which it is remembered which peers' reports count. */
 const MEMBERS_LIFETIME_MILLISECONDS = 5;
-/** Length in milliseconds of the window in which requested units are counted. */
-const DEMAND_WINDOW_MILLISECONDS = 1_000;
 
 /**
  * Counts what all instances together use of limits in a sliding window. Each instance counts its own usage, that which
@@ -37,7 +37,7 @@
  */
 export class SharedUsage {
     readonly #usageWindows: UsageWindows;
-    readonly #requestedUnits = new UsageWindows(DEMAND_WINDOW_MILLISECONDS);
+    readonly #requestedUnits = new UsageWindows(demandWindowMilliseconds);
     readonly #peerReports = new Map<string, PeerUsage>();
     /** Last reported usage of processes that have ended. */
     readonly #endedProcesses = new Map<string, Pick<PeerUsage, "spending" | "at"> & { instance: string; }>();
@@ -64,6 +64,11 @@
         return this.#version;
     }
 
+    /** Last usage by the instances of other cells. */
+    get otherCells(): readonly UsageSummary[] {
+        return this.#cellUsage.usage;
+    }
+
     /**
      * Reports the usage in the window to peers.
      *
@@ -290,8 +295,3 @@
         }
     }
 }
-
-/** Units that an instance may have admitted in a time of which no report has come: everything that was requested. */
-function admittedWithin(requestedPerWindow: number, milliseconds: number): number {
-    return requestedPerWindow * milliseconds / DEMAND_WINDOW_MILLISECONDS;
-}
