--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -3,6 +3,7 @@
 import type { CellState, Peer, PeerReport } from "../peers/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
 import type { EngineSpeeds } from "../speeds/mod.ts";
+import { usedByAll } from "./_used_by_all.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
@@ -135,7 +136,7 @@
         return {
             usage: rateLimiter.summarise(cellInstances),
             serverUsage: serverLimits.usage.summarise(cellInstances),
-            versionOutcomes: Object.keys(this.options.versionOutcomes.totals).length > 0
+            versionOutcomes: Object.keys(usedByAll(this.options.versionOutcomes)).length > 0
                 ? this.options.versionOutcomes.summarise(cellInstances)
                 : [],
             serverLimits: serverLimits.notices(),
--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -57,6 +57,8 @@
     firstStart: z.boolean().default(false),
     /** Longest pause that a server may ask for; a longer one counts as this long. */
     maximumPauseMilliseconds: milliseconds.default(300_000),
+    /** Whether requests are ordered by urgency over all instances where a service's requests have several urgencies. */
+    fleetUrgency: z.boolean().default(false),
     /** Whether a prompt goes to an engine that is expected to keep its beginning where that saves more than the wait costs. */
     promptMemory: z.boolean().default(false),
     /** Whether the speed of each engine is learned and bears on the choice of engines and on their division into stages. */
--- a/packages/gateway/service_rollouts.ts
+++ b/packages/gateway/service_rollouts.ts
@@ -7,6 +7,7 @@
 import { encodeOutcomeKey, ExposureLimit, responseTimeBuckets } from "../rollouts/mod.ts";
 import { parseRolloutState } from "./_parse_rollout_state.ts";
 import { ServiceRollout } from "./_service_rollout.ts";
+import { usedByAll } from "./_used_by_all.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { SharedUsage } from "./shared_usage.ts";
 import type { SharedUsageOptions } from "./shared_usage_options.ts";
@@ -207,7 +208,7 @@
         if (this.#rollouts.size === 0) {
             return;
         }
-        const counts = this.usage.totals;
+        const counts = usedByAll(this.usage);
         for (const [service, rollout] of this.#rollouts) {
             if (this.#canForget(rollout)) {
                 this.#rollouts.delete(service);
--- a/packages/gateway/shared_usage.ts
+++ b/packages/gateway/shared_usage.ts
@@ -3,8 +3,8 @@
 import { admittedWithin } from "./_admitted_within.ts";
 import { computeSilentUsage } from "./_compute_silent_usage.ts";
 import { createUsageSummary } from "./_create_usage_summary.ts";
+import { demandWindowMilliseconds } from "./_demand_window_milliseconds.ts";
 import type { PeerUsage } from "./_peer_usage.ts";
-import { sumSpending } from "./_sum_spending.ts";
 import { UsageWindows } from "./_usage_windows.ts";
 import type { SharedUsageOptions } from "./shared_usage_options.ts";
 import type { SpendingReport } from "./spending_report.ts";
@@ -17,8 +17,6 @@
 const CELL_TRANSIT_MILLISECONDS = 3 * REPORT_TRANSIT_MILLISECONDS;
 /** Time in milliseconds for which an instance that has fallen silent may have gone on after its last report. */
 const UNREPORTED_MILLISECONDS = 500;
-/** Length in milliseconds of the window in which requested units are counted. */
-const DEMAND_WINDOW_MILLISECONDS = 1_000;
 /** Time in milliseconds for which it is remembered which peers' reports count. */
 const MEMBERS_LIFETIME_MILLISECONDS = 5;
 
@@ -39,7 +37,7 @@
  */
 export class SharedUsage {
     readonly #usageWindows: UsageWindows;
-    readonly #requestedUnits = new UsageWindows(DEMAND_WINDOW_MILLISECONDS);
+    readonly #requestedUnits = new UsageWindows(demandWindowMilliseconds);
     readonly #peerReports = new Map<string, PeerUsage>();
     /** Last reported usage of processes that have ended. */
     readonly #endedProcesses = new Map<string, Pick<PeerUsage, "spending" | "at"> & { instance: string; }>();
@@ -66,9 +64,9 @@
         return this.#version;
     }
 
-    /** Units that all known instances have used in the window, by key. */
-    get totals(): Record<string, number> {
-        return sumSpending([...this.summarise(0), ...this.#cellUsage.usage]);
+    /** Last usage by the instances of other cells. */
+    get otherCells(): readonly UsageSummary[] {
+        return this.#cellUsage.usage;
     }
 
     /**
