--- a/packages/backends/on_backend_response.ts
+++ b/packages/backends/on_backend_response.ts
@@ -75,7 +75,7 @@
         headers,
         rawHeaders: response.rawHeaders,
         body: response,
-        wasReset: isFramed(response) ? () => false : watchForReset(response),
+        wasReset: isFramed(response) ? () => false : watchForReset(response, outgoing),
         correlation,
         trailing: () => bytes.trailing(),
         close: () => outgoing.destroy(),
@@ -90,13 +90,14 @@
 
 /**
  * Watches for a reset of the connection at the end of its data. Node reports a reset that arrives with the last bytes
- * as an ordinary end, but the socket then has no remote address any more.
+ * as an ordinary end, but the socket then has no remote address any more. A server that ends its side before it has taken the
+ * whole request may have broken off as well.
  */
-function watchForReset(response: IncomingMessage): () => boolean {
+function watchForReset(response: IncomingMessage, outgoing: ClientRequest): () => boolean {
     const { socket } = response;
     let reset = false;
     socket.prependListener("end", () => {
-        reset = socket.remoteAddress === undefined;
+        reset = socket.remoteAddress === undefined || !outgoing.writableFinished;
     });
     return () => reset || Boolean(socket.errored);
 }
