--- a/packages/gateway/service_rollouts.ts
+++ b/packages/gateway/service_rollouts.ts
@@ -32,10 +32,10 @@
     replica: ItemReplica;
     clock: SuspensionAwareClock;
     settings: () => GatewaySettings;
-    /** Draws the initial credit of this instance, from 0 to 1. Default: at random. */
-    draw?: () => number;
     metrics: Metrics;
     logger: Logger;
+    /** Draws the initial credit of this instance, from 0 to 1. Default: at random. */
+    draw?: () => number;
 }
 
 /**
@@ -219,14 +219,13 @@
             const { verdict } = rollout.judgement;
             if (verdict !== before) {
                 const { version, id } = rollout.order;
-                const exposed = rollout.exposure.exposed;
                 this.options.logger.info("version judged", {
                     service,
                     version,
                     order: id,
                     before,
                     ...rollout.judgement,
-                    exposedHere: exposed,
+                    exposedHere: rollout.exposure.exposed,
                     elapsed: Math.round(rollout.elapsed(this.options.clock.now())),
                 });
             }
