--- a/packages/gateway/prefill_engines_test.ts
+++ b/packages/gateway/prefill_engines_test.ts
@@ -13,6 +13,7 @@
 const [SERVER, OTHER] = SERVERS as [RegisteredServer, RegisteredServer];
 const REQUEST = {
     promptTokens: TOKENS,
+    route: { name: "plans" },
     promptSections: [{ key: "models/a", tokens: TOKENS }],
     service: { name: "models", engine: { memoryTokens: 30_000 } },
 } as unknown as GatewayRequest;
@@ -31,6 +32,10 @@
         availability: { usableServers: () => SERVERS, preferStaying: (list: unknown) => list },
         serverLoads: { get: (id: string) => loads.get(id), admits: () => true },
         serverLimits: { admits: () => true },
+        rollouts: {
+            select: (_service: string, _route: string, list: unknown) => list,
+            alike: (_selected: unknown, list: unknown) => list,
+        },
         serverSubset: { narrow: (list: unknown) => list },
         peerLoadWeight: () => 1,
         engineSpeeds: {
