--- a/packages/operators/_commands.ts
+++ b/packages/operators/_commands.ts
@@ -1,11 +1,18 @@
-import { diffDocuments, type DocumentOperation, hashKey } from "../configuration/mod.ts";
+import { err, ok, type Result } from "neverthrow";
+import { type ConfigurationDocument, diffDocuments, type DocumentOperation, hashKey } from "../configuration/mod.ts";
+import type { Difference } from "../configuration_checks/mod.ts";
 import { createKey } from "./_create_key.ts";
 import { checkFile } from "./check_file.ts";
 import { ExitCode } from "./exit_code.ts";
 import { OperatorClient } from "./operator_client.ts";
 import { readDeclaration } from "./read_declaration.ts";
+import { readDocument } from "./read_document.ts";
 
 const IN_FORCE_TIMEOUT_MILLISECONDS = 5_000;
+/** Names the configuration of the fleet, in place of a file. */
+const IN_FORCE = "in-force";
+
+const CONNECTION_OPTIONS = "--instance ADDRESS and --secret-file FILE";
 
 interface ConnectionOptions {
     instance: string;
@@ -14,12 +21,23 @@
 
 /** Commands of the command line, except `serve`; each returns its exit code. */
 export const commands = {
-    /** Checks a settings or declaration file. */
-    async check(file: string): Promise<number> {
-        const { kind, errors, warnings } = await checkFile(file);
-        warnings.forEach(line => print(`warning: ${line}`));
-        errors.forEach(line => print(`error: ${line}`));
-        print(errors.length === 0 ? `${file}: valid ${kind}` : `${file}: ${errors.length} errors`);
+    /** Checks a settings or declaration file, and compares a declaration with another or with that in force. */
+    async check(
+        file: string,
+        { against, json, ...options }: ConnectionOptions & { against?: string; json?: boolean; },
+    ): Promise<number> {
+        const readCurrent = () => against === IN_FORCE ? readInForce(options) : readDocument(String(against));
+        const result = await checkFile(file, against === undefined ? undefined : readCurrent);
+        const { kind, errors, warnings, differences } = result;
+        if (json) {
+            print(JSON.stringify(result));
+        }
+        else {
+            warnings.forEach(line => print(`warning: ${line}`));
+            errors.forEach(line => print(`error: ${line}`));
+            differences.forEach(difference => print(formatDifference(difference)));
+            print(errors.length === 0 ? `${file}: valid ${kind}` : `${file}: ${errors.length} errors`);
+        }
         return errors.length === 0 ? ExitCode.success : ExitCode.invalid;
     },
 
@@ -110,6 +128,19 @@
     },
 };
 
+async function readInForce(options: ConnectionOptions): Promise<Result<ConfigurationDocument, string[]>> {
+    if (!options.instance || !options["secret-file"]) {
+        return err([`give ${CONNECTION_OPTIONS} to compare with the configuration in force`]);
+    }
+    const client = await OperatorClient.create(options.instance, options["secret-file"]);
+    const current = await client.configuration();
+    client.close();
+    if (current.isErr()) {
+        throw new Error(current.error);
+    }
+    return ok(current.value.document);
+}
+
 async function setDrained(name: string, options: ConnectionOptions, value: object | undefined): Promise<number> {
     return await withClient(options, async client => {
         const current = await client.configuration();
@@ -168,7 +199,7 @@
     run: (client: OperatorClient) => Promise<number>,
 ): Promise<number> {
     if (!options.instance || !options["secret-file"]) {
-        print("error: give --instance ADDRESS and --secret-file FILE");
+        print(`error: give ${CONNECTION_OPTIONS}`);
         return ExitCode.invalid;
     }
     const client = await OperatorClient.create(options.instance, options["secret-file"]);
@@ -190,6 +221,10 @@
     return operation.value === undefined ? `- ${entry}` : `~ ${entry}: ${JSON.stringify(operation.value)}`;
 }
 
+function formatDifference({ path, kind, effects }: Difference): string {
+    return effects.length === 0 ? `${kind}: ${path}` : `${kind}: ${path}: ${effects.join("; ")}`;
+}
+
 function print(line: string): void {
     process.stdout.write(`${line}\n`);
 }
--- a/packages/operators/command_line_test.ts
+++ b/packages/operators/command_line_test.ts
@@ -74,6 +74,25 @@
     expect(output).toMatch(/warning: .*selectors\.lost: selector matches no organisation/);
 });
 
+test("check compares a declaration with another and with the configuration in force", async () => {
+    const current = await writeDocument("current.jsonc", declaration());
+    const changed = declaration();
+    changed.organisations["east"] = { tokensPerSecond: 10, burstTokens: 100, weight: 1, labels: {} };
+    const file = await writeDocument("new.jsonc", changed);
+    const compared = await run("check", file, "--against", current);
+    expect(compared).toMatchObject({ code: 0, output: expect.stringMatching(/^added: organisations\.east$/m) });
+    const { code, output } = await run("check", file, "--against", "in-force", "--json", ...connection);
+    expect(code).toBe(0);
+    expect(JSON.parse(output)).toMatchObject({
+        kind: "declaration",
+        errors: [],
+        warnings: expect.arrayContaining([expect.stringContaining("organisations.east: has no API key")]),
+        differences: [{ path: "organisations.east", kind: "added", effects: [] }],
+    });
+    expect(await run("check", file, "--against", "in-force")).toMatchObject({ code: 1 });
+    expect(await run("check", file, "--against", await writeDocument("broken.jsonc", "{"))).toMatchObject({ code: 1 });
+});
+
 test("apply prints the differences, is idempotent and waits until the version is in force", async () => {
     const changed = declaration();
     changed.organisations["east"] = { tokensPerSecond: 10, burstTokens: 100, weight: 1, labels: {} };
--- a/packages/operators/create_program.ts
+++ b/packages/operators/create_program.ts
@@ -29,7 +29,9 @@
         .action((file: string) => void serve(file, handleSignals()));
     program
         .command("check <file>", "Check a settings or declaration file")
-        .action((file: string) => setExitCode(commands.check(file)));
+        .option("--against", "Declaration file to compare with; in-force: the configuration of the fleet")
+        .option("--json", "Print the result as JSON")
+        .action((file: string, options) => setExitCode(commands.check(file, options)));
     program
         .command("apply <declaration>", "Apply a declaration")
         .option("--dry-run", "Only print the differences")
--- a/packages/operators/read_declaration.ts
+++ b/packages/operators/read_declaration.ts
@@ -1,17 +1,12 @@
 import { err, ok, type Result } from "neverthrow";
 import { readFile } from "node:fs/promises";
-import { checkDeclaration, type Declaration, declarationSchema } from "../configuration/mod.ts";
+import { checkDeclaration, declarationSchema, emptyDocument } from "../configuration/mod.ts";
+import { findContradictoryLimits, type Finding, findUnusedEntries } from "../configuration_checks/mod.ts";
 import { type DocumentError, formatDocumentError, locateField, parseDocument } from "../documents/mod.ts";
+import type { CheckedDeclaration } from "./checked_declaration.ts";
 
 const MAXIMUM_BYTES = 1_000_000;
 
-/** A valid declaration. */
-interface ReadDeclaration {
-    declaration: Declaration;
-    /** One line for each entry that has no effect. */
-    warnings: string[];
-}
-
 /**
  * Reads and checks a declaration file.
  *
@@ -22,7 +17,7 @@
  * const read = await readDeclaration("fleet.jsonc");
  * ```
  */
-export async function readDeclaration(file: string): Promise<Result<ReadDeclaration, string[]>> {
+export async function readDeclaration(file: string): Promise<Result<CheckedDeclaration, string[]>> {
     let text: string;
     try {
         text = await readFile(file, "utf8");
@@ -39,9 +34,11 @@
         return err(parsed.error.map(formatError));
     }
     const { errors, warnings } = checkDeclaration(parsed.value);
-    const formatFinding = (finding: { path: string; message: string; }) => formatError(locateField(text, finding));
+    const formatFinding = (finding: Finding) => formatError(locateField(text, finding));
     if (errors.length > 0) {
         return err(errors.map(formatFinding));
     }
-    return ok({ declaration: parsed.value, warnings: warnings.map(formatFinding) });
+    const document = { ...emptyDocument(), ...parsed.value };
+    const findings = [...warnings, ...findUnusedEntries(document), ...findContradictoryLimits(document)];
+    return ok({ declaration: parsed.value, warnings: findings.map(formatFinding), formatFinding });
 }
