--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -154,7 +154,7 @@
         if (!server) {
             // Later requests must not overtake the first one, which could otherwise wait forever. One that may not
             // use every engine waits while there is room for others.
-            if (waiter.excluded.size === 0 && waiter.softwareVersion === undefined) {
+            if (waiter.excluded.size === 0 && this.#mayUseAnyVersion(waiter)) {
                 blockedServices.add(service);
             }
             return !this.#refuseHopeless(waiter, now);
@@ -283,6 +283,12 @@
         return availability.findRefusal(service, "decode", new Set([...excluded, ...others.map(({ id }) => id)]));
     }
 
+    /** Whether every engine has the software version that a request needs. */
+    #mayUseAnyVersion(waiter: DecodeWaiter): boolean {
+        const { availability } = this.context;
+        return availability.usableServers(waiter.service, "decode").every(server => hasVersion(server, waiter));
+    }
+
     #refuse(waiter: DecodeWaiter): void {
         refuseWaiter(waiter, false, this.context);
     }
--- a/packages/gateway/decode_queue_test.ts
+++ b/packages/gateway/decode_queue_test.ts
@@ -30,17 +30,20 @@
     vi.useRealTimers();
 });
 
-function createQueue(): DecodeQueue {
+function createQueue(versions: Record<string, string> = {}): DecodeQueue {
     loads = new Map([[SILENT, new ServerLoad()], ["full", new ServerLoad()]]);
     loads.forEach((load, id) => {
         load.reservedTokens = id === "full" ? MEMORY_TOKENS : 0;
     });
-    const servers = [...loads.keys()].map(id => ({ id, slots: 8, service: "models", stage: "decode" }));
+    const servers = [...loads.keys()].map(id => {
+        return { id, slots: 8, service: "models", stage: "decode", softwareVersion: versions[id] ?? "v1" };
+    });
     const context = {
         availability: {
             usableServers: () => servers,
             preferStaying: (list: unknown) => list,
             findRefusal: () => undefined,
+            refuseVersion: () => undefined,
         },
         rollouts: {
             select: (_service: string, _route: string, list: unknown) => list,
@@ -95,6 +98,18 @@
     expect(queue.length).toBe(2);
 });
 
+// Guards against streams that callers take up and that lose their place although every engine may continue them.
+test.each<{ name: string; versions: Record<string, string>; tokens: number; waiting: number; }>([
+    { name: "while all engines have its version", versions: {}, tokens: MEMORY_TOKENS + 1, waiting: 2 },
+    { name: "but lets them use other versions", versions: { [SILENT]: "v2" }, tokens: 100, waiting: 1 },
+])("a stream that is taken up is not overtaken $name", async ({ versions, tokens, waiting }) => {
+    queue = createQueue(versions);
+    void queue.acquire(createRequest("taken-up", tokens), new Set(), { softwareVersion: "v1" });
+    void queue.acquire(createRequest("new"), new Set());
+    await vi.advanceTimersByTimeAsync(0);
+    expect(queue.length).toBe(waiting);
+});
+
 // Guards against searches that wait for memory, and may take it, when the silent engine has gone on.
 test("a search leaves the queue once it is no longer wanted", async () => {
     let isWanted = true;
