--- a/packages/backends/answer_memory.ts
+++ b/packages/backends/answer_memory.ts
@@ -1,14 +1,21 @@
 import type { MemoryBudget, MemoryReservation } from "../memory/mod.ts";
 import type { BodyMemory } from "./body_memory.ts";
 
+/** Most bytes that one read of a connection to a server brings before it can be held back. */
+const READ_BYTES = 65_536;
+
 /**
- * Memory of the answers to one request. Short ones fit into what the request holds for them; an answer beyond that is
- * reserved as a whole, so that the request's own memory stays free for the read that arrives while the answer waits.
+ * Memory of the answers to one request. Before it is sent, the first read of its answer is reserved. Short answers fit into that
+ * and into what the request holds for them; an answer beyond that is reserved as a whole, so that the other memory stays
+ * free for the read that arrives while the answer waits.
  *
  * @example
  * ```ts
  * const answers = new AnswerMemory(budget, 8_192);
- * const body = await readResponseBody(response, 1_000, 65_536, answers);
+ * if (await answers.expect(signal)) {
+ *     const body = await readResponseBody(response, 1_000, 65_536, answers);
+ * }
+ * answers.endSends();
  * answers.close();
  * ```
  */
@@ -20,20 +27,45 @@
     /** The part of what is held that is reserved. */
     #reservedBytes = 0;
     readonly #reservations: MemoryReservation[] = [];
+    readonly #firstReads: MemoryReservation[] = [];
 
     /**
      * @param budget The budget.
      * @param ownBytes Bytes of answers that the request's own memory has room for.
+     * @param readBytes Most bytes of an answer that arrive before it can be held back. Default: one read of a connection.
      */
-    constructor(private readonly budget: MemoryBudget, private ownBytes: number) {}
+    constructor(
+        private readonly budget: MemoryBudget,
+        private readonly ownBytes: number,
+        private readonly readBytes = READ_BYTES,
+    ) {}
 
     /**
-     * Adds to what the request's own memory has room for.
+     * Reserves the first read of an answer once there is room.
      *
-     * @param bytes Further bytes.
+     * @param signal Aborts when the request is given up.
+     * @returns Whether the request may be sent; false if the signal aborts first.
      */
-    addOwn(bytes: number): void {
-        this.ownBytes += bytes;
+    async expect(signal: AbortSignal): Promise<boolean> {
+        return this.#addFirstRead(await this.budget.reserve(this.readBytes, "first-read", signal));
+    }
+
+    /**
+     * Reserves the first read of an answer if there is room.
+     *
+     * @returns Whether there is; otherwise the request must not be sent to another server.
+     */
+    tryExpect(): boolean {
+        return this.#addFirstRead(this.budget.tryReserve(this.readBytes, "first-read"));
+    }
+
+    /** Releases what is reserved for first reads and not used. To be called once nothing more is read. */
+    endSends(): void {
+        let unreserved = Math.max(0, this.#heldBytes - this.#reservedBytes - this.ownBytes);
+        for (const firstRead of this.#firstReads) {
+            firstRead.keep(unreserved, "answer");
+            unreserved -= firstRead.bytes;
+        }
     }
 
     /** @inheritdoc */
@@ -74,12 +106,23 @@
             this.#isClosed = true;
             this.#waits?.abort();
             this.#reservations.forEach(reservation => reservation.close());
+            this.#firstReads.forEach(firstRead => firstRead.close());
         }
     }
 
+    #addFirstRead(firstRead: MemoryReservation | undefined): boolean {
+        if (!firstRead || this.#isClosed) {
+            firstRead?.close();
+            return false;
+        }
+        this.#firstReads.push(firstRead);
+        return true;
+    }
+
     #missingBytes(bytes: number): number {
         const total = this.#heldBytes + bytes;
-        return total <= this.ownBytes ? 0 : total - this.#reservedBytes;
+        const unreservedBytes = this.ownBytes + this.#firstReads.length * this.readBytes;
+        return total <= unreservedBytes ? 0 : total - this.#reservedBytes;
     }
 
     #tryReserve(bytes: number): boolean {
--- a/packages/callers/_exchange_memory.ts
+++ b/packages/callers/_exchange_memory.ts
@@ -6,8 +6,6 @@
 const REQUEST_OVERHEAD_BYTES = 32 * 1_024;
 /** Headers are held as received, by name and in the call to a server. */
 const HEADER_COPIES = 3;
-/** Most bytes that one read of a connection to a server brings before it can be held back. */
-const READ_BYTES = 65_536;
 
 /** Memory that one request and its answer hold in the process. */
 export class ExchangeMemory {
@@ -41,15 +39,6 @@
         return this.request.tryGrow(bytes);
     }
 
-    /** Makes room for the first read of a service's answer; without it, the request must not be sent. */
-    tryExpectAnswer(): boolean {
-        if (!this.request.tryGrow(READ_BYTES)) {
-            return false;
-        }
-        this.serviceAnswers.addOwn(READ_BYTES);
-        return true;
-    }
-
     /** Reserves memory for a part of the answer once there is room; returns false if the signal aborts first. */
     async reserveAnswer(bytes: number, signal: AbortSignal): Promise<boolean> {
         const [reservation] = this.#answers;
--- a/packages/callers/service_handler.ts
+++ b/packages/callers/service_handler.ts
@@ -9,6 +9,7 @@
 import { Refusal } from "../verdicts/mod.ts";
 import { callerGone } from "./_caller_gone.ts";
 import type { Exchange } from "./_exchange.ts";
+import { expectAnswer } from "./_expect_answer.ts";
 import { memoryFull } from "./_memory_full.ts";
 import { writeBody } from "./_write_body.ts";
 import type { ServiceHandlerOptions } from "./service_handler_options.ts";
@@ -58,13 +59,14 @@
      * @returns The refusal to send, if any.
      */
     async handle(exchange: Exchange, name: string, route: Route): Promise<Refusal | undefined> {
-        if (!exchange.memory.tryExpectAnswer()) {
-            return memoryFull();
+        if (!await expectAnswer(exchange, route.timeoutMilliseconds)) {
+            return refusalFromSignal(exchange.signal, "not-run") ?? memoryFull();
         }
         this.#retryBudget.recordRequest();
         const response = route.kind === "once-only"
             ? await this.#callAtMostOnce(exchange, name, route)
             : await this.#callWithRetries(exchange, route);
+        exchange.memory.serviceAnswers.endSends();
         if (response instanceof Refusal) {
             return response;
         }
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -4,12 +4,12 @@
 import { filterRawHeaders } from "../headers/mod.ts";
 import { logFailure } from "../logs/mod.ts";
 import type { Verdict } from "../verdicts/mod.ts";
-import { MEMORY_REFUSAL } from "./_memory_refusal.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import { PlainSend } from "./plain_send.ts";
 import { refuseKey } from "./refuse_key.ts";
+import { refuseUnread } from "./refuse_unread.ts";
 import type { SendOutcome } from "./send_outcome.ts";
 import { sendRefusal } from "./send_refusal.ts";
 import { ServerChooser } from "./server_chooser.ts";
@@ -45,10 +45,21 @@
      * @returns Whether the request may have run; resolves once the response was sent.
      */
     async forward(request: GatewayRequest): Promise<Verdict> {
-        if (!request.memory.tryExpectAnswer()) {
-            sendRefusal(request, MEMORY_REFUSAL, this.context);
-            return MEMORY_REFUSAL.verdict;
+        const { answers } = request.memory;
+        if (!await answers.expect(request.signal)) {
+            const isLeaving = request.signal.reason === "shutting-down";
+            refuseUnread(request, isLeaving ? "given-up" : "memory-full", this.context);
+            return "not-run";
         }
+        try {
+            return await this.#sendAndRelay(request);
+        }
+        finally {
+            answers.endSends();
+        }
+    }
+
+    async #sendAndRelay(request: GatewayRequest): Promise<Verdict> {
         const tried = new Set<string>();
         let runs = 0;
         let sends = 0;
@@ -166,7 +177,7 @@
         const server = refuseKey(request.key, this.context)
             ? undefined
             : this.#chooser.choose(service, request.route.name, tried);
-        const maySend = server && request.memory.tryExpectAnswer() && this.context.retryBudget.trySpend(service);
+        const maySend = server && request.memory.answers.tryExpect() && this.context.retryBudget.trySpend(service);
         return maySend ? server : undefined;
     }
 
--- a/packages/gateway/request_memory.ts
+++ b/packages/gateway/request_memory.ts
@@ -5,8 +5,6 @@
 const SHORT_ANSWER_BYTES = 8_192;
 /** Memory in bytes of a request without its head and body: objects, timers, its connection to a server and a short answer. */
 const REQUEST_OVERHEAD_BYTES = 16_384 + SHORT_ANSWER_BYTES;
-/** Most bytes that one read of a connection to a server brings before it can be held back. */
-const READ_BYTES = 65_536;
 
 /**
  * Memory that one request holds, with its head, its body and the answers to it, until its response has ended.
@@ -18,14 +16,15 @@
  * ```
  */
 export class RequestMemory implements BodyMemory {
-    readonly #answers: AnswerMemory;
+    /** Memory of the answers of plain servers beyond short ones. */
+    readonly answers: AnswerMemory;
 
     private constructor(
         private readonly budget: MemoryBudget,
         private readonly request: MemoryReservation,
         private readonly headBytes: number,
     ) {
-        this.#answers = new AnswerMemory(budget, SHORT_ANSWER_BYTES);
+        this.answers = new AnswerMemory(budget, SHORT_ANSWER_BYTES);
     }
 
     /**
@@ -37,7 +36,7 @@
      * @returns Whether it fits.
      */
     static canEverFit(budget: MemoryBudget, headBytes: number, bodyBytes: number): boolean {
-        return REQUEST_OVERHEAD_BYTES + READ_BYTES + headBytes + bodyBytes <= budget.limit("request");
+        return REQUEST_OVERHEAD_BYTES + headBytes + bodyBytes <= budget.limit("request");
     }
 
     /**
@@ -86,32 +85,19 @@
         return RequestMemory.hasRoom(this.budget);
     }
 
-    /**
-     * Makes room for the first read of an answer, which arrives before it can be held back.
-     *
-     * @returns Whether there is room; otherwise the request must not be sent to a server.
-     */
-    tryExpectAnswer(): boolean {
-        if (!this.request.tryGrow(READ_BYTES)) {
-            return false;
-        }
-        this.#answers.addOwn(READ_BYTES);
-        return true;
-    }
-
     /** @inheritdoc */
     tryHold(bytes: number): boolean {
-        return this.#answers.tryHold(bytes);
+        return this.answers.tryHold(bytes);
     }
 
     /** @inheritdoc */
     hold(bytes: number): Promise<boolean> {
-        return this.#answers.hold(bytes);
+        return this.answers.hold(bytes);
     }
 
     /** Releases all of it. Further calls do nothing. */
     close(): void {
         this.request.close();
-        this.#answers.close();
+        this.answers.close();
     }
 }
--- a/packages/memory/memory_budget.ts
+++ b/packages/memory/memory_budget.ts
@@ -1,10 +1,10 @@
 import type { MemoryReservation } from "./memory_reservation.ts";
 import type { MemoryUse } from "./memory_use.ts";
 
-/** Share of the capacity that requests may hold, so that the answers to those accepted have room. */
-const REQUEST_SHARE = 0.7;
-/** Share of the capacity that answers may hold, so that those that are not read leave room for other requests. */
-const ANSWER_SHARE = 0.8;
+/** Shares of the capacity that uses may hold, so that each leaves room for the others; answers include their first reads. */
+const SHARES: Record<MemoryUse, number> = { request: 0.7, answer: 0.8, "first-read": 0.3 };
+/** Share of the capacity that first reads may hold beyond it, so that some calls are under way however much is held. */
+const FIRST_READ_SHARE_BEYOND = 0.02;
 
 /** A call that waits for memory. */
 interface MemoryWaiter {
@@ -26,9 +26,12 @@
  * ```
  */
 export class MemoryBudget {
-    readonly #used: Record<MemoryUse, number> = { request: 0, answer: 0 };
+    readonly #used: Record<MemoryUse, number> = { request: 0, answer: 0, "first-read": 0 };
     readonly #waiters: MemoryWaiter[] = [];
+    /** Those who wait for first reads, before they begin; they come after all who hold something already. */
+    readonly #beginners: MemoryWaiter[] = [];
     #overdrawn = false;
+    #firstReadBytesBeyond = 0;
 
     /**
      * @param capacityBytes Memory in bytes that may be held at once.
@@ -37,7 +40,7 @@
 
     /** Memory in bytes that is held. */
     get usedBytes(): number {
-        return this.#used.request + this.#used.answer;
+        return this.#used.request + this.#answerBytes;
     }
 
     /**
@@ -47,7 +50,7 @@
      * @returns The limit in bytes.
      */
     limit(use: MemoryUse): number {
-        return this.capacityBytes * (use === "request" ? REQUEST_SHARE : ANSWER_SHARE);
+        return this.capacityBytes * SHARES[use];
     }
 
     /**
@@ -58,7 +61,9 @@
      * @returns Whether there is room.
      */
     hasRoom(bytes: number, use: MemoryUse): boolean {
-        return this.usedBytes + bytes <= this.capacityBytes && this.#used[use] + bytes <= this.limit(use);
+        const held = use === "answer" ? this.#answerBytes : this.#used[use];
+        const fits = this.usedBytes + bytes <= this.capacityBytes && held + bytes <= this.limit(use);
+        return fits && (use !== "first-read" || this.#answerBytes + bytes <= this.limit("answer"));
     }
 
     /**
@@ -69,11 +74,15 @@
      * @returns The reservation; undefined if there is no room.
      */
     tryReserve(bytes: number, use: MemoryUse): MemoryReservation | undefined {
+        if (use === "first-read") {
+            return this.#beginners.length === 0 ? this.#tryBegin(bytes) : undefined;
+        }
         return this.hasRoom(bytes, use) ? this.#reserve(bytes, use) : undefined;
     }
 
     /**
-     * Reserves memory once there is room, in the order of the calls.
+     * Reserves memory once there is room, in the order of the calls; those for first reads come last, and some of them get it
+     * however much is held.
      *
      * @param bytes Size in bytes.
      * @param use What the memory is for.
@@ -91,21 +100,23 @@
         signal: AbortSignal,
         { mayOverdraw = false } = {},
     ): Promise<MemoryReservation | undefined> {
-        if (signal.aborted || (bytes > this.limit(use) && !mayOverdraw)) {
+        const isBeginner = use === "first-read";
+        if (signal.aborted || (bytes > this.limit(use) && !mayOverdraw && !isBeginner)) {
             return undefined;
         }
-        const reservation = this.#waiters.length === 0 ? this.tryReserve(bytes, use) : undefined;
+        const queue = isBeginner ? this.#beginners : this.#waiters;
+        const reservation = queue.length === 0 ? this.tryReserve(bytes, use) : undefined;
         if (reservation) {
             return reservation;
         }
         return await new Promise(resolve => {
             const waiter = { bytes, use, mayOverdraw, resolve };
-            this.#waiters.push(waiter);
+            queue.push(waiter);
             this.#wake();
             signal.addEventListener("abort", () => {
-                const index = this.#waiters.indexOf(waiter);
+                const index = queue.indexOf(waiter);
                 if (index >= 0) {
-                    this.#waiters.splice(index, 1);
+                    queue.splice(index, 1);
                     resolve(undefined);
                     this.#wake();
                 }
@@ -113,10 +124,32 @@
         });
     }
 
-    #reserve(size: number, use: MemoryUse, overdraws = false): MemoryReservation {
-        let held = size;
+    /** Bytes of answers, with their first reads. */
+    get #answerBytes(): number {
+        return this.#used.answer + this.#used["first-read"];
+    }
+
+    /** Reserves a first read if there is room for it that nobody waits for, or if few of them are beyond the capacity. */
+    #tryBegin(bytes: number): MemoryReservation | undefined {
+        if (this.#waiters.length === 0 && this.hasRoom(bytes, "first-read")) {
+            return this.#reserve(bytes, "first-read");
+        }
+        const beyond = this.#firstReadBytesBeyond;
+        const mayBegin = beyond === 0 || beyond + bytes <= this.capacityBytes * FIRST_READ_SHARE_BEYOND;
+        return mayBegin ? this.#reserve(bytes, "first-read", true) : undefined;
+    }
+
+    #reserve(size: number, firstUse: MemoryUse, isBeyond = false): MemoryReservation {
+        let held = 0;
+        let use = firstUse;
         let closed = false;
-        this.#used[use] += size;
+        const overdraws = isBeyond && firstUse !== "first-read";
+        const change = (bytes: number) => {
+            held += bytes;
+            this.#used[use] += bytes;
+            this.#firstReadBytesBeyond += isBeyond && use === "first-read" ? bytes : 0;
+        };
+        change(size);
         return {
             get bytes() {
                 return held;
@@ -125,14 +158,21 @@
                 if (closed || !(overdraws || this.hasRoom(bytes, use))) {
                     return false;
                 }
-                held += bytes;
-                this.#used[use] += bytes;
+                change(bytes);
                 return true;
             },
+            keep: (bytes, nextUse) => {
+                const kept = Math.min(bytes, held);
+                change(-held);
+                // What is beyond the capacity would not be bounded under another use.
+                use = isBeyond ? use : nextUse;
+                change(kept);
+                this.#wake();
+            },
             close: () => {
                 if (!closed) {
                     closed = true;
-                    this.#used[use] -= held;
+                    change(-held);
                     this.#overdrawn &&= !overdraws;
                     this.#wake();
                 }
@@ -145,11 +185,19 @@
         for (let next = this.#waiters[0]; next; next = this.#waiters[0]) {
             const overdraws = !this.hasRoom(next.bytes, next.use);
             if (overdraws && (this.#overdrawn || !next.mayOverdraw)) {
-                return;
+                break;
             }
             this.#overdrawn ||= overdraws;
             this.#waiters.shift();
             next.resolve(this.#reserve(next.bytes, next.use, overdraws));
         }
+        for (let next = this.#beginners[0]; next; next = this.#beginners[0]) {
+            const reservation = this.#tryBegin(next.bytes);
+            if (!reservation) {
+                break;
+            }
+            this.#beginners.shift();
+            next.resolve(reservation);
+        }
     }
 }
--- a/packages/memory/memory_budget_test.ts
+++ b/packages/memory/memory_budget_test.ts
@@ -59,6 +59,66 @@
     expect(budget.usedBytes).toBe(900);
 });
 
+// Guards against refusals of calls that have been accepted, and of others while first reads take the room of requests.
+test("first reads wait, and leave requests their share", async () => {
+    const budget = new MemoryBudget(1_000);
+    const { signal } = new AbortController();
+    const read = () => budget.reserve(100, "first-read", signal);
+    const held = await Promise.all([read(), read(), read()]);
+    expect(budget.tryReserve(700, "request")).toBeDefined();
+    // One beyond the capacity.
+    expect(await read()).toBeDefined();
+    const order: string[] = [];
+    const waiting = ["a", "b"].map(name => read().then(() => order.push(name)));
+    expect(budget.tryReserve(100, "first-read")).toBeUndefined();
+    held[0]?.close();
+    held[1]?.keep(40, "answer");
+    expect(budget.usedBytes).toBe(940);
+    held[2]?.close();
+    await waiting[0];
+    expect([budget.usedBytes, order]).toEqual([940, ["a"]]);
+    held[1]?.close();
+    await waiting[1];
+    expect(order).toEqual(["a", "b"]);
+});
+
+// Guards against calls that hold a part of an answer and wait behind some that have not begun, which wait for them.
+test("calls that have not begun hold back none that have", async () => {
+    const budget = new MemoryBudget(1_000);
+    const { signal } = new AbortController();
+    const answer = budget.tryReserve(500, "answer");
+    const reads = [1, 2, 3, 4].map(() => budget.tryReserve(100, "first-read"));
+    expect(reads.every(Boolean)).toBe(true);
+    const order: string[] = [];
+    const beginner = budget.reserve(100, "first-read", signal).then(() => order.push("beginner"));
+    const first = budget.reserve(100, "answer", signal, { mayOverdraw: true });
+    const second = budget.reserve(200, "answer", signal, { mayOverdraw: true }).then(() => order.push("second"));
+    const overdrawn = await first;
+    reads[0]?.close();
+    await Promise.resolve();
+    expect(order).toEqual([]);
+    overdrawn?.close();
+    await second;
+    expect(order).toEqual(["second"]);
+    answer?.close();
+    reads[1]?.close();
+    await beginner;
+});
+
+test("first reads beyond the capacity stay few and do not become answers", () => {
+    const budget = new MemoryBudget(10_000);
+    expect(budget.tryReserve(7_000, "request")).toBeDefined();
+    expect(budget.tryReserve(3_000, "answer")).toBeDefined();
+    const reads = [1, 2, 3].map(() => budget.tryReserve(100, "first-read"));
+    expect(reads.map(Boolean)).toEqual([true, true, false]);
+    reads[0]?.keep(60, "answer");
+    expect(budget.tryReserve(50, "first-read")).toBeUndefined();
+    expect(budget.tryReserve(40, "first-read")).toBeDefined();
+    expect(budget.usedBytes).toBe(10_200);
+    reads.forEach(read => read?.close());
+    expect(budget.usedBytes).toBe(10_040);
+});
+
 test("the budget is never exceeded and never lost", () => {
     const step = fc.record({
         bytes: fc.integer({ min: 0, max: 400 }),
