--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -1,5 +1,5 @@
 import { type BackendFault, readResponseBody } from "../backends/mod.ts";
-import { sleep } from "../clocks/mod.ts";
+import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import { logFailure, type Logger } from "../logs/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
@@ -12,9 +12,13 @@
 const MAXIMUM_RESPONSE_BYTES = 1_024 * 1_024;
 /** Status of a response by another server than the expected one. */
 const ANOTHER_SERVER_STATUS = 421;
-/** Number of further questions after a reset, more than the connections that are usually kept to one engine. */
+/** Number of further questions without an answer, more than the connections that are usually kept to one engine. */
 const MAXIMUM_REPETITIONS = 12;
 const REPETITION_MILLISECONDS = 20;
+/** Longest time in milliseconds for which questions are repeated, since the processor may come late to a process that ends. */
+const REPETITION_LIMIT_MILLISECONDS = 2_000;
+/** Outcomes that leave open whether the engine has ended. */
+const OPEN_OUTCOMES: ReadonlySet<string> = new Set(["reset", "unreachable", "timeout"]);
 /** Time in milliseconds after a probe in which no other one is sent to the same server. */
 const PAUSE_MILLISECONDS = 500;
 
@@ -78,9 +82,15 @@
 
     async #recordEnd(server: RegisteredServer): Promise<void> {
         const { crashRegistry, serverLoads, logger } = this.options;
+        const until = monotonicMilliseconds() + REPETITION_LIMIT_MILLISECONDS;
         let outcome = await this.#ask(server);
-        // A kept connection of an engine that has ended is reset; a new one is refused.
-        for (let repetition = 0; outcome === "reset" && repetition < MAXIMUM_REPETITIONS; repetition++) {
+        // A kept connection of an engine that has ended is reset; a new one is refused. While its process ends, the kernel
+        // still takes connections that nobody answers, and resets them, some before they count as established.
+        for (
+            let repetition = 0;
+            OPEN_OUTCOMES.has(outcome) && repetition < MAXIMUM_REPETITIONS && monotonicMilliseconds() < until;
+            repetition++
+        ) {
             await sleep(REPETITION_MILLISECONDS);
             outcome = await this.#ask(server);
         }
--- a/packages/gateway/server_end_probe_test.ts
+++ b/packages/gateway/server_end_probe_test.ts
@@ -1,11 +1,10 @@
-import { spawn } from "node:child_process";
+import { err } from "neverthrow";
+import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
-import { PassThrough } from "node:stream";
 import { expect, test, vi } from "vitest";
 import { BackendConnectionPool } from "../backends/mod.ts";
 import { sleep } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
-import { createLogger } from "../logs/mod.ts";
 import { ServerEndProbe } from "./server_end_probe.ts";
 
 const SERVER = `
@@ -16,14 +15,43 @@
 server.listen(0, "127.0.0.1", () => console.log(server.address().port));
 `;
 
+/** Number of further questions that a probe may send. */
+const MAXIMUM_REPETITIONS = 12;
+/** Time in milliseconds within which a probe must find out that an engine has ended which resets its kept connections. */
+const FOUND_MILLISECONDS = 400;
+const ASK_MILLISECONDS = 500;
+
+interface ProbeParts {
+    send: (server: RegisteredServer, request: object) => unknown;
+    recordServerEnd?: () => void;
+    onLine?: (message: string, fields: Record<string, unknown> | undefined) => void;
+}
+
+function createProbe({ send, recordServerEnd = () => {}, onLine = () => {} }: ProbeParts): ServerEndProbe {
+    return new ServerEndProbe({
+        serverClient: { send } as never,
+        crashRegistry: { recordServerEnd } as never,
+        serverLoads: { markTerminated: () => {} } as never,
+        headers: { expectedServer: "expect" } as never,
+        engineProtocol: { report: () => ({ method: "GET", path: "/report" }) } as never,
+        logger: { info: onLine, warn: onLine, error: onLine },
+    });
+}
+
+/** Starts an engine as a process. */
+async function startEngine(): Promise<{ child: ChildProcess; address: string; }> {
+    const child = spawn(process.execPath, ["-e", SERVER]);
+    const [port] = await once(child.stdout, "data") as [Buffer];
+    return { child, address: `127.0.0.1:${port.toString().trim()}` };
+}
+
 // Guards against an engine's end that is missed since the probe was sent on a kept connection, which broke as well.
 test("the probe tells that an engine has ended though connections to it were idle", async () => {
     let confirmed = 0;
     const rounds = 10;
-    for (let round = 0; round < rounds; round++) {
-        const child = spawn(process.execPath, ["-e", SERVER]);
-        const [port] = await once(child.stdout, "data") as [Buffer];
-        const address = `127.0.0.1:${port.toString().trim()}`;
+    const outcomes: unknown[] = [];
+    const engines = await Promise.all(Array.from({ length: rounds }, startEngine));
+    for (const { child, address } of engines) {
         const server = { id: "a", address } as RegisteredServer;
         const pool = new BackendConnectionPool();
         const send = (path: string) =>
@@ -32,47 +60,81 @@
         const answers = await Promise.all(["/1", "/2", "/3", "/4"].map(send));
         await Promise.all(answers.map(answer => answer._unsafeUnwrap().body.resume()).map(body => once(body, "end")));
         const run = (await send("/run"))._unsafeUnwrap();
-        const probe = new ServerEndProbe({
-            serverClient: {
-                send: (to: RegisteredServer, request: object) =>
+        // On a busy machine, neither the end of the process nor the outcome of the probe comes within a fixed time.
+        await new Promise<void>(resolve => {
+            const probe = createProbe({
+                send: (to, request) =>
                     pool.send({ ...request as Parameters<typeof pool.send>[0], address: to.address }),
-            } as never,
-            crashRegistry: { recordServerEnd: () => confirmed++ } as never,
-            serverLoads: { markTerminated: () => {} } as never,
-            headers: { expectedServer: "expect" } as never,
-            engineProtocol: { report: () => ({ method: "GET", path: "/report" }) } as never,
-            logger: createLogger("test", new PassThrough().resume()),
+                recordServerEnd: () => confirmed++,
+                onLine: (_message, fields) => {
+                    outcomes.push(fields?.["outcome"]);
+                    setImmediate(resolve);
+                },
+            });
+            run.body.on("close", () => probe.start(server));
+            run.body.resume();
+            child.kill("SIGKILL");
         });
-        run.body.on("close", () => probe.start(server));
-        run.body.resume();
-        child.kill("SIGKILL");
-        await sleep(400);
         pool.close();
     }
+    expect(outcomes).toEqual(engines.map(() => "ended"));
     expect(confirmed).toBe(rounds);
 }, 30_000);
 
+const RESET = { kind: "reset", milliseconds: 0 };
+const REFUSED = { kind: "unreachable", milliseconds: 0, portClosed: true };
+/** A connection that the kernel of an ending process took and reset before it counted as established. */
+const RESET_EARLY = { kind: "unreachable", milliseconds: 0 };
+/** A connection that the kernel of an ending process took, or an answer that came while the router stood still. */
+const UNANSWERED = { kind: "timeout", milliseconds: ASK_MILLISECONDS };
+const CROSSED = { kind: "crossed", milliseconds: 0 };
+
+// Guards against an engine's end that is missed since its process took a while to end, or since the router came late; and
+// against an engine that is taken for ended although no connection to it was refused.
+test.each([
+    { name: "refuses", answers: [REFUSED], isEnded: true, within: 0 },
+    { name: "resets kept connections", answers: [RESET, RESET, RESET, RESET, REFUSED], isEnded: true },
+    { name: "resets an early connection", answers: [RESET_EARLY, REFUSED], isEnded: true },
+    { name: "resets connections of both kinds", answers: [RESET, RESET_EARLY, RESET, REFUSED], isEnded: true },
+    { name: "lets one question pass", answers: [UNANSWERED, REFUSED], isEnded: true, within: 600 },
+    { name: "never answers", answers: Array(20).fill(UNANSWERED), isEnded: false, within: 2_600 },
+    { name: "resets all connections", answers: Array(20).fill(RESET), isEnded: false },
+    { name: "resets all early connections", answers: Array(20).fill(RESET_EARLY), isEnded: false },
+    { name: "gives another's answer", answers: [CROSSED, REFUSED], isEnded: false },
+])("an engine that $name counts as ended: $isEnded", async ({ answers, isEnded, within = FOUND_MILLISECONDS }) => {
+    vi.useFakeTimers();
+    let asked = 0;
+    let ended = 0;
+    let probedAfter = Number.POSITIVE_INFINITY;
+    const startedAt = performance.now();
+    const probe = createProbe({
+        send: async () => {
+            const { milliseconds, ...fault } = answers[asked++] ?? RESET;
+            await sleep(milliseconds);
+            return err({ portClosed: false, ...fault });
+        },
+        recordServerEnd: () => ended++,
+        onLine: () => probedAfter = performance.now() - startedAt,
+    });
+    probe.start({ id: "a", address: "127.0.0.1:9" } as RegisteredServer);
+    await vi.advanceTimersByTimeAsync(10_000);
+    vi.useRealTimers();
+    expect(ended).toBe(isEnded ? 1 : 0);
+    expect(probedAfter).toBeLessThanOrEqual(within);
+    expect(asked).toBeLessThanOrEqual(isEnded ? answers.length : MAXIMUM_REPETITIONS + 1);
+});
+
 // Guards against a server whose end is never noticed again since an error has ended a probe of it.
 test("a probe that fails is logged and the server can be probed again", async () => {
     vi.useFakeTimers();
     const errors: string[] = [];
     let asked = 0;
-    const probe = new ServerEndProbe({
-        serverClient: {
-            send: () => {
-                asked++;
-                return Promise.reject(new Error("The probe cannot be sent"));
-            },
-        } as never,
-        crashRegistry: {} as never,
-        serverLoads: {} as never,
-        headers: { expectedServer: "expect" } as never,
-        engineProtocol: { report: () => ({ method: "GET", path: "/report" }) } as never,
-        logger: {
-            info: () => {},
-            warn: () => {},
-            error: (message, fields) => errors.push(`${message} ${fields?.["server"]}`),
+    const probe = createProbe({
+        send: () => {
+            asked++;
+            return Promise.reject(new Error("The probe cannot be sent"));
         },
+        onLine: (message, fields) => errors.push(`${message} ${String(fields?.["server"])}`),
     });
     for (let attempt = 0; attempt < 2; attempt++) {
         probe.start({ id: "a", address: "127.0.0.1:9" } as RegisteredServer);
