--- a/packages/backends/backend_connection_pool.ts
+++ b/packages/backends/backend_connection_pool.ts
@@ -1,5 +1,6 @@
 import { err, ok, type Result } from "neverthrow";
 import { type ClientRequest, type IncomingMessage, request as startRequest } from "node:http";
+import { pollConnections } from "../connections/mod.ts";
 import { parseAddress } from "../instances/mod.ts";
 import { BackendAgent } from "./_backend_agent.ts";
 import type { BackendFault } from "./backend_fault.ts";
@@ -51,12 +52,19 @@
             let settled = false;
             let received: IncomingMessage | undefined;
             const abort = () => fail("aborted", "The request was given up");
-            const connectTimer = setTimeout(() => {
-                if (!connected) {
+            // After a standstill of the process, timers come before what has arrived meanwhile.
+            const connectTimer = setTimeout(async () => {
+                await pollConnections();
+                if (!connected && !settled) {
                     fail("unreachable", "The connection was not established in time");
                 }
             }, CONNECT_TIMEOUT_MILLISECONDS);
-            const responseTimer = setTimeout(() => fail("timeout", "No answer in time"), request.timeoutMilliseconds);
+            const responseTimer = setTimeout(async () => {
+                await pollConnections();
+                if (!settled) {
+                    fail("timeout", "No answer in time");
+                }
+            }, request.timeoutMilliseconds);
             const settle = () => {
                 settled = true;
                 clearTimeout(connectTimer);
--- a/packages/backends/backend_connection_pool_test.ts
+++ b/packages/backends/backend_connection_pool_test.ts
@@ -1,7 +1,18 @@
+import { spawn } from "node:child_process";
+import { once } from "node:events";
 import { afterAll, expect, test } from "vitest";
+import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { BackendConnectionPool } from "./backend_connection_pool.ts";
 
 const RESPONSE_TIMEOUT_MILLISECONDS = 500;
+/** Time in milliseconds for which this process stands still, in which the server's answer arrives. */
+const STANDSTILL_MILLISECONDS = 1_500;
+const SERVER = `
+const server = require("node:http").createServer(({ url }, response) => {
+    if (url === "/soon") { setTimeout(() => response.end("answer"), 100); }
+});
+server.listen(0, "127.0.0.1", () => console.log(server.address().port));
+`;
 
 const pool = new BackendConnectionPool();
 
@@ -24,3 +35,32 @@
     });
     expect(response._unsafeUnwrapErr()).toMatchObject({ kind: "unreachable", verdict: "not-run", portClosed: false });
 });
+
+// Guards against answers that are given up although they have arrived while the process stood still, since timers come first
+// in a turn of the event loop; and against requests that are never given up.
+test.each([
+    { path: "/soon", expected: "200" },
+    { path: "/never", expected: "timeout may-have-run" },
+])(
+    "after a standstill longer than its time-out, a request of $path ends with $expected",
+    async ({ path, expected }) => {
+        const child = spawn(process.execPath, ["-e", SERVER]);
+        const [port] = await once(child.stdout, "data") as [Buffer];
+        const address = `127.0.0.1:${port.toString().trim()}`;
+        const options = { address, method: "GET", headers: ["Host", address], timeoutMilliseconds: 5_000 };
+        // Leaves a connection, so that the request is sent before the standstill.
+        const first = (await pool.send({ ...options, path: "/soon" }))._unsafeUnwrap();
+        await once(first.body.resume(), "end");
+        const sent = pool.send({ ...options, path, timeoutMilliseconds: RESPONSE_TIMEOUT_MILLISECONDS });
+        await new Promise(resolve => setImmediate(resolve));
+        const until = monotonicMilliseconds() + STANDSTILL_MILLISECONDS;
+        while (monotonicMilliseconds() < until) {
+            // Nothing is polled meanwhile.
+        }
+        const outcome = await sent;
+        child.kill();
+        expect(outcome.match(({ status }) => String(status), ({ kind, verdict }) => `${kind} ${verdict}`)).toBe(
+            expected,
+        );
+    },
+);
--- a/packages/backends/read_response_body.ts
+++ b/packages/backends/read_response_body.ts
@@ -1,3 +1,4 @@
+import { pollConnections } from "../connections/mod.ts";
 import { PieceCollector } from "../memory/mod.ts";
 import type { BackendResponse } from "./backend_response.ts";
 import type { BodyMemory } from "./body_memory.ts";
@@ -26,7 +27,9 @@
     return new Promise(resolve => {
         const pieces = new PieceCollector();
         let isWaiting = false;
+        let isFinished = false;
         const finish = (body: Buffer | undefined) => {
+            isFinished = true;
             clearTimeout(timer);
             if (body === undefined) {
                 pieces.clear();
@@ -34,7 +37,13 @@
             }
             resolve(body);
         };
-        const timer = setTimeout(() => finish(undefined), timeoutMilliseconds);
+        const timer = setTimeout(async () => {
+            // After a standstill of the process, timers come before what has arrived meanwhile.
+            await pollConnections();
+            if (!isFinished) {
+                finish(undefined);
+            }
+        }, timeoutMilliseconds);
         response.body.on("data", (chunk: Buffer) => {
             if (pieces.length + chunk.length > maximumBytes) {
                 finish(undefined);
--- a/packages/backends/read_response_body_test.ts
+++ b/packages/backends/read_response_body_test.ts
@@ -1,5 +1,6 @@
 import { PassThrough } from "node:stream";
 import { expect, test } from "vitest";
+import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { BackendResponse } from "./backend_response.ts";
 import { readResponseBody } from "./read_response_body.ts";
 
@@ -7,7 +8,7 @@
 const MAXIMUM_BYTES = 1_000_000;
 
 /** A response that has been received as a whole, and memory that has room for its first part. */
-function receive() {
+function receive(timeoutMilliseconds = TIMEOUT_MILLISECONDS) {
     const body = Object.assign(new PassThrough(), { complete: true });
     const response = {
         status: 200,
@@ -28,7 +29,7 @@
             return new Promise<boolean>(resolve => giveRoom = resolve);
         },
     };
-    const received = readResponseBody(response, TIMEOUT_MILLISECONDS, MAXIMUM_BYTES, memory);
+    const received = readResponseBody(response, timeoutMilliseconds, MAXIMUM_BYTES, memory);
     body.write("one ");
     body.write("second ");
     setImmediate(() => body.end("end"));
@@ -63,3 +64,24 @@
     expect(await received).toBeUndefined();
     expect(body.destroyed).toBe(true);
 });
+
+// Guards against answers that are cut although they have arrived while the process stood still, since timers come first in a
+// turn of the event loop.
+test("a body that has arrived during a standstill longer than its time-out is read", async () => {
+    const { received, waits, giveRoom } = receive(20);
+    await untilWaiting(waits);
+    const until = monotonicMilliseconds() + 100;
+    while (monotonicMilliseconds() < until) {
+        // Nothing is polled meanwhile.
+    }
+    // Stands for the poll, which follows the timers.
+    setImmediate(() => giveRoom(true));
+    expect((await received)?.toString("utf8")).toBe("one second end");
+});
+
+// Guards against bodies that are awaited without an end.
+test("a body that does not arrive in time counts as incomplete, and its connection is closed", async () => {
+    const { body, received } = receive(20);
+    expect(await received).toBeUndefined();
+    expect(body.destroyed).toBe(true);
+});
