--- a/packages/instances/instance_client.ts
+++ b/packages/instances/instance_client.ts
@@ -111,6 +111,11 @@
         }
     }
 
+    /** Whether a connection stands. */
+    get isConnected(): boolean {
+        return this.#connection !== undefined && this.#socket?.readyState === "open";
+    }
+
     /** Closes the connection; calls in progress fail. */
     close(): void {
         this.#closed = true;
--- a/packages/instances/instance_pool.ts
+++ b/packages/instances/instance_pool.ts
@@ -155,6 +155,16 @@
         this.#closeClient(target);
     }
 
+    /**
+     * Returns whether a connection to an instance stands.
+     *
+     * @param target The instance.
+     * @returns Whether it does.
+     */
+    isConnected(target: Target): boolean {
+        return this.#clients.get(instanceId(target))?.isConnected ?? false;
+    }
+
     /** Closes every connection. */
     close(): void {
         for (const client of this.#clients.values()) {
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -1,7 +1,5 @@
-import * as z from "zod";
 import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
 import { InstancePool, InstanceServer } from "../instances/mod.ts";
-import { logFailure } from "../logs/mod.ts";
 import { type ItemChange, positionOf, type ReplicaUpdate } from "../replica/mod.ts";
 import { mergeLeaving } from "./_merge_leaving.ts";
 import { mergeLimits } from "./_merge_limits.ts";
@@ -14,6 +12,7 @@
 import { MemberList } from "./member_list.ts";
 import type { Peer } from "./peer.ts";
 import type { PeerMeshOptions } from "./peer_mesh_options.ts";
+import { PeerProbes } from "./peer_probes.ts";
 import type { PeerReport } from "./peer_report.ts";
 import { peerReportSchema } from "./peer_report_schema.ts";
 import { Registration } from "./registration.ts";
@@ -29,11 +28,6 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Time after which a report is sent even if nothing has changed. */
 const FORCED_REPORT_MILLISECONDS = 500;
-/** Shortest time between two probes of a peer. */
-const MINIMUM_PROBE_PERIOD_MILLISECONDS = 500;
-/** Maximum probes that one instance sends in a second. */
-const PROBES_PER_SECOND = 12;
-const PROBE_TIMEOUT_MILLISECONDS = 1_000;
 /** Age in milliseconds of a report above which it is left out of the state of the cell. */
 const REPORT_LIFETIME_MILLISECONDS = 1_500;
 
@@ -60,10 +54,8 @@
     #reportTask: PeriodicTask | undefined;
     #forcedReportAt = 0;
     #lastReportSentAt = 0;
-    #probeTask: PeriodicTask | undefined;
     #removal: EndedMateRemoval | undefined;
-    #probesDue = 0;
-    #nextProbe = 0;
+    readonly #probes: PeerProbes;
     #closed = false;
 
     /**
@@ -78,9 +70,16 @@
             const { name, incarnation, address, failureDomain, readsStore } = report;
             this.#members.recordReport({ name, incarnation, address, failureDomain }, readsStore);
             this.#reports.set(name, { report, at: monotonicMilliseconds() });
+            this.#probes.proofs.record(report);
             options.onReport(report);
         });
-        this.#server.handle("peers.probe", z.object({}), async () => ({}));
+        this.#probes = new PeerProbes({
+            ...options,
+            pool: this.#pool,
+            server: this.#server,
+            members: this.#members,
+            periodMilliseconds: TASK_PERIOD_MILLISECONDS,
+        });
         this.#exchange = new ReplicaExchange({
             ...options,
             pool: this.#pool,
@@ -163,10 +162,14 @@
         this.#registration = new Registration(store, KEY_PREFIX + self.name, JSON.stringify(self), logger);
         const onError = (error: unknown) => logger.error("peer task failed", { error: String(error) });
         this.#reportTask = new PeriodicTask(TASK_PERIOD_MILLISECONDS, async () => {
-            this.#sendReport();
-            this.#cells.step();
+            try {
+                this.#sendReport();
+                this.#cells.step();
+            }
+            finally {
+                this.#probes.step(this.#probed());
+            }
         }, onError);
-        this.#probeTask = new PeriodicTask(TASK_PERIOD_MILLISECONDS, async () => this.#sendProbes(), onError);
         this.#removal = new EndedMateRemoval({
             ...this.options,
             keyPrefix: KEY_PREFIX,
@@ -190,7 +193,6 @@
         await Promise.all([
             this.#registration?.close(),
             this.#reportTask?.close(),
-            this.#probeTask?.close(),
             this.#removal?.close(),
             this.#exchange.close(),
         ]);
@@ -266,35 +268,13 @@
         }
         this.#lastReportSentAt = now;
         this.#forcedReportAt = force ? now : this.#forcedReportAt;
-        const report = { ...this.options.self, ...reportFields };
+        const proofs = force ? this.#probes.proofs.createFields(this.#probed()) : {};
+        const report = { ...this.options.self, ...reportFields, ...proofs };
         this.#pool.broadcast(peers.map(({ peer }) => peer), "peers.report", report);
     }
 
-    /** Probes peers in turn, so that a connection that no longer delivers data is detected. */
-    #sendProbes(): void {
-        const peers = [...this.#mates().map(({ peer }) => peer), ...this.#cells.targets()];
-        const probesPerSecond = Math.min(
-            PROBES_PER_SECOND,
-            peers.length * MILLISECONDS_PER_SECOND / MINIMUM_PROBE_PERIOD_MILLISECONDS,
-        );
-        this.#probesDue += probesPerSecond * TASK_PERIOD_MILLISECONDS / MILLISECONDS_PER_SECOND;
-        for (; this.#probesDue >= 1; this.#probesDue--) {
-            const peer = peers[this.#nextProbe++ % Math.max(1, peers.length)];
-            if (peer) {
-                this.#probePeer(peer).catch(logFailure(this.options.logger, "peer probe failed", { peer: peer.name }));
-            }
-        }
-    }
-
-    async #probePeer(peer: Peer): Promise<void> {
-        const response = await this.#pool.call(peer, "peers.probe", {}, PROBE_TIMEOUT_MILLISECONDS);
-        if (response.isErr()) {
-            this.#members.suspect(peer.name);
-        }
-        if (response.isErr() && response.error.kind === "timeout") {
-            this.options.logger.warn("peer does not answer", { peer: peer.name });
-            this.options.metrics.increment("peer_timeouts_total");
-            this.#pool.disconnect(peer);
-        }
+    /** The peers that this instance sends messages to without being asked. */
+    #probed(): Peer[] {
+        return [...this.#mates().map(({ peer }) => peer), ...this.#cells.targets()];
     }
 }
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -10,6 +10,10 @@
 export const peerReportSchema = peerSchema.extend({
     /** Whether the instance's last read of the store succeeded. */
     readsStore: z.boolean(),
+    /** Monotonic time of the sender in milliseconds, in reports whose arrival is to be proven. */
+    sentAt: z.number().optional(),
+    /** By incarnation of a receiver: `sentAt` of its last such report that has arrived. */
+    arrived: z.record(z.string(), z.number()).optional(),
     /** By server: requests, reserved tokens and prefill tokens in progress, recent failures and recent successes. */
     loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number(), z.number(), z.number()])),
     /** Engines that are changing their stage by this instance's order. */
