--- a/packages/operators/main.ts
+++ b/packages/operators/main.ts
@@ -1,4 +1,4 @@
-import { ProcessEnd, ProcessSignals } from "../processes/mod.ts";
+import { ProcessEnd, ProcessSignals, skipWebAssemblyOptimizer } from "../processes/mod.ts";
 
 const FAILED_LOAD_EXIT_CODE = 4;
 
@@ -9,6 +9,7 @@
 async function main(): Promise<void> {
     // A router handles signals before the rest of the program is loaded; the other commands leave them at their default.
     const signals = process.argv[2] === "serve" ? handleSignals() : undefined;
+    skipWebAssemblyOptimizer();
     const { runProgram } = await import("./run_program.ts");
     runProgram(process.argv, () => signals ?? handleSignals());
 }
--- a/packages/processes/mod.ts
+++ b/packages/processes/mod.ts
@@ -2,4 +2,5 @@
 export { describeError } from "./describe_error.ts";
 export { ProcessEnd } from "./process_end.ts";
 export { ProcessSignals } from "./process_signals.ts";
+export { skipWebAssemblyOptimizer } from "./skip_web_assembly_optimizer.ts";
 export { UncaughtErrors } from "./uncaught_errors.ts";
--- a/tools/bundle.mjs
+++ b/tools/bundle.mjs
@@ -38,6 +38,12 @@
     ]);
 }
 
+/**
+ * Options that shorten a program, whose source a process holds in memory. Names stay, for the stacks of errors; `keepNames`
+ * would define them anew for each closure that the program creates.
+ */
+const SHORTENING_OPTIONS = { minifyWhitespace: true, minifySyntax: true };
+
 /** Options of the router's bundles in `dist/`. */
 async function createOptions() {
     const { version } = JSON.parse(await readFile("package.json", "utf8"));
@@ -50,6 +56,7 @@
     await Promise.all([
         bundleInTwoFiles("laburnumslip", {
             ...options,
+            ...SHORTENING_OPTIONS,
             entry: "packages/operators/main.ts",
             program: "packages/operators/run_program.ts",
         }),
@@ -62,6 +69,7 @@
     await build({
         ...COMMON_OPTIONS,
         ...await createOptions(),
+        ...SHORTENING_OPTIONS,
         entryPoints: { embedded: "packages/operators/main.ts" },
     });
 }
@@ -72,9 +80,7 @@
         entry: "platform/main.ts",
         program: "platform/run_instance.ts",
         outdir: "target",
-        // Names stay, for the stacks of errors; `keepNames` would define them anew for each closure that the program creates.
-        minifyWhitespace: true,
-        minifySyntax: true,
+        ...SHORTENING_OPTIONS,
     });
 }
 
