--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -4,7 +4,9 @@
 import { speedReportSchema } from "../speeds/mod.ts";
 import { peerSchema } from "./peer_schema.ts";
 import { serverLimitNoticeSchema } from "./server_limit_notice_schema.ts";
+import { serverLoadsSchema } from "./server_loads_schema.ts";
 import { spendingReportSchema } from "./spending_report_schema.ts";
+import { unitsSchema } from "./units_schema.ts";
 
 /** Schema of an instance's report on itself to its peers. */
 export const peerReportSchema = peerSchema.extend({
@@ -13,9 +15,9 @@
     /** Monotonic time of the sender in milliseconds, in reports whose arrival is to be proven. */
     sentAt: z.number().optional(),
     /** By incarnation of a receiver: `sentAt` of its last such report that has arrived. */
-    arrived: z.record(z.string(), z.number()).optional(),
+    arrived: unitsSchema.optional(),
     /** By server: requests, reserved tokens and prefill tokens in progress, recent failures and recent successes. */
-    loads: z.record(z.string(), z.tuple([z.number(), z.number(), z.number(), z.number(), z.number()])),
+    loads: serverLoadsSchema,
     /** Engines that are changing their stage by this instance's order. */
     changing: z.array(z.string()).max(1_024),
     /** Servers at whose addresses other servers respond. */
