--- a/packages/peers/_is_record_of.ts
+++ b/packages/peers/_is_record_of.ts
@@ -1,4 +1,4 @@
 /** Returns whether a value that JSON text contained is an object with only such values. */
 export function isRecordOf(value: unknown, isValue: (value: unknown) => boolean): boolean {
-    return typeof value === "object" && Boolean(value) && !Array.isArray(value) && Object.values(value).every(isValue);
+    return typeof value === "object" && !!value && !Array.isArray(value) && Object.values(value).every(isValue);
 }
