--- a/packages/gateway/create_server_access.ts
+++ b/packages/gateway/create_server_access.ts
@@ -6,6 +6,7 @@
 import { PromptMemory } from "../prompt_memory/mod.ts";
 import type { ItemReplica } from "../replica/mod.ts";
 import { EngineSpeeds } from "../speeds/mod.ts";
+import { StageWork } from "../stages/mod.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { LeavingServers } from "./leaving_servers.ts";
@@ -50,7 +51,14 @@
     options: ServerAccessOptions,
 ): Pick<
     GatewayContext,
-    "availability" | "engineSpeeds" | "leavingServers" | "promptMemory" | "rollouts" | "serverClient" | "serverLimits"
+    | "availability"
+    | "engineSpeeds"
+    | "leavingServers"
+    | "promptMemory"
+    | "rollouts"
+    | "serverClient"
+    | "serverLimits"
+    | "stageWork"
 > {
     const { connectionPool, headers, directory, serverLoads, settings, metrics, logger } = options;
     const leavingServers = new LeavingServers({
@@ -73,6 +81,7 @@
     return {
         engineSpeeds,
         promptMemory,
+        stageWork: settings().measuredStages ? new StageWork() : undefined,
         serverLimits,
         leavingServers,
         rollouts: new ServiceRollouts({ ...options, ...options.usage }),
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -3,6 +3,7 @@
 import type { CellState, Peer, PeerReport } from "../peers/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
 import type { EngineSpeeds } from "../speeds/mod.ts";
+import type { StageWork } from "../stages/mod.ts";
 import { usedByAll } from "./_used_by_all.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
@@ -28,6 +29,7 @@
     leavingServers: LeavingServers;
     serverLimits: ServerLimits;
     engineSpeeds: EngineSpeeds;
+    stageWork: StageWork | undefined;
     /** Outcomes of requests while roll-outs last. */
     versionOutcomes: SharedUsage;
     /** Undefined before the instance has started. */
@@ -84,7 +86,8 @@
             // Left out of the message where it is undefined.
             speeds: this.options.engineSpeeds.report(),
         };
-        const demand = loadPolicies.demand.report(monotonicMilliseconds());
+        const now = monotonicMilliseconds();
+        const demand = loadPolicies.demand.report(now);
         const waiting = Object.values(demand ?? {}).flat().map(([, requests]) => requests);
         // The ages in the reports on prompt parts and limits change all the time, so their versions are compared; so
         // do the rates in the demand.
@@ -102,7 +105,17 @@
         this.#lastReport = serialised;
         const limits = { serverUsage, serverLimits: serverLimits.notices() };
         const outcomes = hasOutcomes(versionOutcomes) ? { versionOutcomes } : {};
-        return { ...state, ...usage, ...limits, ...outcomes, promptParts: promptParts.createReport(), demand };
+        // Changes with age alone, so it causes no report.
+        const stageWork = this.options.stageWork?.report(now);
+        return {
+            ...state,
+            ...usage,
+            ...limits,
+            ...outcomes,
+            promptParts: promptParts.createReport(),
+            demand,
+            stageWork,
+        };
     }
 
     /**
@@ -115,7 +128,9 @@
         serverLoads.setPeerLoads(report.name, report.loads);
         this.options.engineSpeeds.applyReport(report.name, report.speeds);
         this.#applyServerStates(report);
-        loadPolicies.demand.recordPeer(report.name, report.demand, monotonicMilliseconds());
+        const now = monotonicMilliseconds();
+        loadPolicies.demand.recordPeer(report.name, report.demand, now);
+        this.options.stageWork?.applyReport(report.name, report.stageWork, now);
         rateLimiter.recordPeerReport(report.name, report.incarnation, report);
         if (report.serverUsage) {
             serverLimits.usage.recordPeerReport(report.name, report.incarnation, report.serverUsage);
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -7,6 +7,7 @@
 import type { PromptMemory } from "../prompt_memory/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
 import type { EngineSpeeds } from "../speeds/mod.ts";
+import type { StageWork } from "../stages/mod.ts";
 import type { StreamVersions } from "../stream_versions/mod.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { DirectoryUpdater } from "./directory_updater.ts";
@@ -50,6 +51,8 @@
     engineSpeeds: EngineSpeeds;
     /** What engines are expected to keep of prompts; undefined if the settings turn it off. */
     promptMemory: PromptMemory | undefined;
+    /** Engine time that requests take in each stage; undefined if the settings turn it off. */
+    stageWork: StageWork | undefined;
     retryBudget: RetryBudget;
     crashRegistry: CrashRegistry;
     /** Parts of prompts that crash servers. */
--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -63,6 +63,8 @@
     promptMemory: z.boolean().default(false),
     /** Whether the speed of each engine is learned and bears on the choice of engines and on their division into stages. */
     engineSpeeds: z.boolean().default(false),
+    /** Whether engines are divided into stages by the measured engine time of prefills and runs. */
+    measuredStages: z.boolean().default(false),
     /** Memory limit of the process. */
     memoryMegabytes: z.number().min(memoryMegabytes.least).default(memoryMegabytes.default),
     /** Limit of the process's file descriptors, files included; without it, the limit that the system has set. */
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -217,6 +217,12 @@
             rollouts.record(server, routeName, milliseconds);
             load.recordSuccess();
             this.#engines.learn({ server, request, saving, queuedTokens, idle, milliseconds });
+            const { promptTokens, service } = request;
+            this.context.stageWork?.recordPrefill(
+                service.name,
+                { promptTokens, milliseconds, isIdle: idle },
+                monotonicMilliseconds(),
+            );
             return ok(handle);
         }
         finally {
--- a/packages/gateway/stage_balancer.ts
+++ b/packages/gateway/stage_balancer.ts
@@ -1,4 +1,4 @@
-import { PeriodicTask } from "../clocks/mod.ts";
+import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
 import type { Leadership } from "../coordination/mod.ts";
 import type { EngineStage, RegisteredServer } from "../directory/mod.ts";
 import { EngineClient } from "./engine_client.ts";
@@ -126,7 +126,7 @@
             const load = this.#sample(service.name, servers, service.engine.memoryTokens);
             const fence = this.leadership.fence();
             if (fence !== undefined) {
-                await this.#balance(servers, load, fence);
+                await this.#balance(service.name, servers, load, fence);
             }
         }
     }
@@ -156,7 +156,12 @@
         return load;
     }
 
-    async #balance(servers: RegisteredServer[], load: ServiceLoad, fence: number): Promise<void> {
+    async #balance(
+        service: string,
+        servers: RegisteredServer[],
+        load: ServiceLoad,
+        fence: number,
+    ): Promise<void> {
         // Removes the changes that have ended.
         this.changing();
         const now = this.context.clock.now();
@@ -168,6 +173,7 @@
             prefillTokens,
             decodeUtilisation,
             speeds: this.#sumSpeeds(servers, prefillEngines),
+            prefillFraction: this.#prefillFraction(service),
         };
         const stage = load.planner.next(division, now);
         if (!stage || now - load.orderedAt <= this.#orderPause(load)) {
@@ -178,7 +184,17 @@
             server.stage === currentStage && !this.#changing.has(server.id)
             && this.context.availability.isUsable(server)
         );
-        await this.#changeOne(candidates, stage, load, fence);
+        const chosen = this.#selectEngines(candidates, load.planner.countAtOnce(division, stage));
+        if (chosen.length > 0) {
+            load.orderedAt = now;
+            this.context.logger.info("division of engines changes", {
+                service,
+                stage,
+                count: chosen.length,
+                ...division,
+            });
+            await Promise.all(chosen.map(server => this.#order(server, stage, fence)));
+        }
     }
 
     #sumSpeeds(
@@ -199,23 +215,29 @@
         return this.#changing.get(server.id)?.stage ?? server.stage;
     }
 
-    async #changeOne(
-        candidates: RegisteredServer[],
-        stage: EngineStage,
-        load: ServiceLoad,
-        fence: number,
-    ): Promise<void> {
-        const server = this.#selectEngine(candidates);
-        if (server) {
-            load.orderedAt = this.context.clock.now();
-            await this.#order(server, stage, fence);
-        }
+    #prefillFraction(service: string): number | "not-measured-yet" | undefined {
+        const { stageWork } = this.context;
+        return stageWork && (stageWork.prefillFraction(service, monotonicMilliseconds()) ?? "not-measured-yet");
     }
 
     #orderPause(load: ServiceLoad): number {
         return load.decodeUtilisation === 0 ? SAMPLE_PERIOD_MILLISECONDS : ORDER_PAUSE_MILLISECONDS;
     }
 
+    #selectEngines(candidates: readonly RegisteredServer[], count: number): RegisteredServer[] {
+        const left = [...candidates];
+        const chosen: RegisteredServer[] = [];
+        while (chosen.length < count) {
+            const server = this.#selectEngine(left);
+            if (!server) {
+                break;
+            }
+            left.splice(left.indexOf(server), 1);
+            chosen.push(server);
+        }
+        return chosen;
+    }
+
     #selectEngine(servers: RegisteredServer[]): RegisteredServer | undefined {
         const enginesByDomain = new Map<string, number>();
         for (const { failureDomain } of servers) {
--- a/packages/gateway/stage_planner.ts
+++ b/packages/gateway/stage_planner.ts
@@ -12,6 +12,8 @@
 const SUSTAINED_MILLISECONDS = 5_000;
 /** Time in milliseconds for which a change must be needed without load, since engines register one by one. */
 const IDLE_SUSTAINED_MILLISECONDS = 1_500;
+/** Decode memory utilisation that the engines which stay at decode may reach if several change at once. */
+const SPARED_UTILISATION = 0.5;
 /** Surplus of prefill engines that is tolerated under load, since an engine is unavailable for seconds in a change. */
 const TOLERATED_SURPLUS_ENGINES = 0.7;
 
@@ -36,6 +38,8 @@
     decodeUtilisation: number;
     /** Default: all engines are equally fast. */
     speeds?: StageSpeeds;
+    /** Fraction of the engine time that prefills take. Default: it is not measured, and the usual one counts. */
+    prefillFraction?: number | "not-measured-yet" | undefined;
 }
 
 /**
@@ -71,23 +75,50 @@
             ? this.#neededChange.stage
             : undefined;
     }
+
+    /**
+     * Counts the engines that may change at once. More than one changes only towards prefill, for a measured lack, and only
+     * as many as leave the other decode engines with memory to spare while the change lasts.
+     *
+     * @param division The division and the load.
+     * @param stage The stage to change to.
+     * @returns The number of engines, at least 1.
+     */
+    countAtOnce(division: StageDivision, stage: EngineStage): number {
+        const { engines, prefillEngines, decodeUtilisation, prefillFraction, speeds } = division;
+        if (stage === "decode" || typeof prefillFraction !== "number") {
+            return 1;
+        }
+        const lacking = Math.round(prefillFraction * (speeds?.all ?? engines) - (speeds?.prefill ?? prefillEngines));
+        const decodeEngines = engines - prefillEngines;
+        const spare = Math.floor(decodeEngines - decodeEngines * decodeUtilisation / SPARED_UTILISATION);
+        return Math.max(1, Math.min(lacking, spare, decodeEngines - 1));
+    }
 }
 
 function computeNeededChange(division: StageDivision): EngineStage | undefined {
-    const { engines, prefillEngines, prefillTokens, decodeUtilisation } = division;
+    const { engines, prefillEngines, prefillTokens, decodeUtilisation, prefillFraction } = division;
     const speeds = division.speeds ?? { all: engines, prefill: prefillEngines, fastestPrefill: 1 };
     const isIdle = decodeUtilisation < IDLE_UTILISATION;
+    if (prefillFraction === "not-measured-yet") {
+        // The operator's division stands until the traffic is known.
+        return prefillEngines === 0 && engines > 1 ? "prefill" : undefined;
+    }
     // Speeds are known only from runs.
-    const unroundedTarget = PREFILL_FRACTION * (isIdle ? engines : speeds.all);
+    const unroundedTarget = (prefillFraction ?? PREFILL_FRACTION) * (isIdle ? engines : speeds.all);
     const target = Math.min(engines - 1, Math.max(1, Math.round(unroundedTarget)));
-    if (isIdle) {
+    // A measured fraction varies, which without load is worth no order.
+    if (isIdle && prefillFraction === undefined) {
         return prefillEngines === target ? undefined : prefillEngines > target ? "decode" : "prefill";
     }
     const overloaded = prefillTokens / Math.max(1, speeds.prefill) > OVERLOAD_TOKENS
         && decodeUtilisation < BUSY_UTILISATION;
     // No change makes the opposite one needed, however fast the engine is that changes.
     const least = unroundedTarget - TOLERATED_LACK_ENGINES;
-    const isLacking = prefillEngines < Math.min(1, target) || speeds.prefill < Math.min(target - 0.5, least);
+    const isShort = speeds.prefill < Math.min(target - 0.5, least);
+    // A measured lack waits for a calm moment: a change would cost answers more than it gains prompts.
+    const mayWait = prefillFraction !== undefined && decodeUtilisation >= BUSY_UTILISATION;
+    const isLacking = prefillEngines < Math.min(1, target) || (isShort && !mayWait);
     if ((isLacking || overloaded) && prefillEngines < engines - 1) {
         return "prefill";
     }
--- a/packages/gateway/stage_planner_test.ts
+++ b/packages/gateway/stage_planner_test.ts
@@ -88,3 +88,40 @@
         expect([undefined, first]).toContain(needed());
     }
 });
+
+const CALM = { ...BUSY, decodeUtilisation: 0.3 };
+
+test.each(
+    [
+        ["the operator's division before traffic", { ...IDLE, prefillFraction: "not-measured-yet" }, 6, []],
+        ["no prefill engine before traffic", { ...IDLE, prefillFraction: "not-measured-yet" }, 0, ["prefill"]],
+        ["prompts that take a third of the time", { ...BUSY, prefillFraction: 0.35 }, 6, []],
+        ["more prompts than prefill engines", { ...CALM, prefillFraction: 0.45 }, 6, ["prefill"]],
+        ["more prompts in a burst, decode engines busy", { ...BUSY, prefillFraction: 0.45 }, 6, []],
+        ["longer answers than decode engines", { ...BUSY, prefillFraction: 0.2 }, 6, ["decode"]],
+        ["few answers while decode memory is free", { ...CALM, prefillFraction: 0.2 }, 6, []],
+        ["a fraction that varies without traffic", { ...IDLE, prefillFraction: 0.2 }, 6, []],
+    ] as const,
+)("the measured engine time decides: %s", (_, load, prefillEngines, expected) => {
+    const division = { engines: 17, prefillEngines, ...load };
+    expect([...new Set(simulate(8_000, () => division))]).toEqual(expected);
+});
+
+test.each(
+    [
+        ["a lack of four while decode engines are mostly free", "prefill", 0.1, 0.6, 4],
+        ["a lack of four while decode engines can spare two", "prefill", 0.4, 0.6, 2],
+        ["a lack of four while decode engines are busy", "prefill", 0.9, 0.6, 1],
+        ["prompts that wait without a measured lack", "prefill", 0.1, undefined, 1],
+        ["a surplus of prefill engines", "decode", 0.9, 0.2, 1],
+    ] as const,
+)("several engines change at once only where decode has room: %s", (_, stage, utilisation, fraction, count) => {
+    const division = {
+        engines: 16,
+        prefillEngines: 6,
+        prefillTokens: 30_000,
+        decodeUtilisation: utilisation,
+        prefillFraction: fraction,
+    };
+    expect(new StagePlanner().countAtOnce(division, stage)).toBe(count);
+});
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -219,7 +219,8 @@
             };
             const startedAt = monotonicMilliseconds();
             const outcome = await this.#decodePass.run(run, recordEvent).finally(endLocalPrefill);
-            recordPass(request, reservation, outcome, monotonicMilliseconds() - startedAt, this.context);
+            const milliseconds = monotonicMilliseconds() - startedAt;
+            recordPass(request, reservation, outcome, milliseconds, prefilled.isOk(), this.context);
             evidence.recordOutcome(outcome);
             return this.#applyOutcome(outcome, prefilled.unwrapOr(undefined), reservation, progress);
         }
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -2,6 +2,7 @@
 import { demandReportSchema } from "../decisions/mod.ts";
 import { createEmptyReport, promptPartReportSchema } from "../prompt_parts/mod.ts";
 import { speedReportSchema } from "../speeds/mod.ts";
+import { stageWorkReportSchema } from "../stages/mod.ts";
 import { peerSchema } from "./peer_schema.ts";
 import { serverLimitNoticeSchema } from "./server_limit_notice_schema.ts";
 import { serverLoadsSchema } from "./server_loads_schema.ts";
@@ -40,4 +41,6 @@
     demand: demandReportSchema.optional(),
     /** Engines whose speed differs from the others'; undefined if there is none. */
     speeds: speedReportSchema.optional(),
+    /** Engine time of the instance's requests by stage; undefined unless engines are divided by it. */
+    stageWork: stageWorkReportSchema.optional(),
 });
