Say in the log how an answer of a plain server was framed and how long it was

Cause: the line `request sent to a server` told neither, so that a reset after the end of an answer without a length, a second answer on a kept connection and an orderly end in the middle could not be told apart from the logs.

Change: `framing` and `answerBytes` of each answer. No decision depends on them. A response that has no body (HEAD, 204, 304) no longer counts as one that ends with its connection.

--- a/packages/backends/backend_response.ts
+++ b/packages/backends/backend_response.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { BackendRequest } from "./backend_request.ts";
+import type { BodyFraming } from "./body_framing.ts";
 
 /** A response whose headers have arrived and whose body has not been read yet. */
 export interface BackendResponse {
@@ -9,6 +10,8 @@
     /** Alternating names and values, as received. */
     rawHeaders: string[];
     body: IncomingMessage;
+    /** What ends the body. */
+    framing: BodyFraming;
     /** Returns whether a body without a length was truncated by a connection reset. */
     wasReset: () => boolean;
     /** Header and value with which the server names the request that it responds to. */
--- a/packages/backends/mod.ts
+++ b/packages/backends/mod.ts
@@ -4,6 +4,7 @@
 export type { BackendFault } from "./backend_fault.ts";
 export type { BackendRequest } from "./backend_request.ts";
 export type { BackendResponse } from "./backend_response.ts";
+export type { BodyFraming } from "./body_framing.ts";
 export type { BodyMemory } from "./body_memory.ts";
 export { hasStrayBytes } from "./has_stray_bytes.ts";
 export { isResponseComplete } from "./is_response_complete.ts";
--- a/packages/backends/on_backend_response.ts
+++ b/packages/backends/on_backend_response.ts
@@ -1,4 +1,5 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
+import { findBodyFraming } from "./_find_body_framing.ts";
 import { ResponseBytes } from "./_response_bytes.ts";
 import type { BackendRequest } from "./backend_request.ts";
 import type { BackendResponse } from "./backend_response.ts";
@@ -9,9 +10,6 @@
 /** Interim responses to one request, beyond which the final one is not waited for. */
 const MAXIMUM_INTERIM_RESPONSES = 100;
 
-/** A body ends with its connection if its last transfer coding is another one. */
-const CHUNKED = /(^|[,\s])chunked\s*$/i;
-
 /**
  * Waits for the response to a request that has just been started, and watches what else arrives on its connection.
  *
@@ -70,24 +68,20 @@
             response.socket.destroy();
         }
     });
+    const framing = findBodyFraming(response, outgoing.method);
     return {
         status: response.statusCode ?? 0,
         headers,
         rawHeaders: response.rawHeaders,
         body: response,
-        wasReset: isFramed(response) ? () => false : watchForReset(response, outgoing),
+        framing,
+        wasReset: framing === "connection" ? watchForReset(response, outgoing) : () => false,
         correlation,
         trailing: () => bytes.trailing(),
         close: () => outgoing.destroy(),
     };
 }
 
-/** Whether the headers of a response determine where its body ends. */
-function isFramed(response: IncomingMessage): boolean {
-    const isChunked = CHUNKED.test(response.headers["transfer-encoding"] ?? "");
-    return response.headers["content-length"] !== undefined || isChunked;
-}
-
 /**
  * Watches for a reset of the connection at the end of its data. Node reports a reset that arrives with the last bytes
  * as an ordinary end, but the socket then has no remote address any more. A server that ends its side before it has taken the
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -166,6 +166,8 @@
             send,
             outcome: outcome.kind === "answered" ? outcome.response.status : outcome.kind,
             cause: outcome.kind === "answered" ? undefined : outcome.message,
+            framing: outcome.kind === "answered" ? outcome.response.framing : undefined,
+            answerBytes: outcome.kind === "answered" ? outcome.body.length : undefined,
             afterMilliseconds: Math.round(monotonicMilliseconds() - request.receivedAt),
             ...this.context.directoryUpdater.logFields(),
         });
