Wait for a reset after the end of an answer that ends with its connection

Callers got a part of an answer as the whole, with a length of the router's own: a server that broke off had ended its side before it reset the connection.

Change: for answers without a length or chunks only, this side stays open for 100 ms after the end; a connection that has been reset meanwhile has no remote address any more. Then the answer did not end in order: 502, may have run, or another try where that is allowed; a stream goes on elsewhere or ends as broken. It holds for the platform's program and the stand-alone router, which share the code, and doesn't depend on how late the event loop is, since the kernel is asked.

Cost: an answer without a length takes 100 ms longer.

--- /dev/null
+++ b/packages/backends/_watch_for_reset.ts
@@ -0,0 +1,35 @@
+import type { ClientRequest, IncomingMessage } from "node:http";
+import { takeEndListeners } from "../connections/mod.ts";
+
+/** Time in milliseconds for which a reset of the connection after its end is waited for. */
+const RESET_WAIT_MILLISECONDS = 100;
+
+/**
+ * Watches for a reset of a connection whose end is the end of a response. A server that breaks off may end its side before it
+ * resets the connection, so the response ends only once no reset has followed. Until then this side stays open: the kernel
+ * forgets a connection that both sides have closed, and a reset of it as well.
+ *
+ * @returns A function that tells, after the end of the response, whether the connection was reset.
+ */
+export function watchForReset(response: IncomingMessage, outgoing: ClientRequest): () => boolean {
+    const { socket } = response;
+    let reset = false;
+    const listeners = takeEndListeners(socket);
+    const endResponse = () => {
+        // Node tells of no reset that arrives with the last bytes or after them, but the socket has no remote address then.
+        reset ||= socket.remoteAddress === undefined;
+        listeners.forEach(listener => listener.call(socket));
+    };
+    socket.allowHalfOpen = true;
+    socket.once("end", () => {
+        // A server that ends its side before it has taken the whole request may have broken off as well.
+        reset = !outgoing.writableFinished;
+        if (reset) {
+            endResponse();
+            return;
+        }
+        const timer = setTimeout(endResponse, RESET_WAIT_MILLISECONDS);
+        socket.once("close", () => clearTimeout(timer));
+    });
+    return () => reset || Boolean(socket.errored);
+}
--- a/packages/backends/on_backend_response.ts
+++ b/packages/backends/on_backend_response.ts
@@ -1,6 +1,7 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { findBodyFraming } from "./_find_body_framing.ts";
 import { ResponseBytes } from "./_response_bytes.ts";
+import { watchForReset } from "./_watch_for_reset.ts";
 import type { BackendRequest } from "./backend_request.ts";
 import type { BackendResponse } from "./backend_response.ts";
 
@@ -81,17 +82,3 @@
         close: () => outgoing.destroy(),
     };
 }
-
-/**
- * Watches for a reset of the connection at the end of its data. Node reports a reset that arrives with the last bytes
- * as an ordinary end, but the socket then has no remote address any more. A server that ends its side before it has taken the
- * whole request may have broken off as well.
- */
-function watchForReset(response: IncomingMessage, outgoing: ClientRequest): () => boolean {
-    const { socket } = response;
-    let reset = false;
-    socket.prependListener("end", () => {
-        reset = socket.remoteAddress === undefined || !outgoing.writableFinished;
-    });
-    return () => reset || Boolean(socket.errored);
-}
--- a/packages/connections/mod.ts
+++ b/packages/connections/mod.ts
@@ -6,3 +6,4 @@
 export type { IdleConnections } from "./idle_connections.ts";
 export { pollConnections } from "./poll_connections.ts";
 export { readDescriptorLimit } from "./read_descriptor_limit.ts";
+export { takeEndListeners } from "./take_end_listeners.ts";
--- a/packages/pipelining/_pipelined_connection.ts
+++ b/packages/pipelining/_pipelined_connection.ts
@@ -1,6 +1,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { takeEndListeners } from "../connections/mod.ts";
 import type { MemoryReservation } from "../memory/mod.ts";
 import type { ConnectionOptions } from "./_connection_options.ts";
 import { DiscardedInput } from "./_discarded_input.ts";
@@ -9,7 +10,6 @@
 import { isStopped } from "./_is_stopped.ts";
 import { LimitReport } from "./_limit_report.ts";
 import { readBeforeClose } from "./_read_before_close.ts";
-import { takeEndListeners } from "./_take_end_listeners.ts";
 import type { InputRefusal } from "./input_refusal.ts";
 
 /** Bytes of a connection that wait for their turn, from which it is not read. Below it, its close is noticed. */
