Take an answer without a length as whole only after its connection ended in order

Cause: Node.js finishes the parser of a response whenever its socket closes, also if this process has closed it; an answer that ends with its connection then counts as complete. The watch for resets told of resets only. So a request that was given up (its deadline, the end of the instance), a pool that was closed, and a close of the response made a whole answer of what had arrived, before its end and during the wait after it.

Change: such an answer is whole only if the end of its connection was seen and no reset followed; every other close leaves a part.

--- a/packages/backends/_watch_for_reset.ts
+++ b/packages/backends/_watch_for_reset.ts
@@ -9,27 +9,29 @@
  * resets the connection, so the response ends only once no reset has followed. Until then this side stays open: the kernel
  * forgets a connection that both sides have closed, and a reset of it as well.
  *
- * @returns A function that tells, after the end of the response, whether the connection was reset.
+ * @returns A function that tells, after the end of the response, whether its connection did not end in order: it was reset, or
+ *     this side closed it before.
  */
 export function watchForReset(response: IncomingMessage, outgoing: ClientRequest): () => boolean {
     const { socket } = response;
-    let reset = false;
+    // Node takes any close of the connection for the end of the response, also one by this process.
+    let endedInOrder = false;
     const listeners = takeEndListeners(socket);
-    const endResponse = () => {
-        // Node tells of no reset that arrives with the last bytes or after them, but the socket has no remote address then.
-        reset ||= socket.remoteAddress === undefined;
-        listeners.forEach(listener => listener.call(socket));
-    };
+    const endResponse = () => listeners.forEach(listener => listener.call(socket));
     socket.allowHalfOpen = true;
     socket.once("end", () => {
         // A server that ends its side before it has taken the whole request may have broken off as well.
-        reset = !outgoing.writableFinished;
-        if (reset) {
+        if (!outgoing.writableFinished) {
             endResponse();
             return;
         }
-        const timer = setTimeout(endResponse, RESET_WAIT_MILLISECONDS);
+        const timer = setTimeout(() => {
+            // Node tells of no reset that arrives with the last bytes or after them, but the socket has no remote address then.
+            // It keeps an address once asked for, so nothing may ask before.
+            endedInOrder = socket.remoteAddress !== undefined;
+            endResponse();
+        }, RESET_WAIT_MILLISECONDS);
         socket.once("close", () => clearTimeout(timer));
     });
-    return () => reset || Boolean(socket.errored);
+    return () => !endedInOrder || Boolean(socket.errored);
 }
--- a/packages/backends/backend_response.ts
+++ b/packages/backends/backend_response.ts
@@ -12,7 +12,7 @@
     body: IncomingMessage;
     /** What ends the body. */
     framing: BodyFraming;
-    /** Returns whether a body without a length was truncated by a connection reset. */
+    /** Returns whether the connection of a body without a length was reset, or closed by this side, before it ended in order. */
     wasReset: () => boolean;
     /** Header and value with which the server names the request that it responds to. */
     correlation: BackendRequest["correlation"];
