Read all headers of a server's response to tell what ends its body

A server whose response had more than 1,000 short headers before its length ended the process, on: "Cannot read properties of null (reading 'res')", uncaught, once it closed the kept connection.

Cause: Node.js drops headers of a response beyond 1,000, whereas its parser goes by all of them. The length dropped, the response seemed to end with its connection; since such a connection is left half open and its end is handled as that of the response, but this one was kept and had no request any more.

Change: no bound on the number of headers; their bytes are bounded by Node.js (16 kB).

--- a/packages/backends/on_backend_response.ts
+++ b/packages/backends/on_backend_response.ts
@@ -31,6 +31,8 @@
     listener: (response: BackendResponse) => void,
     refuse: (reason: string) => void,
 ): void {
+    // Node drops headers beyond a number, also those that tell what ends the body. Their bytes are bounded all the same.
+    outgoing.maxHeadersCount = 0;
     const bytes = new ResponseBytes(outgoing);
     let interimResponses = 0;
     outgoing.on("information", () => {
--- a/packages/backends/untrusted_response_test.ts
+++ b/packages/backends/untrusted_response_test.ts
@@ -35,11 +35,8 @@
     return `127.0.0.1:${typeof address === "object" ? address?.port : 0}`;
 }
 
-async function call(
-    address: string,
-    id: string,
-): Promise<{ status: number; body: string | undefined; fault?: string; }> {
-    const response = await pool.send({
+function send(address: string, id: string): ReturnType<BackendConnectionPool["send"]> {
+    return pool.send({
         address,
         method: "GET",
         path: "/",
@@ -47,6 +44,13 @@
         timeoutMilliseconds: RESPONSE_TIMEOUT_MILLISECONDS,
         correlation: { header: "x-id", value: id },
     });
+}
+
+async function call(
+    address: string,
+    id: string,
+): Promise<{ status: number; body: string | undefined; fault?: string; }> {
+    const response = await send(address, id);
     if (response.isErr()) {
         return { status: 0, body: undefined, fault: response.error.kind };
     }
@@ -209,3 +213,25 @@
     await sleep(50);
     expect(sockets.size).toBe(1);
 });
+
+const MANY_HEADERS = Array.from({ length: 1_500 }, (_, index) => `h${index}: a\r\n`).join("");
+
+// Guards against the end of a kept connection that ends the process, since its response seemed to end with the connection.
+test.each([
+    ["length", "Content-Length: 4\r\n", "body"],
+    ["length, on a connection that is closed", "Connection: close\r\nContent-Length: 4\r\n", "body"],
+    ["chunked", "Transfer-Encoding: chunked\r\n", "4\r\nbody\r\n0\r\n\r\n"],
+])("what ends the body is read behind any number of headers: %s", async (name, field, bytes) => {
+    const address = await listen((socket, request) => {
+        socket.write(`HTTP/1.1 200 OK\r\nX-Id: ${request}\r\n${MANY_HEADERS}${field}\r\n${bytes}`);
+    });
+    for (const id of ["1", "2"]) {
+        const response = (await send(address, id))._unsafeUnwrap();
+        expect(response.framing).toBe(name.split(",")[0]);
+        expect((await readResponseBody(response, RESPONSE_TIMEOUT_MILLISECONDS, MAXIMUM_BODY_BYTES))?.toString()).toBe(
+            "body",
+        );
+        sockets.forEach(socket => socket.end());
+        await expect.poll(() => sockets.size, { timeout: 2_000 }).toBe(0);
+    }
+});
