--- a/packages/services/reset_after_end_test.ts
+++ b/packages/services/reset_after_end_test.ts
@@ -59,6 +59,7 @@
 const FRAMINGS = [
     ["without a length", "", PART],
     ["with another coding than chunks", "Transfer-Encoding: gzip\r\n", PART],
+    ["with another coding that ends like chunks", "Transfer-Encoding: gzip chunked\r\n", PART],
     ["with a length", "Content-Length: 100\r\n", PART],
     ["in chunks", "Transfer-Encoding: chunked\r\n", `${PART.length.toString(16)}\r\n${PART}\r\n`],
 ] as const;
