Keep the wait for a reset out of servers' response times

Servers whose answers end with their connection counted as 100 ms slower than they are, and a version that answers so could be rolled back for it.

Cause: the time of an answer was taken once its body had ended, which since is 100 ms after the server's end. Found by the review, by reading.

Change: a response tells by how much its end follows that of the server, and the times of loads and of roll-outs leave it out.

What remains: a call of that kind holds its place and memory 100 ms longer.

--- a/packages/backends/_watch_for_reset.ts
+++ b/packages/backends/_watch_for_reset.ts
@@ -1,8 +1,6 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { takeEndListeners } from "../connections/mod.ts";
-
-/** Time in milliseconds for which a reset of the connection after its end is waited for. */
-const RESET_WAIT_MILLISECONDS = 100;
+import { RESET_WAIT_MILLISECONDS } from "./_reset_wait_milliseconds.ts";
 
 /**
  * Watches for a reset of a connection whose end is the end of a response. A server that breaks off may end its side before it
--- a/packages/backends/backend_response.ts
+++ b/packages/backends/backend_response.ts
@@ -12,6 +12,8 @@
     body: IncomingMessage;
     /** What ends the body. */
     framing: BodyFraming;
+    /** Time in milliseconds by which the end of the body follows the end of what the server has sent. */
+    endWaitMilliseconds: number;
     /** Returns whether the connection of a body without a length was reset, or closed by this side, before it ended in order. */
     wasReset: () => boolean;
     /** Header and value with which the server names the request that it responds to. */
--- a/packages/backends/on_backend_response.ts
+++ b/packages/backends/on_backend_response.ts
@@ -1,5 +1,6 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
 import { findBodyFraming } from "./_find_body_framing.ts";
+import { RESET_WAIT_MILLISECONDS } from "./_reset_wait_milliseconds.ts";
 import { ResponseBytes } from "./_response_bytes.ts";
 import { watchForReset } from "./_watch_for_reset.ts";
 import type { BackendRequest } from "./backend_request.ts";
@@ -78,6 +79,7 @@
         rawHeaders: response.rawHeaders,
         body: response,
         framing,
+        endWaitMilliseconds: framing === "connection" ? RESET_WAIT_MILLISECONDS : 0,
         wasReset: framing === "connection" ? watchForReset(response, outgoing) : () => false,
         correlation,
         trailing: () => bytes.trailing(),
--- a/packages/gateway/plain_send.ts
+++ b/packages/gateway/plain_send.ts
@@ -94,6 +94,7 @@
                 MAXIMUM_RESPONSE_BYTES,
                 request.memory,
             );
+            const responseTime = monotonicMilliseconds() - startedAt - response.value.endWaitMilliseconds;
             if (status === 421 || response.value.headers[headers.notRun] !== undefined) {
                 if (status === 421) {
                     serverLoads.markTerminated(server.id);
@@ -105,7 +106,7 @@
                 return { kind: "not-run", message: `The server answered with status ${status}` };
             }
             const isValid = body && (status >= 300 || isSignedUnencoded(response.value, headers.signature));
-            rollouts.recordAnswer(server, route, status, isValid ? monotonicMilliseconds() - startedAt : undefined);
+            rollouts.recordAnswer(server, route, status, isValid ? responseTime : undefined);
             if (!body) {
                 recordFailure();
                 return { kind: "may-have-run", message: "The server's answer broke off" };
@@ -121,7 +122,7 @@
                 if (!watch?.isSlow) {
                     load.recordSuccess();
                 }
-                load.recordResponseTime(monotonicMilliseconds() - startedAt);
+                load.recordResponseTime(responseTime);
             }
             return { kind: "answered", response: response.value, body, isDoubtful: hasStrayBytes(response.value) };
         }
--- a/packages/services/reset_after_end_test.ts
+++ b/packages/services/reset_after_end_test.ts
@@ -77,6 +77,7 @@
     }
 });
 
+// Guards against whole answers that are lost to the wait for a reset.
 test("an answer without a length is whole where no reset follows its end", async () => {
     const address = await listen(`HTTP/1.1 200 OK\r\n\r\n${PART}`, undefined);
     for (const upload of UPLOADS) {
