--- a/packages/harness/mod.ts
+++ b/packages/harness/mod.ts
@@ -15,5 +15,6 @@
 export { PortBlock } from "./port_block.ts";
 export { RawServer } from "./raw_server.ts";
 export { sendRequest } from "./send_request.ts";
+export { sendSmallChunks } from "./send_small_chunks.ts";
 export { uncaughtErrorPreload } from "./uncaught_error_preload.ts";
 export { unfinishedBodies } from "./unfinished_bodies.ts";
