Keep what is due of a request's body in a class of its own

Change: CurrentRequest knows the request whose head was parsed last, and takes its body; no change of behaviour.

--- a/packages/pipelining/_pipelined_connection.ts
+++ b/packages/pipelining/_pipelined_connection.ts
@@ -3,8 +3,8 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { takeEndListeners } from "../connections/mod.ts";
 import type { MemoryReservation } from "../memory/mod.ts";
-import { ChunkMerger } from "./_chunk_merger.ts";
 import type { ConnectionOptions } from "./_connection_options.ts";
+import { CurrentRequest } from "./_current_request.ts";
 import { DiscardedInput } from "./_discarded_input.ts";
 import { IncompleteHead } from "./_incomplete_head.ts";
 import { InputMemory } from "./_input_memory.ts";
@@ -24,14 +24,9 @@
     #waiting: Buffer = EMPTY;
     readonly #memory: InputMemory;
     #unanswered = 0;
-    /** The last request whose head was parsed; undefined once it is whole and answered, since its head takes memory. */
-    #current: IncomingMessage | undefined;
+    readonly #current = new CurrentRequest();
     /** The response to the last request; undefined once it has ended. */
     #lastResponse: ServerResponse | undefined;
-    /** Bytes of its body that are still due; 0 if its length is not declared. */
-    #bodyBytesDue = 0;
-    /** Follows its body; undefined if that has no chunks. */
-    #chunks: ChunkMerger | undefined;
     readonly #head: IncompleteHead;
     /** Whether the head that arrived last has become a request, or the end of its bytes was parsed. */
     #headEnded = false;
@@ -80,7 +75,7 @@
 
     /** Whether bytes wait that follow the last request whose head was parsed. */
     get hasFurtherRequest(): boolean {
-        return this.#current?.headers["transfer-encoding"] === undefined && this.#waiting.length > this.#bodyBytesDue;
+        return this.#current.isFollowed(this.#waiting.length);
     }
 
     /** Has a function called once the whole input has been parsed. */
@@ -103,18 +98,14 @@
     begin(incoming: IncomingMessage, response: ServerResponse): void {
         this.#hasServed = true;
         this.#unanswered++;
-        this.#current = incoming;
+        this.#current.begin(incoming);
         this.#lastResponse = response;
         this.#headEnded = true;
-        // The parser refuses a body with another encoding than chunks.
-        const hasChunks = incoming.headers["transfer-encoding"] !== undefined;
-        this.#chunks = hasChunks ? new ChunkMerger() : undefined;
-        this.#bodyBytesDue = hasChunks ? 0 : Number(incoming.headers["content-length"] ?? 0);
         response.on("close", () => {
             this.#unanswered--;
             this.#idleSince = monotonicMilliseconds();
             this.#lastResponse = this.#lastResponse === response ? undefined : this.#lastResponse;
-            this.#forget(incoming);
+            this.#current.forget(incoming);
             this.#goOn();
         });
     }
@@ -126,7 +117,7 @@
 
     /** Whether bytes have been read that are no whole request yet. */
     get isArriving(): boolean {
-        return this.#waiting.length > 0 || this.#head.isArriving || this.#isBodyUnderWay();
+        return this.#waiting.length > 0 || this.#head.isArriving || this.#current.isBodyUnderWay;
     }
 
     get #awaitsRequest(): boolean {
@@ -141,15 +132,6 @@
         }
     }
 
-    #forget(incoming: IncomingMessage): void {
-        if (!incoming.complete) {
-            incoming.once("end", () => this.#forget(incoming));
-        }
-        else if (this.#current === incoming) {
-            this.#current = undefined;
-        }
-    }
-
     readonly #receive = (chunk: Buffer): void => {
         this.options.readBuffers.count(chunk);
         if (this.#discarded.hasBegun) {
@@ -194,7 +176,7 @@
         finally {
             this.#advancing = false;
         }
-        if (this.#endsInput && !this.#discarded.hasBegun && !this.#isBodyUnderWay()) {
+        if (this.#endsInput && !this.#discarded.hasBegun && !this.#current.isBodyUnderWay) {
             this.#discard();
         }
         this.#limitReport.update(this.#waiting.length > 0, () => !this.#mayParse());
@@ -225,8 +207,8 @@
     }
 
     #mayParse(): boolean {
-        if (this.#isBodyUnderWay() || this.#endsInput) {
-            return this.#isBodyUnderWay();
+        if (this.#current.isBodyUnderWay || this.#endsInput) {
+            return this.#current.isBodyUnderWay;
         }
         // The close of a caller is only noticed by a read, or as the answer to a request fails.
         return this.#unanswered === 0
@@ -235,28 +217,19 @@
                 && (this.options.mayBeginAnother?.() ?? true));
     }
 
-    #isBodyUnderWay(): boolean {
-        return this.#current !== undefined && !this.#current.complete;
-    }
-
     /** Takes the rest of a body, or what follows up to the end of a head or of a chunked body; undefined if it is refused. */
     #nextSlice(): Buffer | undefined {
-        if (this.#bodyBytesDue > 0) {
-            const body = this.#takeWaiting(this.#bodyBytesDue);
-            this.#bodyBytesDue -= body.length;
-            return body;
-        }
-        const chunks = this.#isBodyUnderWay() ? this.#chunks?.take(this.#waiting) : undefined;
-        if (chunks) {
-            this.#takeWaiting(this.#chunks?.taken ?? 0);
-            return chunks;
+        const body = this.#current.takeBody(this.#waiting);
+        if (body) {
+            this.#takeWaiting(body.taken);
+            return body.bytes;
         }
-        const end = this.#head.findEnd(this.#waiting, this.#isBodyUnderWay());
+        const end = this.#head.findEnd(this.#waiting, this.#current.isBodyUnderWay);
         if (end !== undefined) {
             this.#headEnded = true;
             return this.#takeWaiting(end);
         }
-        const refusal = this.#isBodyUnderWay()
+        const refusal = this.#current.isBodyUnderWay
             ? undefined
             : this.#head.tryHold(this.#waiting, this.options.maximumHeadBytes());
         if (refusal !== undefined) {
@@ -290,7 +263,7 @@
 
     /** Reserves what arrives while the connection is not read; a body that is not read has its own memory. */
     #holdReceiveBuffer(): void {
-        if (!this.socket.isPaused() || this.#inputEnded || this.#discarded.hasBegun || this.#isBodyUnderWay()) {
+        if (!this.socket.isPaused() || this.#inputEnded || this.#discarded.hasBegun || this.#current.isBodyUnderWay) {
             this.#memory.releaseUnread();
         }
         else if (!this.#memory.tryHoldUnread()) {
