Say in the log which engines a stream that is taken up waited for

Cause: decode memory asked for named no version, no line told of a stream that is taken up which was refused for want of memory what the engines of its version had free, and server registered did not name the version. Nothing else changes.

--- a/packages/gateway/_refuse_waiter.ts
+++ b/packages/gateway/_refuse_waiter.ts
@@ -1,5 +1,6 @@
 import { err } from "neverthrow";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { logVersionRoom } from "./_log_version_room.ts";
 import type { DecodeWaiter } from "./decode_waiter.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
@@ -28,6 +29,7 @@
             retryAfterMilliseconds: Math.round(retryAfterMilliseconds),
         });
     }
+    logVersionRoom(waiter, context);
     waiter.resolve(err({
         status: 503,
         reason: isExpired ? "deadline-passed" : "no-capacity",
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -255,8 +255,14 @@
     }
 
     async #reserve(waiter: DecodeWaiter, server: RegisteredServer): Promise<void> {
-        const { request, tokens, since } = waiter;
-        const reservation = await this.#reserver.reserve({ request, server, tokens, waitingSince: since });
+        const { request, tokens, softwareVersion, since } = waiter;
+        const reservation = await this.#reserver.reserve({
+            request,
+            server,
+            tokens,
+            softwareVersion,
+            waitingSince: since,
+        });
         if (reservation) {
             const firstEventAt = monotonicMilliseconds() + waiter.neededMilliseconds;
             request.isLate = firstEventAt > waiter.receivedAt + waiter.targetLatencyMilliseconds;
--- a/packages/gateway/decode_reserver.ts
+++ b/packages/gateway/decode_reserver.ts
@@ -16,6 +16,8 @@
     request: GatewayRequest;
     server: RegisteredServer;
     tokens: number;
+    /** Software version of the engines that the request may use; undefined for all. */
+    softwareVersion: string | undefined;
     /** Monotonic time in milliseconds since which the request waits for memory. */
     waitingSince: number;
 }
@@ -47,7 +49,7 @@
      * @throws {Error} If the router fails; the memory no longer counts as reserved then.
      */
     async reserve(demand: MemoryDemand): Promise<DecodeReservation | undefined> {
-        const { request, server, tokens, waitingSince } = demand;
+        const { request, server, tokens, softwareVersion, waitingSince } = demand;
         const load = this.context.serverLoads.get(server.id);
         const expectedFree = (request.service.engine?.memoryTokens ?? 0) - load.total().reservedTokens;
         const lifetime = request.service.engine?.maximumReservationMilliseconds ?? 0;
@@ -63,6 +65,8 @@
             this.context.logger.info("decode memory asked for", {
                 request: request.id,
                 engine: server.id,
+                engineVersion: server.softwareVersion,
+                neededVersion: softwareVersion,
                 tokens,
                 expectedFree,
                 outcome: response.result,
--- a/packages/gateway/directory_updater.ts
+++ b/packages/gateway/directory_updater.ts
@@ -195,12 +195,13 @@
                 break;
             }
             case "server": {
-                const { id, service, stage, leaving, startedAt } = event.server;
+                const { id, service, stage, softwareVersion, leaving, startedAt } = event.server;
                 if (hasChanged(directory.servers.get(id), event.server)) {
                     logger.info("server registered", {
                         server: id,
                         service,
                         stage,
+                        softwareVersion,
                         leaving,
                         startedAt,
                         era,
