Find refusals by the state of engines outside of the queue's file

Change: two functions in files of their own; no change of behaviour.

Tests of packages/gateway pass, x86-64.

--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -4,7 +4,9 @@
 import type { RegisteredServer } from "../directory/mod.ts";
 import { EngineChooser } from "../speeds/mod.ts";
 import { createWaiter } from "./_create_waiter.ts";
+import { findEngineRefusal } from "./_find_engine_refusal.ts";
 import { findRoom } from "./_find_room.ts";
+import { hasVersion } from "./_has_version.ts";
 import { refuseWaiter } from "./_refuse_waiter.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
 import { DecodeReserver } from "./decode_reserver.ts";
@@ -146,7 +148,7 @@
         const { service } = waiter;
         const isBlocked = blockedServices.has(service) || this.#mustYield(waiter, now);
         const server = isBlocked ? undefined : this.#choose(waiter, now);
-        const refusal = server ? undefined : this.#findRefusal(waiter, isBlocked);
+        const refusal = server ? undefined : findEngineRefusal(waiter, isBlocked, this.context.availability);
         if (refusal) {
             waiter.resolve(err(refusal));
             return false;
@@ -273,22 +275,6 @@
         this.dispatch();
     }
 
-    /** Finds out whether no engine that the request may use will take it in time. */
-    #findRefusal(waiter: DecodeWaiter, isBlocked: boolean): GatewayRefusal | undefined {
-        const { request, excluded, softwareVersion, answerBegun } = waiter;
-        const { availability } = this.context;
-        const service = request.service.name;
-        const gone = softwareVersion === undefined ? undefined : availability.refuseVersion(service, softwareVersion);
-        if (gone || isBlocked || answerBegun) {
-            return gone;
-        }
-        if (softwareVersion === undefined) {
-            return availability.findRefusal(service, "decode", excluded);
-        }
-        const others = availability.usableServers(service, "decode").filter(server => !hasVersion(server, waiter));
-        return availability.findRefusal(service, "decode", new Set([...excluded, ...others.map(({ id }) => id)]));
-    }
-
     /** Whether every engine has the software version that a request needs. */
     #mayUseAnyVersion(waiter: DecodeWaiter): boolean {
         const { availability } = this.context;
@@ -299,8 +285,3 @@
         refuseWaiter(waiter, false, this.context);
     }
 }
-
-/** Whether an engine has the software version that a waiting request needs. */
-function hasVersion(server: RegisteredServer, { softwareVersion }: DecodeWaiter): boolean {
-    return softwareVersion === undefined || server.softwareVersion === softwareVersion;
-}
