Reserve an answer that may be long from its first read on

Cause: an answer was held back once its second read exceeded what needs no reservation; this read, and one more that the paused connection takes, were in no reservation: 126 calls under way and 47 MB of buffers at a budget of 25 MB. Change: readers tell how much of an answer is still due; what is not known to fit is reserved from the first read on. Of the four new cases of answer_memory_test.ts, the two that reserve fail on the former rule.

--- a/packages/backends/answer_memory.ts
+++ b/packages/backends/answer_memory.ts
@@ -24,6 +24,8 @@
     /** Aborts the waits; undefined before the first. */
     #waits: AbortController | undefined;
     #heldBytes = 0;
+    /** Bytes of the answer that were still to arrive when memory for it was asked for last. */
+    #dueBytes = 0;
     /** The part of what is held that is reserved. */
     #reservedBytes = 0;
     readonly #reservations: MemoryReservation[] = [];
@@ -69,8 +71,8 @@
     }
 
     /** @inheritdoc */
-    tryHold(bytes: number): boolean {
-        const missing = this.#missingBytes(bytes);
+    tryHold(bytes: number, dueBytes = 0): boolean {
+        const missing = this.#missingBytes(bytes, dueBytes);
         if (missing > 0 && !this.#tryReserve(missing)) {
             return false;
         }
@@ -86,7 +88,7 @@
         }
         this.#waits ??= new AbortController();
         const { signal } = this.#waits;
-        const missing = this.#missingBytes(bytes);
+        const missing = this.#missingBytes(bytes, this.#dueBytes);
         this.#heldBytes += bytes;
         this.#reservedBytes += missing;
         const reservation = await this.budget.reserve(missing, "answer", signal, { mayOverdraw: true });
@@ -119,10 +121,13 @@
         return true;
     }
 
-    #missingBytes(bytes: number): number {
+    /** Bytes that are to be reserved for an answer; all of it once it is known not to fit into what needs no reservation. */
+    #missingBytes(bytes: number, dueBytes: number): number {
+        this.#dueBytes = dueBytes;
         const total = this.#heldBytes + bytes;
         const unreservedBytes = this.ownBytes + this.#firstReads.length * this.readBytes;
-        return total <= unreservedBytes ? 0 : total - this.#reservedBytes;
+        const isShort = total <= this.ownBytes || total + dueBytes <= unreservedBytes;
+        return isShort ? 0 : total - this.#reservedBytes;
     }
 
     #tryReserve(bytes: number): boolean {
--- a/packages/backends/answer_memory_test.ts
+++ b/packages/backends/answer_memory_test.ts
@@ -34,6 +34,20 @@
     expect(await answers.hold(1)).toBe(false);
 });
 
+// Guards against reads of long answers that wait beside their first read, for which nothing was reserved.
+test.each([
+    { name: "no known end", bytes: 101, dueBytes: Infinity, reserved: 101 },
+    { name: "more due than needs no reservation", bytes: 150, dueBytes: 51, reserved: 150 },
+    { name: "no more due than needs no reservation", bytes: 150, dueBytes: 50, reserved: 0 },
+    { name: "a beginning that the request has room for", bytes: 100, dueBytes: Infinity, reserved: 0 },
+])("an answer with $name has $reserved bytes reserved", ({ bytes, dueBytes, reserved }) => {
+    const budget = new MemoryBudget(1_000);
+    const answers = new AnswerMemory(budget, OWN_BYTES, 100);
+    expect(answers.tryExpect()).toBe(true);
+    expect(answers.tryHold(bytes, dueBytes)).toBe(true);
+    expect(budget.usedBytes).toBe(100 + reserved);
+});
+
 test("an answer that waits is given up when its request ends", async () => {
     const budget = new MemoryBudget(1_000);
     budget.tryReserve(800, "answer");
--- a/packages/backends/body_memory.ts
+++ b/packages/backends/body_memory.ts
@@ -4,9 +4,10 @@
      * Holds memory if there is room.
      *
      * @param bytes Further bytes of the body.
+     * @param dueBytes Bytes of the body that are still to arrive; infinity if that is not known. Default: 0.
      * @returns Whether they have room.
      */
-    tryHold(bytes: number): boolean;
+    tryHold(bytes: number, dueBytes?: number): boolean;
     /**
      * Holds memory once there is room.
      *
--- a/packages/gateway/request_memory.ts
+++ b/packages/gateway/request_memory.ts
@@ -86,8 +86,8 @@
     }
 
     /** @inheritdoc */
-    tryHold(bytes: number): boolean {
-        return this.answers.tryHold(bytes);
+    tryHold(bytes: number, dueBytes?: number): boolean {
+        return this.answers.tryHold(bytes, dueBytes);
     }
 
     /** @inheritdoc */
