--- a/packages/memory/compute_memory_capacity.ts
+++ b/packages/memory/compute_memory_capacity.ts
@@ -1,7 +1,9 @@
 /** Share of the memory of a process that requests and answers may hold; the rest is for the program and for copies. */
 const MEMORY_SHARE = 0.25;
-/** Memory in bytes of the program with many connections, and of buffers that are not freed yet, whatever the limit. */
-const UNCOUNTED_BYTES = 118_000_000;
+/** Memory in bytes that the program takes without requests. */
+const PROGRAM_BYTES = 80_000_000;
+/** Share of what the program leaves of a small limit; the rest is for connections and for buffers that are not freed yet. */
+const FREE_SHARE = 0.5;
 /** Share of a limit that leaves the program too little, so that single requests are served. */
 const LEAST_MEMORY_SHARE = 0.125;
 /** Share of the JavaScript heap that requests and answers may hold. */
@@ -19,6 +21,6 @@
  * ```
  */
 export function computeMemoryCapacity(memoryBytes: number, heapLimitBytes: number): number {
-    const freeBytes = Math.max(memoryBytes * LEAST_MEMORY_SHARE, memoryBytes - UNCOUNTED_BYTES);
+    const freeBytes = Math.max(memoryBytes * LEAST_MEMORY_SHARE, (memoryBytes - PROGRAM_BYTES) * FREE_SHARE);
     return Math.floor(Math.min(memoryBytes * MEMORY_SHARE, freeBytes, heapLimitBytes * HEAP_SHARE));
 }
--- a/packages/memory/memory_budget_test.ts
+++ b/packages/memory/memory_budget_test.ts
@@ -158,6 +158,6 @@
 test("the smaller of memory and heap bounds the capacity", () => {
     expect(computeMemoryCapacity(200_000_000, 90_000_000)).toBe(45_000_000);
     expect(computeMemoryCapacity(160_000_000, 90_000_000)).toBe(40_000_000);
-    expect(computeMemoryCapacity(130_000_000, 90_000_000)).toBe(16_250_000);
+    expect(computeMemoryCapacity(130_000_000, 90_000_000)).toBe(25_000_000);
     expect(computeMemoryCapacity(16_000_000, 90_000_000)).toBe(2_000_000);
 });
