--- a/review/harness-2/run_case.ts
+++ b/review/harness-2/run_case.ts
@@ -23,11 +23,15 @@
     const trouble = process.env["TROUBLE"] !== "0";
     let fleet: ReviewFleet | undefined;
     let code = FAILED_EXIT_CODE;
-    const limit = setTimeout(() => {
-        console.error("The case took too long");
+    const giveUp = (message: string) => {
+        console.error(message);
         fleet?.killAll();
         process.exit(FAILED_EXIT_CODE);
-    }, LIMIT_MILLISECONDS);
+    };
+    const limit = setTimeout(() => giveUp("The case took too long"), LIMIT_MILLISECONDS);
+    for (const signal of ["SIGINT", "SIGTERM"] as const) {
+        process.on(signal, () => giveUp(`The case was ended by ${signal}`));
+    }
     try {
         fleet = await ReviewFleet.create(recordFile);
         fleet.record(`disruption: ${trouble ? "yes" : "no"}`);
