--- a/review/6/case.ts
+++ b/review/6/case.ts
@@ -31,7 +31,8 @@
     /** @inheritdoc */
     protected override async serve(exchange: Exchange): Promise<void> {
         const { path, headers, response } = exchange;
-        const isRun = (path.startsWith("/draft/") || path.startsWith("/plan/")) && headers["laburnumslip-stage"] === undefined;
+        const isRun = (path.startsWith("/draft/") || path.startsWith("/plan/"))
+            && headers["laburnumslip-stage"] === undefined;
         if (!isRun || !this.isDue) {
             await super.serve(exchange);
             return;
@@ -67,7 +68,13 @@
     await fleet.start(INSTANCES, [
         ...orderdesks.map(({ id, address }) => ({ id, address, service: "orderdesk", slots: 6 })),
         { id: prefill.id, address: prefill.address, service: "drafter", stage: "prefill", slots: 128 },
-        ...decoders.map(({ id, address }) => ({ id, address, service: "drafter", stage: "decode" as const, slots: 128 })),
+        ...decoders.map(({ id, address }) => ({
+            id,
+            address,
+            service: "drafter",
+            stage: "decode" as const,
+            slots: 128,
+        })),
     ]);
     const traffic = new ReorderTraffic(fleet, INSTANCES);
     await sleep(QUIET_MILLISECONDS);
--- a/review/harness-2/review_fleet.ts
+++ b/review/harness-2/review_fleet.ts
@@ -359,7 +359,14 @@
             IdleTimeoutMs: 15_000,
         },
         Tenants: [
-            { Name: "tenant-a", ApiKeys: ["key-a"], Unit: "token_stream", PlainTokens: 200, RatePerS: 64_800, Burst: 64_800 },
+            {
+                Name: "tenant-a",
+                ApiKeys: ["key-a"],
+                Unit: "token_stream",
+                PlainTokens: 200,
+                RatePerS: 64_800,
+                Burst: 64_800,
+            },
         ],
     };
 }
