--- a/packages/harness/mod.ts
+++ b/packages/harness/mod.ts
@@ -3,6 +3,7 @@
 export type { CallOptions } from "./call_options.ts";
 export type { CallResult } from "./call_result.ts";
 export { copyProgram } from "./copy_program.ts";
+export { countBufferWork } from "./count_buffer_work.ts";
 export type { EngineDescription } from "./engine_description.ts";
 export { findLargestFile } from "./find_largest_file.ts";
 export { Fleet } from "./fleet.ts";
--- a/packages/memory/piece_collector.ts
+++ b/packages/memory/piece_collector.ts
@@ -80,6 +80,7 @@
         this.#whole.length = 0;
         this.#block = Buffer.alloc(0);
         this.#blockBytes = 0;
+        this.#nextBlockBytes = FIRST_BLOCK_BYTES;
         this.#length = 0;
     }
 
