Search a body once for the id of its request

Cause: a second answer within a body is told from a text about one by the id of the request behind its status line. containsSecondAnswer searched all of the rest of the body for that id at each status line, in one turn of the loop: the work grew with the square of the body, which may have 8 MiB.

Change: the last place of the id is found once. Status lines are compared by their bytes, without a text for each.

--- a/packages/backends/_contains_second_answer.ts
+++ b/packages/backends/_contains_second_answer.ts
@@ -3,9 +3,10 @@
 const VERSION = "HTTP/1.";
 /** Bytes of the version that may stand at the end of a piece without being found there. */
 const VERSION_OVERLAP = VERSION.length - 1;
-/** Beginning of a response, as far as its bytes have arrived. */
-const STATUS_LINE = /^HTTP\/1\.($|[01]($| ($|\d)))/;
-const STATUS_LINE_BYTES = 10;
+const ZERO = 0x30;
+const ONE = 0x31;
+const NINE = 0x39;
+const SPACE = 0x20;
 
 /**
  * Returns whether another response of the server begins inside a body. A server that breaks off a response and sends it
@@ -23,10 +24,10 @@
     }
     const body = Buffer.concat(pieces);
     const bytes = trailing.length === 0 ? body : Buffer.concat([body, trailing]);
-    for (let at = bytes.indexOf(VERSION); at !== -1 && at < body.length; at = bytes.indexOf(VERSION, at + 1)) {
-        const isStatusLine = STATUS_LINE.test(bytes.toString("latin1", at, at + STATUS_LINE_BYTES));
-        // Without bytes after the body, only the id of the request tells another response from a text about one.
-        if (isStatusLine && (trailing.length > 0 || echoesRequest(response, bytes.subarray(at)))) {
+    // Without bytes after the body, only the id of the request tells another response from a text about one.
+    const lastBegin = trailing.length > 0 ? body.length - 1 : findLastId(response, body);
+    for (let at = bytes.indexOf(VERSION); at !== -1 && at <= lastBegin; at = bytes.indexOf(VERSION, at + 1)) {
+        if (beginsStatusLine(bytes, at)) {
             return true;
         }
     }
@@ -43,6 +44,14 @@
     });
 }
 
-function echoesRequest({ correlation }: BackendResponse, bytes: Buffer): boolean {
-    return correlation?.value !== undefined && bytes.includes(correlation.value);
+/** Returns whether a status line begins at a version, as far as its bytes have arrived. */
+function beginsStatusLine(bytes: Buffer, at: number): boolean {
+    const minor = at + VERSION.length;
+    const [version = ZERO, space = SPACE, digit = ZERO] = [bytes[minor], bytes[minor + 1], bytes[minor + 2]];
+    return (version === ZERO || version === ONE) && space === SPACE && digit >= ZERO && digit <= NINE;
+}
+
+/** Finds the last place at which a body names the request; -1 if there is none. */
+function findLastId({ correlation }: BackendResponse, body: Buffer): number {
+    return correlation?.value === undefined ? -1 : body.lastIndexOf(correlation.value);
 }
