Pass over all servers once for the changes that the store brings together

Cause: Directory called all its listeners after each change, and two of them pass over all servers (the connections that are kept, and the loads of servers that are no longer registered), one over all services. A page with many entries is applied in one turn of the loop, so its cost grew with its square.

Change: what passes over all servers or services is registered with onBatch, and runs once after the changes of one turn.

--- a/packages/directory/directory.ts
+++ b/packages/directory/directory.ts
@@ -27,6 +27,8 @@
     readonly #drainedDomains = new Set<string>();
     readonly #rolloutOrders = new Map<string, RolloutOrder>();
     readonly #listeners: (() => void)[] = [];
+    readonly #batchListeners: (() => void)[] = [];
+    #isBatchOpen = false;
 
     /** The configuration in force; undefined until the first one is applied. */
     get configuration(): FleetConfiguration | undefined {
@@ -52,6 +54,16 @@
         this.#listeners.push(listener);
     }
 
+    /**
+     * Registers a listener that runs once after the changes that are applied in one turn. What passes over all servers belongs
+     * here, since the store brings many changes together.
+     *
+     * @param listener The listener.
+     */
+    onBatch(listener: () => void): void {
+        this.#batchListeners.push(listener);
+    }
+
     /**
      * Applies a change. A configuration with a lower version than the one in force has no effect.
      *
@@ -84,8 +96,13 @@
             case "unreadable":
                 return;
         }
-        for (const listener of this.#listeners) {
-            listener();
+        this.#listeners.forEach(listener => listener());
+        if (!this.#isBatchOpen) {
+            this.#isBatchOpen = true;
+            queueMicrotask(() => {
+                this.#isBatchOpen = false;
+                this.#batchListeners.forEach(listener => listener());
+            });
         }
     }
 
--- a/packages/gateway/_create_load_policies.ts
+++ b/packages/gateway/_create_load_policies.ts
@@ -31,7 +31,7 @@
     );
     const known = new Set<number>();
     const logged = new Map<string, string>();
-    directory.onChange(() => {
+    directory.onBatch(() => {
         for (const { name } of directory.configuration?.services.filter(({ engine }) => engine) ?? []) {
             const urgencies = policies.urgencies.list(name);
             if ((logged.get(name) ?? "") === urgencies.join() || !policies.urgencies.hasSeveral(name)) {
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -97,7 +97,7 @@
             isReader: () => this.#peerMesh.isReader(),
             instanceCount,
         });
-        this.#directory.onChange(() => {
+        this.#directory.onBatch(() => {
             this.#connectionPool.retain(new Set([...this.#directory.servers.values()].map(({ address }) => address)));
         });
         this.#serverLoads = new ServerLoadTracker(this.#directory);
--- a/packages/gateway/server_load_tracker.ts
+++ b/packages/gateway/server_load_tracker.ts
@@ -25,7 +25,7 @@
      * @param directory Registered servers; the loads of unregistered ones are dropped.
      */
     constructor(private readonly directory: Directory) {
-        directory.onChange(() => this.#removeUnregistered());
+        directory.onBatch(() => this.#removeUnregistered());
     }
 
     /**
