Compare header fields with the set of connection options

Cause: removeHopByHopHeaders compared each field of a head with each option of its Connection header, so that the work grew with the square of the head.

--- a/packages/headers/remove_hop_by_hop_headers.ts
+++ b/packages/headers/remove_hop_by_hop_headers.ts
@@ -12,10 +12,11 @@
  * ```
  */
 export function removeHopByHopHeaders(headers: IncomingHttpHeaders): Record<string, string | string[]> {
-    const connectionOptions = String(headers.connection ?? "").split(",").map(name => name.trim().toLowerCase());
+    const options = String(headers.connection ?? "").split(",").map(name => name.trim().toLowerCase());
+    const connectionOptions = new Set(options);
     const kept: Record<string, string | string[]> = {};
     for (const [name, value] of Object.entries(headers)) {
-        if (value !== undefined && name !== "host" && !HOP_BY_HOP.has(name) && !connectionOptions.includes(name)) {
+        if (value !== undefined && name !== "host" && !HOP_BY_HOP.has(name) && !connectionOptions.has(name)) {
             kept[name] = value;
         }
     }
