Measure what the bytes of a peer cost for 1, 2 and 4 MB

npm run input-cost feeds each place that takes bytes of a peer, in both programs, with the forms that could cost most: single bytes, lines, and whole reads. A place whose work grows with the square of what comes shows in the table.

--- a/packages/development/main.ts
+++ b/packages/development/main.ts
@@ -4,6 +4,7 @@
 import {
     measureCapacity,
     measureFleetCost,
+    measureInputCost,
     measureOnceOnlyRate,
     measureOverhead,
     runPassThrough,
@@ -78,6 +79,10 @@
         process.stdout.write(await measureFleetCost());
     });
 
+program
+    .command("input-cost", "Measure what bytes of a peer cost for 1, 2 and 4 MB")
+    .action(async () => await measureInputCost(line => process.stdout.write(`${line}\n`)));
+
 program
     .command("once-only-rate", "Measure once-only calls per second and store writes per call")
     .action(async () => {
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -2,6 +2,7 @@
 export type { EngineCall } from "./engine_call.ts";
 export type { EngineProtocol } from "./engine_protocol.ts";
 export type { EngineReport } from "./engine_report.ts";
+export { EventSplitter } from "./event_splitter.ts";
 export { Gateway } from "./gateway.ts";
 export type { GatewayAdapter } from "./gateway_adapter.ts";
 export type { GatewaySettings } from "./gateway_settings.ts";
