Ask an engine whether it is alive after a stream that ends with its connection

Cause: such an answer ends with its connection, and the kernel ends the connections of a process that is killed in the same way as the process does itself (FIN). A process that dies between two events leaves nothing on that connection that tells its stream from one that has ended.

Change: events go out as they come; only the end waits. AnswerEndCheck asks the server for its report after the connection has ended. A response shows that the server was alive at that end, so that it was its own. A refused connection or another server's 421 shows the opposite: the stream goes on at another engine where it may be resumed, and ends broken elsewhere. Error responses of engines that are passed on are checked alike. The question itself is that of ServerEndProbe, which both use now.

--- a/packages/gateway/create_crash_detection.ts
+++ b/packages/gateway/create_crash_detection.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import { PromptPartRegistry } from "../prompt_parts/mod.ts";
+import { AnswerEndCheck } from "./answer_end_check.ts";
 import { CrashRegistry } from "./crash_registry.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
 import type { GatewayContext } from "./gateway_context.ts";
@@ -33,12 +34,13 @@
  */
 export function createCrashDetection(
     options: CrashDetectionOptions,
-): Pick<GatewayContext, "crashRegistry" | "promptParts" | "serverEndProbe"> {
+): Pick<GatewayContext, "answerEndCheck" | "crashRegistry" | "promptParts" | "serverEndProbe"> {
     const { adapter, directory, metrics, logger } = options;
     const promptParts = new PromptPartRegistry(logger, (part, count) => options.isTopRanked(part, count));
     metrics.gauge("prompt_parts_blocked", () => promptParts.blockedParts);
     const crashRegistry = new CrashRegistry(directory, logger, run => promptParts.recordCrash(run));
     const { headers, engineProtocol } = adapter;
     const serverEndProbe = new ServerEndProbe({ ...options, crashRegistry, headers, engineProtocol });
-    return { crashRegistry, promptParts, serverEndProbe };
+    const answerEndCheck = new AnswerEndCheck({ ...options, headers, engineProtocol });
+    return { answerEndCheck, crashRegistry, promptParts, serverEndProbe };
 }
--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -1,5 +1,6 @@
 import { type BackendResponse, readResponseBody } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import type { RegisteredServer } from "../directory/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
 import { logFailure } from "../logs/mod.ts";
 import { ReferencePace } from "../speeds/mod.ts";
@@ -157,7 +158,7 @@
             return { kind, message: `The decode engine answered with status ${status}` };
         }
         if (status !== 200) {
-            return await this.#relayErrorResponse(request, response.value);
+            return await this.#relayErrorResponse(request, server, response.value);
         }
         const signedUnencoded = response.value.headers[headers.signature] !== undefined
             && response.value.headers["content-encoding"] === undefined;
@@ -172,7 +173,11 @@
         );
     }
 
-    async #relayErrorResponse(request: GatewayRequest, backendResponse: BackendResponse): Promise<PassOutcome> {
+    async #relayErrorResponse(
+        request: GatewayRequest,
+        server: RegisteredServer,
+        backendResponse: BackendResponse,
+    ): Promise<PassOutcome> {
         const { response, route, signal, deadline } = request;
         const close = () => backendResponse.close();
         signal.addEventListener("abort", close, { once: true });
@@ -181,7 +186,9 @@
         const timeout = route.resumable ? Math.min(ERROR_BODY_MILLISECONDS, remaining) : remaining;
         const body = await readResponseBody(backendResponse, timeout, MAXIMUM_RESPONSE_BYTES, request.memory);
         signal.removeEventListener("abort", close);
-        if (!body || response.headersSent || response.destroyed || route.resumable) {
+        const isConfirmed = backendResponse.framing !== "connection"
+            || await this.context.answerEndCheck.confirm(server, request.service, signal) === "running";
+        if (!body || !isConfirmed || response.headersSent || response.destroyed || route.resumable) {
             return {
                 kind: "may-have-run",
                 message: `The decode engine answered with status ${backendResponse.status}`,
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -9,6 +9,7 @@
 import type { EngineSpeeds } from "../speeds/mod.ts";
 import type { StageWork } from "../stages/mod.ts";
 import type { StreamVersions } from "../stream_versions/mod.ts";
+import type { AnswerEndCheck } from "./answer_end_check.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { DirectoryUpdater } from "./directory_updater.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
@@ -59,6 +60,8 @@
     promptParts: PromptPartRegistry;
     /** Finds out whether a server whose connection broke has ended. */
     serverEndProbe: ServerEndProbe;
+    /** Finds out whether the end of a connection was the end of an answer. */
+    answerEndCheck: AnswerEndCheck;
     /** Number of instances that share the fleet's limits, at least 1. */
     instanceCount(): number;
     /** Time in milliseconds between two reports of a peer, and so about the age of peers' loads. */
--- a/packages/gateway/relay_events.ts
+++ b/packages/gateway/relay_events.ts
@@ -108,9 +108,27 @@
                 });
             }
         });
-        backendResponse.body.on("close", () => {
-            const complete = isResponseComplete(backendResponse) && splitter.pendingBytes === 0 && response.headersSent;
-            finish(complete ? { kind: "completed" } : { kind: "broken", message: "The stream broke off" });
+        backendResponse.body.on("close", async () => {
+            const isWhole = isResponseComplete(backendResponse) && splitter.pendingBytes === 0 && response.headersSent;
+            if (!isWhole) {
+                finish({ kind: "broken", message: "The stream broke off" });
+                return;
+            }
+            if (backendResponse.framing === "connection" && !hasAllEvents(request)) {
+                // The check has a limit of its own.
+                watch.pause();
+                const state = await context.answerEndCheck.confirm(reservation.server, request.service, watch.signal);
+                if (state !== "running") {
+                    finish({ kind: "broken", message: `The stream ended with its connection, its engine is ${state}` });
+                    return;
+                }
+            }
+            finish({ kind: "completed" });
         });
     });
 }
+
+/** Whether the caller has got as many events as its request allows tokens; an event may hold several. */
+function hasAllEvents({ outputTokens, exchange }: GatewayRequest): boolean {
+    return outputTokens > 0 && exchange.events >= outputTokens;
+}
--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -1,7 +1,7 @@
-import { type BackendFault, readResponseBody } from "../backends/mod.ts";
 import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import { logFailure, type Logger } from "../logs/mod.ts";
+import { askServer } from "./_ask_server.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
@@ -9,9 +9,6 @@
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
 
 const TIMEOUT_MILLISECONDS = 500;
-const MAXIMUM_RESPONSE_BYTES = 1_024 * 1_024;
-/** Status of a response by another server than the expected one. */
-const ANOTHER_SERVER_STATUS = 421;
 /** Number of further questions without an answer, more than the connections that are usually kept to one engine. */
 const MAXIMUM_REPETITIONS = 12;
 const REPETITION_MILLISECONDS = 20;
@@ -81,9 +78,10 @@
     }
 
     async #recordEnd(server: RegisteredServer): Promise<void> {
-        const { crashRegistry, serverLoads, logger } = this.options;
+        const { crashRegistry, serverLoads, engineProtocol, logger } = this.options;
+        const ask = () => askServer(server, engineProtocol.report(), this.options, TIMEOUT_MILLISECONDS);
         const until = monotonicMilliseconds() + REPETITION_LIMIT_MILLISECONDS;
-        let outcome = await this.#ask(server);
+        let outcome = await ask();
         // A kept connection of an engine that has ended is reset; a new one is refused. While its process ends, the kernel
         // still takes connections that nobody answers, and resets them, some before they count as established.
         for (
@@ -92,7 +90,7 @@
             repetition++
         ) {
             await sleep(REPETITION_MILLISECONDS);
-            outcome = await this.#ask(server);
+            outcome = await ask();
         }
         logger.info("server probed after a broken connection", { server: server.id, outcome });
         if (outcome === "ended") {
@@ -100,21 +98,4 @@
             crashRegistry.recordServerEnd(server.id);
         }
     }
-
-    async #ask(server: RegisteredServer): Promise<BackendFault["kind"] | "ended" | "running"> {
-        const { serverClient, headers, engineProtocol } = this.options;
-        const { method, path } = engineProtocol.report();
-        const response = await serverClient.send(server, {
-            method,
-            path,
-            headers: ["Host", server.address, headers.expectedServer, server.id],
-            timeoutMilliseconds: TIMEOUT_MILLISECONDS,
-            correlation: { header: headers.requestId, value: undefined },
-        });
-        if (response.isErr()) {
-            return response.error.portClosed ? "ended" : response.error.kind;
-        }
-        await readResponseBody(response.value, TIMEOUT_MILLISECONDS, MAXIMUM_RESPONSE_BYTES);
-        return response.value.status === ANOTHER_SERVER_STATUS ? "ended" : "running";
-    }
 }
--- a/packages/stand_ins/stand_in_server.ts
+++ b/packages/stand_ins/stand_in_server.ts
@@ -63,11 +63,14 @@
     }
 
     /**
-     * Closes the port and every connection.
+     * Closes the port and every connection, in order, as the kernel does for a process that is killed.
      *
      * @returns A promise that resolves once everything is closed.
      */
     async close(): Promise<void> {
+        if (!this.#server.listening) {
+            return;
+        }
         const closed = once(this.#server, "close");
         this.#server.close();
         this.#server.closeAllConnections();
