Ask a plain server whether it is alive after an answer that ends with its connection

Change: such an answer is passed on once its server has responded on its health path after the end of the connection. Otherwise the request may have run: it is sent to another server where it may be repeated, and answered 502 elsewhere.

Measured: both tests of answers that end by the end or the restart of their server fail without the change (status 200) and pass now.

--- a/packages/gateway/plain_send.ts
+++ b/packages/gateway/plain_send.ts
@@ -105,6 +105,17 @@
                 }
                 return { kind: "not-run", message: `The server answered with status ${status}` };
             }
+            if (body && response.value.framing === "connection") {
+                const state = await this.context.answerEndCheck.confirm(server, request.service, request.signal);
+                if (state !== "running") {
+                    rollouts.record(server, route, undefined);
+                    recordFailure();
+                    return {
+                        kind: "may-have-run",
+                        message: `The answer ended with its connection, its server is ${state}`,
+                    };
+                }
+            }
             const isValid = body && (status >= 300 || isSignedUnencoded(response.value, headers.signature));
             rollouts.recordAnswer(server, route, status, isValid ? responseTime : undefined);
             if (!body) {
