Connect to a service again after an answer that ends with its connection

The gap of streams without framing in the stand-alone router: a part of a service's answer without a length or chunks was passed on as the whole if the service was killed in the middle of it. Its engines' streams have a last event of their own and are not concerned.

Change: after such an answer the service must still accept a connection. It has no other call that does no work. Otherwise the call may have run.

Measured: the new test fails without the change ("part of the answer" in place of a failure) and passes now.

--- a/packages/services/call_service.ts
+++ b/packages/services/call_service.ts
@@ -50,7 +50,7 @@
         socket.value.destroy();
         return err(new ServiceFailure("not-run", "The call was withdrawn before it was sent"));
     }
-    return await sendRequest(socket.value, request, timeoutMilliseconds, memory);
+    return await sendRequest(address, socket.value, request, timeoutMilliseconds, memory);
 }
 
 function openConnection(address: string): Promise<Result<Socket, ServiceFailure>> {
@@ -71,7 +71,18 @@
     });
 }
 
+/**
+ * Whether a service still accepts connections. Without framing, an answer that has ended does not differ from one whose service
+ * was killed in the middle of it, as the kernel ends the connections of a process in order.
+ */
+async function isListening(address: string): Promise<boolean> {
+    const connection = await openConnection(address);
+    connection.map(socket => socket.destroy());
+    return connection.isOk();
+}
+
 function sendRequest(
+    address: string,
     socket: Socket,
     request: ServiceRequest,
     timeoutMilliseconds: number,
@@ -103,11 +114,15 @@
         onBackendResponse(call, correlation, response => {
             received = response;
             const remaining = Math.max(1, deadline - monotonicMilliseconds());
-            void readResponseBody(response, remaining, MAXIMUM_RESPONSE_BYTES, memory).then(body => {
+            void readResponseBody(response, remaining, MAXIMUM_RESPONSE_BYTES, memory).then(async body => {
                 if (!body) {
                     fail("it was cut or too long, another one begins in it, or there was no memory for it in time");
                     return;
                 }
+                if (response.framing === "connection" && !await isListening(address)) {
+                    fail("it ended with its connection, and the service has ended");
+                    return;
+                }
                 clearTimeout(timer);
                 const headers = removeHopByHopHeaders(response.body.headers);
                 resolve(ok({ status: response.status, headers, body, isDoubtful: hasStrayBytes(response) }));
--- a/packages/services/reset_after_end_test.ts
+++ b/packages/services/reset_after_end_test.ts
@@ -77,6 +77,13 @@
     }
 });
 
+// Guards against a part of an answer that is taken for the whole, since its service was killed in the middle of it.
+test("a part of an answer without a length is not whole if its service has ended", async () => {
+    const address = await listen(`HTTP/1.1 200 OK\r\n\r\n${PART}`, undefined);
+    server?.once("connection", () => server?.close());
+    expect(await readByService(address, Buffer.alloc(0))).toBeUndefined();
+});
+
 // Guards against whole answers that are lost to the wait for a reset.
 test("an answer without a length is whole where no reset follows its end", async () => {
     const address = await listen(`HTTP/1.1 200 OK\r\n\r\n${PART}`, undefined);
