Ask whether a server is alive as soon as it has ended its side

Cause: the question was sent after the 100 ms in which a reset of the connection is waited for, and by then the next process answered it.

Change: the question is sent when the server ends its side, beside that wait, which also hides its time.

--- a/packages/backends/backend_response.ts
+++ b/packages/backends/backend_response.ts
@@ -16,6 +16,8 @@
     endWaitMilliseconds: number;
     /** Returns whether the connection of a body without a length was reset, or closed by this side, before it ended in order. */
     wasReset: () => boolean;
+    /** Calls a function once the server has ended its side of the connection. */
+    onInputEnd(listener: () => void): void;
     /** Header and value with which the server names the request that it responds to. */
     correlation: BackendRequest["correlation"];
     /** Returns the bytes that have followed the body on its connection, which belong to no request. */
--- a/packages/backends/on_backend_response.ts
+++ b/packages/backends/on_backend_response.ts
@@ -81,6 +81,7 @@
         framing,
         endWaitMilliseconds: framing === "connection" ? RESET_WAIT_MILLISECONDS : 0,
         wasReset: framing === "connection" ? watchForReset(response, outgoing) : () => false,
+        onInputEnd: inputEndListener => response.socket.once("end", inputEndListener),
         correlation,
         trailing: () => bytes.trailing(),
         close: () => outgoing.destroy(),
--- a/packages/gateway/answer_end_check.ts
+++ b/packages/gateway/answer_end_check.ts
@@ -3,6 +3,7 @@
 import { logFailure, type Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import { askServer } from "./_ask_server.ts";
+import type { AnswerEndState } from "./answer_end_state.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
 import type { ServerClient } from "./server_client.ts";
@@ -14,6 +15,8 @@
 /** Pause in milliseconds after the first question that left it open; it doubles each time. */
 const FIRST_PAUSE_MILLISECONDS = 20;
 const PAUSE_GROWTH = 2;
+/** Time in milliseconds that a server is avoided after it was found to have ended; it may be back soon. */
+const ENDED_AVOID_MILLISECONDS = 1_000;
 
 /** Dependencies of {@linkcode AnswerEndCheck}. */
 interface AnswerEndCheckOptions {
@@ -25,9 +28,6 @@
     logger: Logger;
 }
 
-/** What became of a server: it responded after the end of its answer, it has ended, or neither is known in time. */
-type EndState = "running" | "ended" | "unknown";
-
 /**
  * Finds out whether the end of a connection was the end of an answer. An answer with neither a length nor chunks ends with its
  * connection (RFC 9112, section 6.3), and the kernel ends the connections of a process that is killed in the same way. A
@@ -41,9 +41,9 @@
  */
 export class AnswerEndCheck {
     /** The last question to each server, until it is answered. */
-    readonly #asked = new Map<string, Promise<EndState>>();
+    readonly #asked = new Map<string, Promise<AnswerEndState>>();
     /** Questions that wait for the end of that one, so that they are sent after each end that they are for. */
-    readonly #waiting = new Map<string, Promise<EndState>>();
+    readonly #waiting = new Map<string, Promise<AnswerEndState>>();
 
     /**
      * @param options Dependencies of the check.
@@ -58,7 +58,7 @@
      * @param signal Aborts when the request is given up.
      * @returns Whether the server runs; `"unknown"` if it does not respond in time or the request is given up.
      */
-    async confirm(server: RegisteredServer, service: ServiceProfile, signal: AbortSignal): Promise<EndState> {
+    async confirm(server: RegisteredServer, service: ServiceProfile, signal: AbortSignal): Promise<AnswerEndState> {
         if (signal.aborted) {
             return "unknown";
         }
@@ -72,7 +72,7 @@
         });
     }
 
-    #askAfterNow(server: RegisteredServer, service: ServiceProfile): Promise<EndState> {
+    #askAfterNow(server: RegisteredServer, service: ServiceProfile): Promise<AnswerEndState> {
         const waiting = this.#waiting.get(server.id);
         if (waiting) {
             return waiting;
@@ -82,7 +82,7 @@
             this.#waiting.delete(server.id);
             this.#asked.set(server.id, next);
             return await this.#ask(server, service);
-        }).catch((error: unknown): EndState => {
+        }).catch((error: unknown): AnswerEndState => {
             logFailure(this.options.logger, "end of an answer not checked", { server: server.id })(error);
             return "unknown";
         }).finally(() => {
@@ -94,7 +94,7 @@
         return next;
     }
 
-    async #ask(server: RegisteredServer, { engine, healthPath }: ServiceProfile): Promise<EndState> {
+    async #ask(server: RegisteredServer, { engine, healthPath }: ServiceProfile): Promise<AnswerEndState> {
         const { engineProtocol, serverLoads, metrics, logger } = this.options;
         const call = engine ? engineProtocol.report() : { method: "GET", path: healthPath };
         const startedAt = monotonicMilliseconds();
@@ -118,7 +118,7 @@
             milliseconds: Math.round(elapsed()),
         });
         if (state === "ended") {
-            serverLoads.markTerminated(server.id);
+            serverLoads.avoid(server.id, ENDED_AVOID_MILLISECONDS);
         }
         return state;
     }
--- a/packages/gateway/answer_end_check_test.ts
+++ b/packages/gateway/answer_end_check_test.ts
@@ -29,7 +29,7 @@
 /** A check of a server that responds with these outcomes, the last one again and again, each after a time in milliseconds. */
 function createCheck(outcomes: unknown[], milliseconds = 1) {
     const paths: string[] = [];
-    const terminated: string[] = [];
+    const avoided: string[] = [];
     const send = (_server: RegisteredServer, { path }: { path: string; }) => {
         paths.push(path);
         const outcome = outcomes[Math.min(paths.length, outcomes.length) - 1];
@@ -37,13 +37,13 @@
     };
     const check = new AnswerEndCheck({
         serverClient: { send } as never,
-        serverLoads: { markTerminated: (id: string) => terminated.push(id) } as never,
+        serverLoads: { avoid: (id: string) => avoided.push(id) } as never,
         headers: { expectedServer: "expect" } as never,
         engineProtocol: { report: () => ({ method: "GET", path: "/report" }) } as never,
         metrics: new Metrics(),
         logger: { info: () => {}, warn: () => {}, error: () => {} },
     });
-    return { check, paths, terminated };
+    return { check, paths, avoided };
 }
 
 test.each([
@@ -63,10 +63,10 @@
 ])(
     "a server is judged by what it does after the end of its answer: %s",
     async (_name, outcomes, expected, questions) => {
-        const { check, paths, terminated } = createCheck(outcomes);
+        const { check, paths, avoided } = createCheck(outcomes);
         const state = check.confirm(server, engines, new AbortController().signal);
         await vi.advanceTimersByTimeAsync(5_000);
-        expect([await state, paths.length, terminated.length]).toEqual([
+        expect([await state, paths.length, avoided.length]).toEqual([
             expected,
             questions,
             expected === "ended" ? 1 : 0,
--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -15,6 +15,7 @@
 import { relayEvents } from "./relay_events.ts";
 import { RunPace } from "./run_pace.ts";
 import { SilenceWatch } from "./silence_watch.ts";
+import { watchAnswerEnd } from "./watch_answer_end.ts";
 
 /** Time in milliseconds that an engine is avoided after it did not answer. */
 const AVOID_MILLISECONDS = 800;
@@ -180,15 +181,19 @@
     ): Promise<PassOutcome> {
         const { response, route, signal, deadline } = request;
         const close = () => backendResponse.close();
+        const findEndState = watchAnswerEnd(
+            backendResponse,
+            () => this.context.answerEndCheck.confirm(server, request.service, signal),
+        );
         signal.addEventListener("abort", close, { once: true });
         // An error that is relayed may come until the deadline; others are read so that their connection can be kept.
         const remaining = Math.max(1, deadline - monotonicMilliseconds());
         const timeout = route.resumable ? Math.min(ERROR_BODY_MILLISECONDS, remaining) : remaining;
         const body = await readResponseBody(backendResponse, timeout, MAXIMUM_RESPONSE_BYTES, request.memory);
         signal.removeEventListener("abort", close);
-        const isConfirmed = backendResponse.framing !== "connection"
-            || await this.context.answerEndCheck.confirm(server, request.service, signal) === "running";
-        if (!body || !isConfirmed || response.headersSent || response.destroyed || route.resumable) {
+        if (
+            !body || await findEndState() !== "running" || response.headersSent || response.destroyed || route.resumable
+        ) {
             return {
                 kind: "may-have-run",
                 message: `The decode engine answered with status ${backendResponse.status}`,
--- a/packages/gateway/plain_send.ts
+++ b/packages/gateway/plain_send.ts
@@ -6,6 +6,7 @@
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { SendOutcome } from "./send_outcome.ts";
 import { SlowServerWatch } from "./slow_server_watch.ts";
+import { watchAnswerEnd } from "./watch_answer_end.ts";
 
 /** Largest body in bytes of a response. */
 const MAXIMUM_RESPONSE_BYTES = 8 * 1_024 * 1_024;
@@ -88,6 +89,10 @@
             if (coldMilliseconds > 0) {
                 directory.markCold(server.id, coldMilliseconds);
             }
+            const findEndState = watchAnswerEnd(
+                response.value,
+                () => this.context.answerEndCheck.confirm(server, request.service, request.signal),
+            );
             const body = await readResponsePieces(
                 response.value,
                 Math.max(1, request.deadline - monotonicMilliseconds()),
@@ -105,16 +110,14 @@
                 }
                 return { kind: "not-run", message: `The server answered with status ${status}` };
             }
-            if (body && response.value.framing === "connection") {
-                const state = await this.context.answerEndCheck.confirm(server, request.service, request.signal);
-                if (state !== "running") {
-                    rollouts.record(server, route, undefined);
-                    recordFailure();
-                    return {
-                        kind: "may-have-run",
-                        message: `The answer ended with its connection, its server is ${state}`,
-                    };
-                }
+            const endState = body && await findEndState();
+            if (body && endState !== "running") {
+                rollouts.record(server, route, undefined);
+                recordFailure();
+                return {
+                    kind: "may-have-run",
+                    message: `The answer ended with its connection, its server is ${endState}`,
+                };
             }
             const isValid = body && (status >= 300 || isSignedUnencoded(response.value, headers.signature));
             rollouts.recordAnswer(server, route, status, isValid ? responseTime : undefined);
--- a/packages/gateway/relay_events.ts
+++ b/packages/gateway/relay_events.ts
@@ -8,6 +8,7 @@
 import type { PassOutcome } from "./pass_outcome.ts";
 import type { PassProgress } from "./pass_progress.ts";
 import type { SilenceWatch } from "./silence_watch.ts";
+import { watchAnswerEnd } from "./watch_answer_end.ts";
 
 /** Bytes of a stream that its caller has not taken, from which nothing more is read from the engine. */
 const MAXIMUM_UNSENT_BYTES = 32_768;
@@ -44,6 +45,10 @@
     const { request, reservation, progress, watch, onEvent } = stream;
     const { response } = request;
     const splitter = new EventSplitter();
+    const findEndState = watchAnswerEnd(
+        backendResponse,
+        () => context.answerEndCheck.confirm(reservation.server, request.service, watch.signal),
+    );
     return new Promise(resolve => {
         let finished = false;
         const finish = (outcome: PassOutcome) => {
@@ -114,10 +119,10 @@
                 finish({ kind: "broken", message: "The stream broke off" });
                 return;
             }
-            if (backendResponse.framing === "connection" && !hasAllEvents(request)) {
+            if (!hasAllEvents(request)) {
                 // The check has a limit of its own.
                 watch.pause();
-                const state = await context.answerEndCheck.confirm(reservation.server, request.service, watch.signal);
+                const state = await findEndState();
                 if (state !== "running") {
                     finish({ kind: "broken", message: `The stream ended with its connection, its engine is ${state}` });
                     return;
