Ask nothing after a stream that has all its events

Since the question is sent as the server ends its side, it was also sent after streams with as many events as their request allows tokens, which need none.

--- a/packages/gateway/relay_events.ts
+++ b/packages/gateway/relay_events.ts
@@ -45,10 +45,10 @@
     const { request, reservation, progress, watch, onEvent } = stream;
     const { response } = request;
     const splitter = new EventSplitter();
-    const findEndState = watchAnswerEnd(
-        backendResponse,
-        () => context.answerEndCheck.confirm(reservation.server, request.service, watch.signal),
-    );
+    const findEndState = watchAnswerEnd(backendResponse, async () =>
+        hasAllEvents(request)
+            ? "running"
+            : await context.answerEndCheck.confirm(reservation.server, request.service, watch.signal));
     return new Promise(resolve => {
         let finished = false;
         const finish = (outcome: PassOutcome) => {
@@ -119,16 +119,14 @@
                 finish({ kind: "broken", message: "The stream broke off" });
                 return;
             }
-            if (!hasAllEvents(request)) {
-                // The check has a limit of its own.
-                watch.pause();
-                const state = await findEndState();
-                if (state !== "running") {
-                    finish({ kind: "broken", message: `The stream ended with its connection, its engine is ${state}` });
-                    return;
-                }
-            }
-            finish({ kind: "completed" });
+            // The check has a limit of its own.
+            watch.pause();
+            const state = await findEndState();
+            finish(
+                state === "running"
+                    ? { kind: "completed" }
+                    : { kind: "broken", message: `The stream ended with its connection, its engine is ${state}` },
+            );
         });
     });
 }
