--- a/packages/capacity/_costed_inputs.ts
+++ b/packages/capacity/_costed_inputs.ts
@@ -56,6 +56,7 @@
         done();
     }
 
+    // What the HTTP classes of Node.js ask of a socket.
     setTimeout = () => this;
     setKeepAlive = () => this;
     setNoDelay = () => this;
