Name the callers' address in registrations and the reach of servers in reports

An instance that reaches no server can pass requests on only if it knows where its peers take them and which of them reach servers. Registrations name callersAddress; reports leave it out, and MemberList keeps that of the registration for the same process.

--- a/packages/peers/known_peer.ts
+++ b/packages/peers/known_peer.ts
@@ -7,4 +7,6 @@
     lastReportAt: number;
     /** Whether its last read of the store succeeded. */
     readsStore: boolean;
+    /** Whether it reached backend servers at that time; undefined if it did not say. */
+    serversReachable: boolean | undefined;
 }
--- a/packages/peers/member_list.ts
+++ b/packages/peers/member_list.ts
@@ -9,13 +9,10 @@
 const SUSPICION_MILLISECONDS = 3_000;
 
 /** What is known of one peer. */
-interface Entry {
-    peer: Peer;
+interface Entry extends KnownPeer {
     registered: boolean;
     /** Monotonic time in milliseconds at which its registration was removed. */
     removedAt: number;
-    lastReportAt: number;
-    readsStore: boolean;
     suspectedUntil: number;
     /** Monotonic time in milliseconds at which the process became known. */
     knownSince: number;
@@ -112,12 +109,14 @@
      *
      * @param peer The peer.
      * @param readsStore Whether its last read of the store succeeded.
+     * @param serversReachable Whether it reaches backend servers. Default: it did not say.
      */
-    recordReport(peer: Peer, readsStore: boolean): void {
+    recordReport(peer: Peer, readsStore: boolean, serversReachable?: boolean): void {
         const entry = this.#update(peer);
         if (entry) {
             entry.lastReportAt = this.now();
             entry.readsStore = readsStore;
+            entry.serversReachable = serversReachable;
             entry.suspectedUntil = Number.NEGATIVE_INFINITY;
         }
     }
@@ -176,14 +175,19 @@
         }
         const known = this.#entries.get(peer.name);
         if (known?.peer.incarnation === peer.incarnation && known.peer.failureDomain === peer.failureDomain) {
+            // Only registrations name the address for callers.
+            if (peer.callersAddress !== undefined) {
+                known.peer.callersAddress = peer.callersAddress;
+            }
             return known;
         }
-        const entry = {
-            peer,
+        const entry: Entry = {
+            peer: { ...peer },
             registered: known?.registered ?? false,
             removedAt: known?.removedAt ?? Number.NEGATIVE_INFINITY,
             lastReportAt: Number.NEGATIVE_INFINITY,
             readsStore: false,
+            serversReachable: undefined,
             suspectedUntil: Number.NEGATIVE_INFINITY,
             knownSince: this.now(),
         };
--- a/packages/peers/mod.ts
+++ b/packages/peers/mod.ts
@@ -2,6 +2,7 @@
 export type { Cell } from "./cell.ts";
 export type { CellState } from "./cell_state.ts";
 export { FleetPartition } from "./fleet_partition.ts";
+export type { KnownPeer } from "./known_peer.ts";
 export type { Peer } from "./peer.ts";
 export { PeerMesh } from "./peer_mesh.ts";
 export type { PeerMeshOptions } from "./peer_mesh_options.ts";
--- a/packages/peers/peer.ts
+++ b/packages/peers/peer.ts
@@ -7,4 +7,6 @@
     address: string;
     /** Failure domain that it runs in. */
     failureDomain: string;
+    /** Address at which callers reach it; undefined unless its registration names one. */
+    callersAddress?: string | undefined;
 }
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -67,8 +67,8 @@
         this.#server = new InstanceServer(self, SECRET, { metrics, logger, compress: false });
         this.#pool = new InstancePool(self, SECRET, metrics, this.#server, { compress: false });
         this.#server.handle("peers.report", peerReportSchema, async report => {
-            const { name, incarnation, address, failureDomain, readsStore } = report;
-            this.#members.recordReport({ name, incarnation, address, failureDomain }, readsStore);
+            const { name, incarnation, address, failureDomain, readsStore, serversReachable } = report;
+            this.#members.recordReport({ name, incarnation, address, failureDomain }, readsStore, serversReachable);
             this.#reports.set(name, { report, at: monotonicMilliseconds() });
             this.#probes.proofs.record(report);
             options.onReport(report);
@@ -126,6 +126,15 @@
         return cell !== undefined && cell !== this.cell;
     }
 
+    /**
+     * Lists the other instances, those of other cells included, which do not report to this one.
+     *
+     * @returns The peers with what is known of them.
+     */
+    peers(): KnownPeer[] {
+        return this.#members.peers();
+    }
+
     /** Time in milliseconds between two reports to one member of the cell while the load changes. */
     get reportPeriodMilliseconds(): number {
         return Math.max(TASK_PERIOD_MILLISECONDS, this.#mates().length / REPORTS_PER_SECOND * MILLISECONDS_PER_SECOND);
@@ -269,7 +278,8 @@
         this.#lastReportSentAt = now;
         this.#forcedReportAt = force ? now : this.#forcedReportAt;
         const proofs = force ? this.#probes.proofs.createFields(this.#probed()) : {};
-        const report = { ...this.options.self, ...reportFields, ...proofs };
+        const { name, incarnation, address, failureDomain } = this.options.self;
+        const report = { name, incarnation, address, failureDomain, ...reportFields, ...proofs };
         this.#pool.broadcast(peers.map(({ peer }) => peer), "peers.report", report);
     }
 
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -13,6 +13,8 @@
 export const peerReportSchema = peerSchema.extend({
     /** Whether the instance's last read of the store succeeded. */
     readsStore: z.boolean(),
+    /** Whether a backend server has answered the instance lately; false while it is isolated, undefined if nothing is known. */
+    serversReachable: z.boolean().optional(),
     /** Monotonic time of the sender in milliseconds, in reports whose arrival is to be proven. */
     sentAt: z.number().optional(),
     /** By incarnation of a receiver: `sentAt` of its last such report that has arrived. */
