Open connections to servers from an address that the settings name

On a host with several addresses the system's choice may be one that servers do not reach, and servers could not tell instances on one host apart. The setting backendSourceAddress names the source. A request can ask for a connection of its own, which shows that new ones can be established.

--- a/packages/backends/backend_connection_pool.ts
+++ b/packages/backends/backend_connection_pool.ts
@@ -25,6 +25,11 @@
 export class BackendConnectionPool {
     readonly #agents = new Map<string, BackendAgent>();
 
+    /**
+     * @param sourceAddress IP address from which connections are opened. Default: chosen by the system.
+     */
+    constructor(private readonly sourceAddress?: string) {}
+
     /**
      * Sends a request and waits for the headers of its response.
      *
@@ -42,7 +47,11 @@
             // A late second answer to an earlier send has the same id; it can only arrive on that send's connection.
             const isRepeated = request.correlation?.value !== undefined
                 && agent.recordSend(request.correlation.value);
-            const started = startSend(request, isRepeated ? false : agent);
+            const started = startSend(
+                request,
+                isRepeated || request.newConnection === true ? false : agent,
+                this.sourceAddress,
+            );
             if (started.isErr()) {
                 resolve(err(started.error));
                 return;
@@ -141,9 +150,13 @@
 }
 
 /** Starts a request; Node throws for an address or header that cannot be used, before anything is sent. */
-function startSend(request: BackendRequest, agent: BackendAgent | false): Result<ClientRequest, BackendFault> {
+function startSend(
+    request: BackendRequest,
+    agent: BackendAgent | false,
+    localAddress: string | undefined,
+): Result<ClientRequest, BackendFault> {
     try {
-        return ok(startRequest({ ...createRequestOptions(request), agent }));
+        return ok(startRequest({ ...createRequestOptions(request), agent, localAddress }));
     }
     catch (error) {
         const message = `The request cannot be sent: ${error instanceof Error ? error.message : String(error)}`;
--- a/packages/backends/backend_connection_pool_test.ts
+++ b/packages/backends/backend_connection_pool_test.ts
@@ -1,5 +1,7 @@
 import { spawn } from "node:child_process";
 import { once } from "node:events";
+import { createServer } from "node:http";
+import type { AddressInfo } from "node:net";
 import { afterAll, expect, test } from "vitest";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { BackendConnectionPool } from "./backend_connection_pool.ts";
@@ -64,3 +66,26 @@
         );
     },
 );
+
+// Guards against probes of a link that only show that an old connection still lives, and against a source that is not used.
+test("requests come from the source address, and on new connections if they ask for one", async () => {
+    const sources: string[] = [];
+    const server = createServer(({ socket }, response) => {
+        sources.push(`${socket.remoteAddress} ${socket.remotePort}`);
+        response.end();
+    });
+    await once(server.listen(0, "127.0.0.1"), "listening");
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+    const ownPool = new BackendConnectionPool("127.0.0.2");
+    for (const newConnection of [false, false, true, false]) {
+        const request = { address, method: "GET", path: "/", headers: ["Host", address], timeoutMilliseconds: 5_000 };
+        const response = (await ownPool.send({ ...request, newConnection }))._unsafeUnwrap();
+        await once(response.body.resume(), "close");
+    }
+    ownPool.close();
+    server.close();
+    expect(sources.every(source => source.startsWith("127.0.0.2 "))).toBe(true);
+    const [first, second, probe, fourth] = sources;
+    expect([second, fourth]).toEqual([first, first]);
+    expect(probe).not.toBe(first);
+});
--- a/packages/backends/backend_request.ts
+++ b/packages/backends/backend_request.ts
@@ -10,6 +10,8 @@
     body?: Buffer | undefined;
     /** Time in milliseconds within which the headers of the response must arrive. */
     timeoutMilliseconds: number;
+    /** Whether the request is sent on a connection of its own, which is closed after it. */
+    newConnection?: boolean | undefined;
     /** Aborts the request and closes its connection. */
     signal?: AbortSignal | undefined;
     /**
--- a/packages/gateway/gateway_settings_schema.ts
+++ b/packages/gateway/gateway_settings_schema.ts
@@ -51,6 +51,8 @@
     metricsAddress: addressSchema.optional(),
     /** Addresses of instances to query before the store has responded. */
     seedAddresses: z.array(addressSchema).default([]),
+    /** IP address from which connections to backend servers are opened; without it, the system chooses one. */
+    backendSourceAddress: z.union([z.ipv4(), z.ipv6()]).optional(),
     /** Address of the platform's key-value store. */
     storeAddress: addressSchema,
     /** Whether the whole fleet starts for the first time. */
--- a/packages/gateway/load_gateway_settings_test.ts
+++ b/packages/gateway/load_gateway_settings_test.ts
@@ -50,6 +50,8 @@
     [{ seedAddresses: "10.0.0.6:8082" }, {}, ["seedAddresses"]],
     [{ memoryMegabytes: 199.5 }, { memoryMegabytes: 199.5 }, []],
     [{ maximumPauseMilliseconds: -1 }, {}, ["maximumPauseMilliseconds"]],
+    [{ backendSourceAddress: "fd00::5" }, { backendSourceAddress: "fd00::5" }, []],
+    [{ backendSourceAddress: "10.0.0.5:80" }, {}, ["backendSourceAddress"]],
     [{ unknownSetting: 1, metricsAddress: "", bounds: { failClosed: false } }, {}, [
         "metricsAddress",
         "unknownSetting",
