Give the gateway a monitor of the links to servers, which finds nothing yet

The interface on which passing requests on is built: the context's reachability, told of calls, answers and faults by ServerClient, probes that do no work on new connections, and its report to peers. leaving_servers_test and cell_usage_test pass; it is never isolated so far.

--- a/packages/gateway/create_server_access.ts
+++ b/packages/gateway/create_server_access.ts
@@ -4,9 +4,12 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import { PromptMemory } from "../prompt_memory/mod.ts";
+import { ReachabilityMonitor } from "../reachability/mod.ts";
 import type { ItemReplica } from "../replica/mod.ts";
 import { EngineSpeeds } from "../speeds/mod.ts";
 import { StageWork } from "../stages/mod.ts";
+import { probeServer } from "./_probe_server.ts";
+import type { EngineProtocol } from "./engine_protocol.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 import { LeavingServers } from "./leaving_servers.ts";
@@ -23,6 +26,7 @@
 interface ServerAccessOptions {
     connectionPool: BackendConnectionPool;
     headers: ProtocolHeaders;
+    engineProtocol: EngineProtocol;
     directory: Directory;
     serverLoads: ServerLoadTracker;
     replica: ItemReplica;
@@ -55,6 +59,7 @@
     | "engineSpeeds"
     | "leavingServers"
     | "promptMemory"
+    | "reachability"
     | "rollouts"
     | "serverClient"
     | "serverLimits"
@@ -78,14 +83,30 @@
     const promptMemory = settings().promptMemory ? new PromptMemory(options.usage.instanceCount) : undefined;
     metrics.gauge("prompt_memory_confidence", () => promptMemory?.confidenceOf("first") ?? 0, { belief: "first" });
     metrics.gauge("prompt_memory_confidence", () => promptMemory?.confidenceOf("sent") ?? 0, { belief: "sent" });
+    const availability = new ServerAvailability(directory, leavingServers, pausedServers, serverLimits);
+    const reachability: ReachabilityMonitor = new ReachabilityMonitor({
+        ...options,
+        servers: () => [...directory.servers.values()].filter(server => availability.isUsable(server)),
+        probe: async server => {
+            const service = directory.findService(server.service);
+            return service ? await probeServer(server, service, { ...options, serverClient }) : "answered";
+        },
+    });
+    const serverClient = new ServerClient(connectionPool, headers, {
+        leavingServers,
+        pausedServers,
+        serverLimits,
+        reachability,
+    });
     return {
         engineSpeeds,
         promptMemory,
         stageWork: settings().measuredStages ? new StageWork() : undefined,
         serverLimits,
         leavingServers,
+        reachability,
         rollouts: new ServiceRollouts({ ...options, ...options.usage }),
-        availability: new ServerAvailability(directory, leavingServers, pausedServers, serverLimits),
-        serverClient: new ServerClient(connectionPool, headers, leavingServers, pausedServers, serverLimits),
+        availability,
+        serverClient,
     };
 }
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -2,6 +2,7 @@
 import type { LoadPolicies } from "../decisions/mod.ts";
 import type { CellState, Peer, PeerReport } from "../peers/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
+import type { ReachabilityMonitor } from "../reachability/mod.ts";
 import type { EngineSpeeds } from "../speeds/mod.ts";
 import type { StageWork } from "../stages/mod.ts";
 import { usedByAll } from "./_used_by_all.ts";
@@ -30,6 +31,7 @@
     serverLimits: ServerLimits;
     engineSpeeds: EngineSpeeds;
     stageWork: StageWork | undefined;
+    reachability: ReachabilityMonitor;
     /** Outcomes of requests while roll-outs last. */
     versionOutcomes: SharedUsage;
     /** Undefined before the instance has started. */
@@ -78,6 +80,7 @@
         const versionOutcomes = this.options.versionOutcomes.report();
         const state = {
             readsStore: readsStore(),
+            serversReachable: this.options.reachability.report(),
             loads,
             changing: stageBalancer()?.changing() ?? [],
             gone: serverLoads.gone(),
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -52,7 +52,7 @@
     readonly #clock = new SuspensionAwareClock();
     readonly #directory = new Directory();
     readonly #replica = new ItemReplica();
-    readonly #connectionPool = new BackendConnectionPool();
+    readonly #connectionPool: BackendConnectionPool;
     readonly #turns = new TurnWatch();
     readonly #store: CoordinationStore;
     readonly #server: GatewayServer;
@@ -80,6 +80,7 @@
         this.#logger = createLogger(settings.name, logOutput);
         this.#metrics = new Metrics(this.#logger);
         this.#memory = new ProcessMemory(settings.memoryMegabytes * BYTES_PER_MEGABYTE, this.#metrics, this.#logger);
+        this.#connectionPool = new BackendConnectionPool(settings.backendSourceAddress);
         this.#store = adapter.openStore(settings.storeAddress, this.#metrics);
         const instanceCount = () => this.instances;
         const shared = {
@@ -113,6 +114,7 @@
             connectionPool: this.#connectionPool,
             serverLoads: this.#serverLoads,
             headers: adapter.headers,
+            engineProtocol: adapter.engineProtocol,
             usage,
             rankOf: server => this.#context.serverSubset.rankOf(server),
         });
@@ -141,6 +143,7 @@
                 incarnation: this.#incarnation,
                 address: settings.instancesAddress,
                 failureDomain: settings.failureDomain,
+                callersAddress: settings.callersAddress,
             },
             seedAddresses: settings.seedAddresses,
             isFirstStart: settings.firstStart,
@@ -234,6 +237,7 @@
     async close(): Promise<void> {
         this.#shuttingDown = true;
         this.#server.close();
+        this.#context.reachability.close();
         this.#memory.close();
         this.#connectionPool.close();
         this.#turns.close();
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -6,6 +6,7 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { PromptMemory } from "../prompt_memory/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
+import type { ReachabilityMonitor } from "../reachability/mod.ts";
 import type { EngineSpeeds } from "../speeds/mod.ts";
 import type { StageWork } from "../stages/mod.ts";
 import type { StreamVersions } from "../stream_versions/mod.ts";
@@ -54,6 +55,8 @@
     promptMemory: PromptMemory | undefined;
     /** Engine time that requests take in each stage; undefined if the settings turn it off. */
     stageWork: StageWork | undefined;
+    /** Decides whether this instance is partitioned from all backend servers. */
+    reachability: ReachabilityMonitor;
     retryBudget: RetryBudget;
     crashRegistry: CrashRegistry;
     /** Parts of prompts that crash servers. */
--- a/packages/gateway/leaving_servers_test.ts
+++ b/packages/gateway/leaving_servers_test.ts
@@ -115,7 +115,9 @@
         const response = { isOk: () => true, value: { status, headers } };
         const pool = { send: async () => response } as unknown as ConstructorParameters<typeof ServerClient>[0];
         const request = { method: "GET", path: "/", headers: [], timeoutMilliseconds: 1 };
-        return new ServerClient(pool, names, leavingServers, pausedServers, serverLimits).send(first, request);
+        const reachability = { beginCall: () => {}, endCall: () => {}, recordAnswer: () => {} } as never;
+        const observers = { leavingServers, pausedServers, serverLimits, reachability };
+        return new ServerClient(pool, names, observers).send(first, request);
     };
     await respond(421, { "x-leaving": "1", "retry-after": "9" });
     await respond(200, { "x-leaving": "0" });
--- a/packages/gateway/server_client.ts
+++ b/packages/gateway/server_client.ts
@@ -1,11 +1,24 @@
 import type { Result } from "neverthrow";
 import type { BackendConnectionPool, BackendFault, BackendRequest, BackendResponse } from "../backends/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
+import type { ReachabilityMonitor } from "../reachability/mod.ts";
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { PausedServers } from "./paused_servers.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
 import type { ServerLimits } from "./server_limits.ts";
 
+/** What is told of the responses of servers. */
+interface ResponseObservers {
+    /** Servers that have said that they leave. */
+    leavingServers: LeavingServers;
+    /** Servers that have asked for a pause. */
+    pausedServers: PausedServers;
+    /** Limits that servers have named. */
+    serverLimits: ServerLimits;
+    /** Decides whether this instance is partitioned from all servers. */
+    reachability: ReachabilityMonitor;
+}
+
 /** Status of a response by another server than the expected one. */
 const ANOTHER_SERVER_STATUS = 421;
 const LEAVING_VALUE = "1";
@@ -17,7 +30,7 @@
  *
  * @example
  * ```ts
- * const client = new ServerClient(connectionPool, headers, leavingServers, pausedServers, serverLimits);
+ * const client = new ServerClient(connectionPool, headers, observers);
  * const request = { method: "GET", path: "/", headers: [], timeoutMilliseconds: 500 };
  * const response = await client.send(server, request);
  * ```
@@ -26,16 +39,12 @@
     /**
      * @param connectionPool Connections to the servers.
      * @param headers Names of the headers.
-     * @param leavingServers Servers that have said that they leave.
-     * @param pausedServers Servers that have asked for a pause.
-     * @param serverLimits Limits that servers have named.
+     * @param observers Told of the responses of servers.
      */
     constructor(
         private readonly connectionPool: BackendConnectionPool,
         private readonly headers: ProtocolHeaders,
-        private readonly leavingServers: LeavingServers,
-        private readonly pausedServers: PausedServers,
-        private readonly serverLimits: ServerLimits,
+        private readonly observers: ResponseObservers,
     ) {}
 
     /**
@@ -50,29 +59,46 @@
         request: Omit<BackendRequest, "address">,
     ): Promise<Result<BackendResponse, BackendFault>> {
         // Calls of the router itself bear no id of a request.
+        const { serverLimits, reachability } = this.observers;
         const isRequest = request.correlation?.value !== undefined;
         if (isRequest) {
-            this.serverLimits.take(server);
+            serverLimits.take(server);
         }
+        const call = reachability.beginCall(server.id);
         const response = await this.connectionPool.send({ ...request, address: server.address });
+        reachability.endCall(call);
         if (response.isOk()) {
+            reachability.recordAnswer(server.id);
             this.#recordNotices(server, response.value, isRequest);
         }
+        else {
+            this.#recordFault(server, response.error.kind);
+        }
         return response;
     }
 
+    #recordFault({ id }: RegisteredServer, kind: BackendFault["kind"]): void {
+        if (kind === "unreachable" || kind === "reset" || kind === "timeout") {
+            this.observers.reachability.recordFault(id, kind);
+        }
+        else if (kind !== "aborted") {
+            this.observers.reachability.recordAnswer(id);
+        }
+    }
+
     #recordNotices(server: RegisteredServer, { status, headers }: BackendResponse, isRequest: boolean): void {
+        const { leavingServers, serverLimits, pausedServers } = this.observers;
         if (status === ANOTHER_SERVER_STATUS) {
             return;
         }
         if (headers[this.headers.leaving] === LEAVING_VALUE) {
-            this.leavingServers.record(server, "answer");
+            leavingServers.record(server, "answer");
         }
         const limit = headers[this.headers.limit];
-        this.serverLimits.record(server, typeof limit === "string" ? limit : undefined, isRequest);
+        serverLimits.record(server, typeof limit === "string" ? limit : undefined, isRequest);
         const retryAfter = headers["retry-after"];
         if (status === UNAVAILABLE_STATUS && retryAfter !== undefined) {
-            this.pausedServers.record(server, retryAfter, headers["date"]);
+            pausedServers.record(server, retryAfter, headers["date"]);
         }
     }
 }
