Find out whether an instance is partitioned from all servers

An instance without a link to any server could only refuse, since nothing told its state from servers in trouble. A failed call, or one that waits while no server answers, raises a suspicion, which up to eight probes over new connections decide; they go to those that answered last, other services and other domains. A round in which the process stood still counts for nothing. reachability_monitor_test 27 of 27, probe_server_test 6 of 6; without the check of standstills 2 fail, without that of calls that wait 1.

--- a/packages/reachability/reachability_monitor.ts
+++ b/packages/reachability/reachability_monitor.ts
@@ -1,9 +1,23 @@
+import { sleep } from "../clocks/mod.ts";
+import { pollConnections } from "../connections/mod.ts";
+import { chooseReturned } from "./_choose_returned.ts";
+import { FindingPauses } from "./_finding_pauses.ts";
+import { LinkFinding } from "./_link_finding.ts";
+import { runProbeRound } from "./_probe_round.ts";
+import { WaitingCalls } from "./_waiting_calls.ts";
 import type { LinkFault } from "./link_fault.ts";
 import type { ReachabilityMonitorOptions } from "./reachability_monitor_options.ts";
 import type { WaitingCall } from "./waiting_call.ts";
 
+/** Time in milliseconds for which an answer shows that servers can be reached. */
+const ANSWER_LIFETIME_MILLISECONDS = 3_000;
+/** Number of servers probed in each round while isolated. */
+const RETURN_PROBES = 2;
+const RETURN_PERIOD_MILLISECONDS = 500;
+
 /**
- * Decides whether this instance is isolated: partitioned from all backend servers.
+ * Decides whether this instance is isolated: partitioned from all backend servers. Nothing is probed unless a call has
+ * failed, or waits while no server answers.
  *
  * @example
  * ```ts
@@ -14,19 +28,41 @@
  * ```
  */
 export class ReachabilityMonitor {
+    readonly #options: Required<ReachabilityMonitorOptions>;
+    /** Times of the last answers by id of the server. */
+    readonly #answeredAt = new Map<string, number>();
+    #lastAnswerAt = Number.NEGATIVE_INFINITY;
+    readonly #calls: WaitingCalls;
+    readonly #pauses = new FindingPauses();
+    readonly #listeners: ((isIsolated: boolean) => void)[] = [];
+    readonly #closing = new AbortController();
+    #finding: { finding: LinkFinding; done: Promise<void>; } | undefined;
+    /** Causes for a finding that waits for the end of a pause, by id of the server. */
+    #causes = new Map<string, string>();
+    #causesTimer: NodeJS.Timeout | undefined;
+    #isolatedSince: number | undefined;
+
     /**
      * @param options Dependencies of the monitor.
      */
-    constructor(private readonly options: ReachabilityMonitorOptions) {}
+    constructor(options: ReachabilityMonitorOptions) {
+        this.#options = { random: Math.random, poll: pollConnections, ...options };
+        this.#calls = new WaitingCalls({
+            now: () => options.clock.now(),
+            poll: () => this.#options.poll(),
+            onLongWait: servers => this.#suspectAll(servers),
+        });
+        options.metrics.gauge("servers_isolated", () => Number(this.isIsolated));
+    }
 
     /** Whether this instance is partitioned from all servers. */
     get isIsolated(): boolean {
-        return false;
+        return this.#isolatedSince !== undefined;
     }
 
     /** Whether it is isolated, or that is being found out. */
     get isSuspected(): boolean {
-        return false;
+        return this.isIsolated || this.#finding !== undefined;
     }
 
     /**
@@ -35,7 +71,7 @@
      * @param listener The listener.
      */
     onChange(listener: (isIsolated: boolean) => void): void {
-        void listener;
+        this.#listeners.push(listener);
     }
 
     /**
@@ -44,7 +80,10 @@
      * @returns True if one has answered lately, false while isolated, undefined if nothing is known.
      */
     report(): boolean | undefined {
-        return undefined;
+        if (this.isIsolated) {
+            return false;
+        }
+        return this.#options.clock.now() - this.#lastAnswerAt < ANSWER_LIFETIME_MILLISECONDS ? true : undefined;
     }
 
     /**
@@ -54,7 +93,20 @@
      * @returns Whether the links stand.
      */
     async confirmLinks(server: string): Promise<boolean> {
-        return server !== "";
+        if (!this.isSuspected && !this.#closing.signal.aborted) {
+            this.#find(new Map([[server, "to be confirmed"]]));
+        }
+        return await this.settle();
+    }
+
+    /**
+     * Waits until it is known whether the links stand, if that is being found out.
+     *
+     * @returns Whether they stand.
+     */
+    async settle(): Promise<boolean> {
+        await this.#finding?.done;
+        return !this.isIsolated;
     }
 
     /**
@@ -64,7 +116,7 @@
      * @returns The call.
      */
     beginCall(server: string): WaitingCall {
-        return { server, startedAt: this.options.clock.now() };
+        return this.#calls.begin(server);
     }
 
     /**
@@ -73,7 +125,7 @@
      * @param call The call.
      */
     endCall(call: WaitingCall): void {
-        void call;
+        this.#calls.end(call);
     }
 
     /**
@@ -82,7 +134,10 @@
      * @param server Id of the server.
      */
     recordAnswer(server: string): void {
-        void server;
+        const now = this.#options.clock.now();
+        this.#lastAnswerAt = now;
+        this.#answeredAt.set(server, now);
+        this.#calls.restart(now);
     }
 
     /**
@@ -92,10 +147,119 @@
      * @param kind How it failed.
      */
     recordFault(server: string, kind: LinkFault): void {
-        void server;
-        void kind;
+        if (this.isIsolated) {
+            return;
+        }
+        if (this.#finding) {
+            this.#finding.finding.addSuspect(server, kind);
+            return;
+        }
+        this.#causes.set(server, kind);
+        this.#findAfterPause();
     }
 
     /** Ends all timers. Probes that are under way have no effect any more. */
-    close(): void {}
+    close(): void {
+        this.#closing.abort();
+        this.#calls.close();
+        clearTimeout(this.#causesTimer);
+    }
+
+    /** Suspects the links because of calls that wait; within a pause, they come up again. */
+    #suspectAll(servers: ReadonlySet<string>): void {
+        if (!this.isSuspected && this.#pauses.endFor(servers) <= this.#options.clock.now()) {
+            this.#find(new Map([...servers].map(id => [id, "waiting"])));
+        }
+    }
+
+    #findAfterPause(): void {
+        clearTimeout(this.#causesTimer);
+        if (this.isSuspected || this.#closing.signal.aborted) {
+            return;
+        }
+        const remaining = this.#pauses.endFor(new Set(this.#causes.keys())) - this.#options.clock.now();
+        if (remaining <= 0) {
+            this.#find(this.#causes);
+        }
+        else {
+            this.#causesTimer = setTimeout(() => this.#findAfterPause(), remaining);
+            this.#causesTimer.unref();
+        }
+    }
+
+    #find(causes: ReadonlyMap<string, string>): void {
+        clearTimeout(this.#causesTimer);
+        const finding = new LinkFinding({
+            ...this.#options,
+            answeredAt: id => this.#answeredAt.get(id) ?? Number.NEGATIVE_INFINITY,
+            lastAnswerAt: () => this.#lastAnswerAt,
+        }, causes);
+        this.#causes = new Map();
+        this.#finding = { finding, done: this.#finish(finding) };
+    }
+
+    async #finish(finding: LinkFinding): Promise<void> {
+        const isIsolated = await finding.run();
+        this.#finding = undefined;
+        if (this.#closing.signal.aborted) {
+            return;
+        }
+        const { clock, logger, servers } = this.#options;
+        const now = clock.now();
+        const fields = {
+            evidence: Object.fromEntries(finding.suspects),
+            probes: Object.fromEntries(finding.results),
+            suspectedMilliseconds: Math.round(now - finding.startedAt),
+            ...Number.isFinite(this.#lastAnswerAt)
+                ? { lastAnswerMillisecondsAgo: Math.round(now - this.#lastAnswerAt) }
+                : {},
+        };
+        if (isIsolated) {
+            logger.warn("links to servers lost", fields);
+            this.#isolatedSince = now;
+            this.#listeners.forEach(listener => listener(true));
+            void this.#awaitReturn(now);
+            return;
+        }
+        if (finding.results.size > 0) {
+            logger.info("links to servers suspected", { ...fields, found: "standing" });
+        }
+        this.#pauses.record(new Set(finding.suspects.keys()), now);
+        const registered = new Set(servers().map(({ id }) => id));
+        [...this.#answeredAt.keys()].filter(id => !registered.has(id)).forEach(id => this.#answeredAt.delete(id));
+    }
+
+    async #awaitReturn(since: number): Promise<void> {
+        const { clock, logger, servers, random } = this.#options;
+        const { signal } = this.#closing;
+        const probedAt = new Map<string, number>();
+        let answered = new Set<string>();
+        let startedAt = since;
+        for (;;) {
+            await sleep(RETURN_PERIOD_MILLISECONDS - (clock.now() - startedAt), signal);
+            if (signal.aborted) {
+                return;
+            }
+            startedAt = clock.now();
+            const probed = chooseReturned({ servers: servers(), count: RETURN_PROBES, answered, probedAt, random });
+            probed.forEach(({ id }) => probedAt.set(id, startedAt));
+            const { results, isAnswered } = await runProbeRound(probed, this.#options);
+            const before = answered;
+            answered = new Set([...results].filter(([, result]) => result === "answered").map(([id]) => id));
+            // One of two may have ended; a server that answers again and again shows that a part can be reached.
+            if (isAnswered && (answered.size === probed.length || [...answered].some(id => before.has(id)))) {
+                break;
+            }
+        }
+        if (signal.aborted) {
+            return;
+        }
+        this.#isolatedSince = undefined;
+        this.#calls.restart(clock.now());
+        logger.warn("links to servers regained", {
+            servers: [...answered],
+            isolatedMilliseconds: Math.round(clock.now() - since),
+        });
+        this.#listeners.forEach(listener => listener(false));
+    }
 }
