Count the events and breaks of streams as signs of the links to servers

Engines that are busy with streams may answer no other call for a while, and a stream that breaks off is the first sign of a lost link where nothing else is under way. Both are told to the monitor.

--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -67,11 +67,15 @@
         const pace = this.#measure(run);
         const onEvent = () => {
             pace.recordEvent();
+            this.context.reachability.recordAnswer(run.reservation.server.id);
             onFirstEvent();
         };
         try {
             const outcome = await this.#send(run, watch, onEvent);
             pace.recordOutcome(outcome);
+            if (outcome.kind === "broken" && !outcome.isGivenUp && !run.request.signal.aborted) {
+                this.context.reachability.recordFault(run.reservation.server.id, "reset");
+            }
             if (outcome.kind === "completed") {
                 const { request: { promptSections, service }, reservation: { server } } = run;
                 this.context.promptMemory?.recordKept(server, promptSections, service.engine?.memoryTokens ?? 0);
