Record no ends and failures of servers that an isolated instance sees

A refused connection was taken for the end of a process, and failed calls and broken runs for faults of servers, also by an instance that reaches none; peers avoided sound servers for it. The end of a server now counts once a probe of another one is answered; crashes are confirmed once the links are known to stand, and connections that broke around isolation are no evidence; reports hold failures back meanwhile; the return of the links ends the avoidance they caused.

--- a/packages/gateway/crash_registry.ts
+++ b/packages/gateway/crash_registry.ts
@@ -3,6 +3,7 @@
 import type { Directory, RegisteredServer } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { CrashedRun } from "../prompt_parts/mod.ts";
+import type { ReachabilityMonitor } from "../reachability/mod.ts";
 
 /** Number of crashed servers at which a request is blocked. */
 const MAXIMUM_CRASHED_SERVERS = 3;
@@ -36,6 +37,9 @@
     at: number;
 }
 
+/** Tells what is seen of servers from the effects of isolation. */
+type Links = Pick<ReachabilityMonitor, "isSuspected" | "settle" | "confirmLinks" | "onChange">;
+
 /** A crash that is not confirmed yet. */
 interface Suspicion extends Crash {
     startedAt: number;
@@ -56,17 +60,22 @@
 export class CrashRegistry {
     #suspicions: Suspicion[] = [];
     readonly #crashes = new Map<string, Crash[]>();
+    #isSettling = false;
 
     /**
      * @param directory Registered servers; one that is removed or registers with a new start counts as crashed.
      * @param logger Logs blocked requests.
      * @param onCrash Called for each suspected run of this instance whose server is proved to have crashed.
+     * @param links Tells whether what is seen of servers may be due to isolation. Default: it never is.
      */
     constructor(
         private readonly directory: Directory,
         private readonly logger: Logger,
         private readonly onCrash: (run: CrashedRun) => void = () => {},
+        private readonly links?: Links,
     ) {
+        // Connections that broke shortly before or during isolation are no evidence, even if their servers end later.
+        links?.onChange(() => this.#suspicions = []);
         directory.onChange(() => this.#confirmByRegistrations());
     }
 
@@ -95,6 +104,21 @@
         this.#confirm(suspicion => suspicion.server === server, true);
     }
 
+    /**
+     * Records that a server could not be reached, which shows its end if another server can be.
+     *
+     * @param server Id of the server.
+     * @returns A promise that resolves once the end is recorded, or found to be none.
+     */
+    async recordUnreachable(server: string): Promise<void> {
+        if (!this.#suspicions.some(suspicion => suspicion.server === server)) {
+            return;
+        }
+        if (!this.links || await this.links.confirmLinks(server)) {
+            this.recordServerEnd(server);
+        }
+    }
+
     /**
      * Records a crash that a peer has reported.
      *
@@ -157,12 +181,28 @@
 
     /** Confirms crashes of servers that have registered with another start, or are no longer registered. */
     #confirmByRegistrations(): void {
+        if (this.links?.isSuspected) {
+            void this.#confirmOnceSettled(this.links);
+            return;
+        }
         const { servers } = this.directory;
         this.#confirm(({ server, startedAt }) => (servers.get(server)?.startedAt ?? startedAt) !== startedAt, true);
         // A registration may also be removed since the server has left or the store has lost it.
         this.#confirm(({ server }) => !servers.has(server), false);
     }
 
+    async #confirmOnceSettled(links: Links): Promise<void> {
+        if (this.#suspicions.length === 0 || this.#isSettling) {
+            return;
+        }
+        this.#isSettling = true;
+        const areStanding = await links.settle();
+        this.#isSettling = false;
+        if (areStanding) {
+            this.#confirmByRegistrations();
+        }
+    }
+
     #confirm(matches: (suspicion: Suspicion) => boolean, isProved: boolean): void {
         const oldest = monotonicMilliseconds() - CONFIRMATION_MILLISECONDS;
         const recent = this.#suspicions.filter(({ at }) => at >= oldest);
--- a/packages/gateway/crash_registry_test.ts
+++ b/packages/gateway/crash_registry_test.ts
@@ -109,3 +109,45 @@
     directory.apply({ kind: "server-removed", id: "a" });
     expect(crashes).toEqual([]);
 });
+
+// Guards against crashes that an isolated instance records and reports, since it cannot reach servers that run.
+test.each<[string, (registry: CrashRegistry, directory: Directory) => unknown]>([
+    ["registers again", (_registry, directory) => register(directory, 2)],
+    ["refuses connections", registry => registry.recordUnreachable("a")],
+])("the end of a server that %s counts once the links are known to stand", async (_name, end) => {
+    for (const areStanding of [true, false]) {
+        const directory = new Directory();
+        let settle: (areStanding: boolean) => void = () => {};
+        const settled = new Promise<boolean>(resolve => settle = resolve);
+        const links = { isSuspected: true, settle: () => settled, confirmLinks: () => settled, onChange: () => {} };
+        const registry = new CrashRegistry(directory, logger, () => {}, links);
+        register(directory, 1);
+        registry.recordBrokenConnection(request, { id: "a", startedAt: 1 });
+        void end(registry, directory);
+        expect(registry.recent()).toEqual([]);
+        links.isSuspected = !areStanding;
+        settle(areStanding);
+        await vi.advanceTimersByTimeAsync(0);
+        expect(registry.recent()).toHaveLength(areStanding ? 1 : 0);
+    }
+});
+
+// Guards against crashes that count since connections broke in a partition and their servers end for another reason.
+test("connections that broke around isolation are no evidence later", async () => {
+    const changes: ((isIsolated: boolean) => void)[] = [];
+    const links = {
+        isSuspected: false,
+        settle: async () => true,
+        confirmLinks: async () => true,
+        onChange: (listener: (isIsolated: boolean) => void) => void changes.push(listener),
+    };
+    const registry = new CrashRegistry(new Directory(), logger, () => {}, links);
+    for (const isIsolated of [true, false]) {
+        registry.recordBrokenConnection(request, { id: "a", startedAt: 1 });
+        changes.forEach(listener => listener(isIsolated));
+    }
+    registry.recordServerEnd("a");
+    expect(registry.recent()).toEqual([]);
+    crash(registry, "a");
+    expect(registry.recent()).toHaveLength(1);
+});
--- a/packages/gateway/create_crash_detection.ts
+++ b/packages/gateway/create_crash_detection.ts
@@ -2,6 +2,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import { PromptPartRegistry } from "../prompt_parts/mod.ts";
+import type { ReachabilityMonitor } from "../reachability/mod.ts";
 import { AnswerEndCheck } from "./answer_end_check.ts";
 import { CrashRegistry } from "./crash_registry.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
@@ -16,6 +17,7 @@
     serverClient: ServerClient;
     directory: Directory;
     serverLoads: ServerLoadTracker;
+    reachability: ReachabilityMonitor;
     /** Returns whether this instance is among the first `count` that probe a blocked part of prompts. */
     isTopRanked(part: string, count: number): boolean;
     metrics: Metrics;
@@ -35,10 +37,10 @@
 export function createCrashDetection(
     options: CrashDetectionOptions,
 ): Pick<GatewayContext, "answerEndCheck" | "crashRegistry" | "promptParts" | "serverEndProbe"> {
-    const { adapter, directory, metrics, logger } = options;
+    const { adapter, directory, reachability, metrics, logger } = options;
     const promptParts = new PromptPartRegistry(logger, (part, count) => options.isTopRanked(part, count));
     metrics.gauge("prompt_parts_blocked", () => promptParts.blockedParts);
-    const crashRegistry = new CrashRegistry(directory, logger, run => promptParts.recordCrash(run));
+    const crashRegistry = new CrashRegistry(directory, logger, run => promptParts.recordCrash(run), reachability);
     const { headers, engineProtocol } = adapter;
     const serverEndProbe = new ServerEndProbe({ ...options, crashRegistry, headers, engineProtocol });
     const answerEndCheck = new AnswerEndCheck({ ...options, headers, engineProtocol });
--- a/packages/gateway/create_server_access.ts
+++ b/packages/gateway/create_server_access.ts
@@ -92,6 +92,11 @@
             return service ? await probeServer(server, service, { ...options, serverClient }) : "answered";
         },
     });
+    reachability.onChange(isIsolated => {
+        if (!isIsolated) {
+            serverLoads.forgetFaults();
+        }
+    });
     const serverClient = new ServerClient(connectionPool, headers, {
         leavingServers,
         pausedServers,
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -10,6 +10,7 @@
 import type { LeavingServers } from "./leaving_servers.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import type { ServerLimits } from "./server_limits.ts";
+import type { ServerLoad } from "./server_load.ts";
 import type { ServerLoadTracker } from "./server_load_tracker.ts";
 import type { SharedUsage } from "./shared_usage.ts";
 import type { SpendingReport } from "./spending_report.ts";
@@ -51,6 +52,8 @@
  */
 export class FleetReporter {
     #lastReport = "";
+    /** Failures by server as they stood before the links to servers became suspect. */
+    readonly #soundFailures = new Map<string, number>();
 
     /**
      * @param options Dependencies of the reporter.
@@ -66,10 +69,15 @@
     createReport(force: boolean): Omit<PeerReport, keyof Peer> | undefined {
         const { serverLoads, rateLimiter, serverLimits, crashRegistry, promptParts, stageBalancer, readsStore } =
             this.options;
-        const { loadPolicies } = this.options;
+        const { loadPolicies, reachability } = this.options;
         const loads: PeerReport["loads"] = {};
+        const { isSuspected } = reachability;
+        if (!isSuspected) {
+            this.#soundFailures.clear();
+        }
         for (const [id, load] of serverLoads.entries()) {
-            const { failures, successes } = load.outcomes;
+            const { successes } = load.outcomes;
+            const failures = this.#failuresOf(id, load, isSuspected);
             if (load.active > 0 || load.reservedTokens > 0 || failures > REPORTED_FAILURES) {
                 const { active, reservedTokens, prefillTokens } = load;
                 loads[id] = [active, reservedTokens, prefillTokens, Number(failures.toFixed(1)), Math.round(successes)];
@@ -80,7 +88,7 @@
         const versionOutcomes = this.options.versionOutcomes.report();
         const state = {
             readsStore: readsStore(),
-            serversReachable: this.options.reachability.report(),
+            serversReachable: reachability.report(),
             loads,
             changing: stageBalancer()?.changing() ?? [],
             gone: serverLoads.gone(),
@@ -182,6 +190,17 @@
         this.options.stageBalancer()?.recordOtherCells(state.stageLoads);
     }
 
+    /** What an instance sees fail while it may be isolated says nothing of the servers. */
+    #failuresOf(id: string, { outcomes: { failures } }: ServerLoad, isSuspected: boolean): number {
+        if (isSuspected) {
+            return Math.min(failures, this.#soundFailures.get(id) ?? 0);
+        }
+        if (failures > REPORTED_FAILURES) {
+            this.#soundFailures.set(id, failures);
+        }
+        return failures;
+    }
+
     #applyServerStates(
         state: Omit<CellState, "usage" | "serverUsage" | "stageLoads" | "demand" | "versionOutcomes">,
     ): void {
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -121,7 +121,7 @@
         const crashDetection = createCrashDetection({
             ...shared,
             adapter,
-            serverClient: serverAccess.serverClient,
+            ...serverAccess,
             serverLoads: this.#serverLoads,
             isTopRanked: (part, count) => this.#context.serverSubset.isTopRanked(part, count),
         });
--- a/packages/gateway/plain_send.ts
+++ b/packages/gateway/plain_send.ts
@@ -1,6 +1,7 @@
 import { type BackendResponse, hasStrayBytes, readResponsePieces } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
+import { logFailure } from "../logs/mod.ts";
 import { backendHeaders } from "./backend_headers.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
@@ -79,7 +80,8 @@
                     this.context.crashRegistry.recordBrokenConnection(request, server);
                 }
                 if (response.error.kind === "unreachable") {
-                    this.context.crashRegistry.recordServerEnd(server.id);
+                    this.context.crashRegistry.recordUnreachable(server.id)
+                        .catch(logFailure(this.context.logger, "end of a server not recorded", { server: server.id }));
                 }
                 const outcome = this.#recordFault(load, response.error, recordFailure);
                 return { ...outcome, isOutOfTime: response.error.kind === "timeout" };
--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -1,6 +1,7 @@
 import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import { logFailure, type Logger } from "../logs/mod.ts";
+import type { ReachabilityMonitor } from "../reachability/mod.ts";
 import { askServer } from "./_ask_server.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
@@ -24,6 +25,7 @@
     serverClient: ServerClient;
     crashRegistry: CrashRegistry;
     serverLoads: ServerLoadTracker;
+    reachability: Pick<ReachabilityMonitor, "confirmLinks">;
     headers: ProtocolHeaders;
     engineProtocol: EngineProtocol;
     logger: Logger;
@@ -78,7 +80,7 @@
     }
 
     async #recordEnd(server: RegisteredServer): Promise<void> {
-        const { crashRegistry, serverLoads, engineProtocol, logger } = this.options;
+        const { crashRegistry, serverLoads, reachability, engineProtocol, logger } = this.options;
         const ask = () => askServer(server, engineProtocol.report(), this.options, TIMEOUT_MILLISECONDS);
         const until = monotonicMilliseconds() + REPETITION_LIMIT_MILLISECONDS;
         let outcome = await ask();
@@ -93,7 +95,8 @@
             outcome = await ask();
         }
         logger.info("server probed after a broken connection", { server: server.id, outcome });
-        if (outcome === "ended") {
+        // An instance that is isolated may be refused as by a closed port.
+        if (outcome === "ended" && await reachability.confirmLinks(server.id)) {
             serverLoads.markTerminated(server.id);
             crashRegistry.recordServerEnd(server.id);
         }
--- a/packages/gateway/server_end_probe_test.ts
+++ b/packages/gateway/server_end_probe_test.ts
@@ -24,14 +24,18 @@
 interface ProbeParts {
     send: (server: RegisteredServer, request: object) => unknown;
     recordServerEnd?: () => void;
+    areLinksSound?: boolean;
     onLine?: (message: string, fields: Record<string, unknown> | undefined) => void;
 }
 
-function createProbe({ send, recordServerEnd = () => {}, onLine = () => {} }: ProbeParts): ServerEndProbe {
+function createProbe(
+    { send, recordServerEnd = () => {}, onLine = () => {}, areLinksSound = true }: ProbeParts,
+): ServerEndProbe {
     return new ServerEndProbe({
         serverClient: { send } as never,
         crashRegistry: { recordServerEnd } as never,
         serverLoads: { markTerminated: () => {} } as never,
+        reachability: { confirmLinks: async () => areLinksSound },
         headers: { expectedServer: "expect" } as never,
         engineProtocol: { report: () => ({ method: "GET", path: "/report" }) } as never,
         logger: { info: onLine, warn: onLine, error: onLine },
@@ -100,29 +104,34 @@
     { name: "never answers", answers: Array(20).fill(UNANSWERED), isEnded: false, within: 2_600 },
     { name: "resets all connections", answers: Array(20).fill(RESET), isEnded: false },
     { name: "resets all early connections", answers: Array(20).fill(RESET_EARLY), isEnded: false },
+    { name: "cannot be reached by an isolated router", answers: [REFUSED], isEnded: false, areLinksSound: false },
     { name: "gives another's answer", answers: [CROSSED, REFUSED], isEnded: false },
-])("an engine that $name counts as ended: $isEnded", async ({ answers, isEnded, within = FOUND_MILLISECONDS }) => {
-    vi.useFakeTimers();
-    let asked = 0;
-    let ended = 0;
-    let probedAfter = Number.POSITIVE_INFINITY;
-    const startedAt = performance.now();
-    const probe = createProbe({
-        send: async () => {
-            const { milliseconds, ...fault } = answers[asked++] ?? RESET;
-            await sleep(milliseconds);
-            return err({ portClosed: false, ...fault });
-        },
-        recordServerEnd: () => ended++,
-        onLine: () => probedAfter = performance.now() - startedAt,
-    });
-    probe.start({ id: "a", address: "127.0.0.1:9" } as RegisteredServer);
-    await vi.advanceTimersByTimeAsync(10_000);
-    vi.useRealTimers();
-    expect(ended).toBe(isEnded ? 1 : 0);
-    expect(probedAfter).toBeLessThanOrEqual(within);
-    expect(asked).toBeLessThanOrEqual(isEnded ? answers.length : MAXIMUM_REPETITIONS + 1);
-});
+])(
+    "an engine that $name counts as ended: $isEnded",
+    async ({ answers, isEnded, within = FOUND_MILLISECONDS, areLinksSound = true }) => {
+        vi.useFakeTimers();
+        let asked = 0;
+        let ended = 0;
+        let probedAfter = Number.POSITIVE_INFINITY;
+        const startedAt = performance.now();
+        const probe = createProbe({
+            send: async () => {
+                const { milliseconds, ...fault } = answers[asked++] ?? RESET;
+                await sleep(milliseconds);
+                return err({ portClosed: false, ...fault });
+            },
+            areLinksSound,
+            recordServerEnd: () => ended++,
+            onLine: () => probedAfter = performance.now() - startedAt,
+        });
+        probe.start({ id: "a", address: "127.0.0.1:9" } as RegisteredServer);
+        await vi.advanceTimersByTimeAsync(10_000);
+        vi.useRealTimers();
+        expect(ended).toBe(isEnded ? 1 : 0);
+        expect(probedAfter).toBeLessThanOrEqual(within);
+        expect(asked).toBeLessThanOrEqual(isEnded ? answers.length : MAXIMUM_REPETITIONS + 1);
+    },
+);
 
 // Guards against a server whose end is never noticed again since an error has ended a probe of it.
 test("a probe that fails is logged and the server can be probed again", async () => {
--- a/packages/gateway/server_load.ts
+++ b/packages/gateway/server_load.ts
@@ -127,7 +127,7 @@
         this.#averageUpdatedAt = monotonicMilliseconds();
     }
 
-    /** Clears the failures and the avoidance of an earlier process of the server. */
+    /** Clears the failures and the avoidance, such as those of an earlier process of the server. */
     reset(): void {
         this.avoidedUntil = 0;
         this.#failures = 0;
--- a/packages/gateway/server_load_tracker.ts
+++ b/packages/gateway/server_load_tracker.ts
@@ -74,6 +74,15 @@
         this.avoid(id, TERMINATED_AVOID_MILLISECONDS);
     }
 
+    /** Forgets failures and avoidance that are due to isolation; servers that are known to have ended stay avoided. */
+    forgetFaults(): void {
+        for (const [id, load] of this.#loads) {
+            if (!this.#terminated.has(id)) {
+                load.reset();
+            }
+        }
+    }
+
     /**
      * Lists the servers at whose addresses other servers respond.
      *
