--- a/packages/reachability/_finding_pauses.ts
+++ b/packages/reachability/_finding_pauses.ts
@@ -1,6 +1,6 @@
 /** Shortest time in milliseconds between a finding that the links stand and the next one. */
 const PAUSE_MILLISECONDS = 1_000;
-/** Longest such time, if the same server alone gives rise to it again and again. */
+/** Longest such time, if one server alone gives rise to it again and again. */
 const LONGEST_PAUSE_MILLISECONDS = 3_000;
 const PAUSE_GROWTH = 2;
 /** Time in milliseconds without a finding after which pauses are short again. */
@@ -21,10 +21,11 @@
         this.#suspects = suspects;
     }
 
-    /** Time from which the links may be probed because of these servers. */
-    endFor(suspects: ReadonlySet<string>): number {
+    /** Time from which the links may be probed because of these servers, by calls that have failed or that only wait. */
+    endFor(suspects: ReadonlySet<string>, areWaiting = false): number {
         const [only] = suspects;
-        const isKnown = suspects.size === 1 && only !== undefined && this.#suspects.has(only);
+        // A call that waits alone may just take long, at whichever server.
+        const isKnown = suspects.size === 1 && only !== undefined && (areWaiting || this.#suspects.has(only));
         return this.#foundAt + (isKnown ? this.#pauseMilliseconds : PAUSE_MILLISECONDS);
     }
 }
--- a/packages/reachability/reachability_monitor.ts
+++ b/packages/reachability/reachability_monitor.ts
@@ -167,7 +167,7 @@
 
     /** Suspects the links because of calls that wait; within a pause, they come up again. */
     #suspectAll(servers: ReadonlySet<string>): void {
-        if (!this.isSuspected && this.#pauses.endFor(servers) <= this.#options.clock.now()) {
+        if (!this.isSuspected && this.#pauses.endFor(servers, true) <= this.#options.clock.now()) {
             this.#find(new Map([...servers].map(id => [id, "waiting"])));
         }
     }
--- a/packages/reachability/reachability_monitor_test.ts
+++ b/packages/reachability/reachability_monitor_test.ts
@@ -205,6 +205,17 @@
         expect(servers.probed.length - before).toBeLessThanOrEqual(most);
         expect(servers.probed.length - before).toBeGreaterThan(5);
     }
+    // An instance with few requests, whose answers take long.
+    const probedBefore = servers.probed.length;
+    for (let call = 0; call < 40; call++) {
+        const id = FLEET[call % FLEET.length]!;
+        const waiting = servers.monitor.beginCall(id);
+        await vi.advanceTimersByTimeAsync(750);
+        servers.monitor.endCall(waiting);
+        servers.monitor.recordAnswer(id);
+    }
+    expect(servers.probed.length - probedBefore).toBeLessThanOrEqual(12);
+    expect(servers.probed.length - probedBefore).toBeGreaterThan(5);
     expect(servers.changes).toEqual([]);
     expect(servers.metrics.count("reachability_probes_total", { result: "answered" })).toBe(servers.probed.length);
     servers.monitor.close();
