Keep instances as members whose address for callers is too long

Settings allow host names of any length, and a registration with one of over 64 characters would not have been read, so that its instance was unknown to all. It now counts without the address. packages/peers: all tests pass.

--- a/packages/peers/parse_registration_test.ts
+++ b/packages/peers/parse_registration_test.ts
@@ -8,3 +8,9 @@
     expect(parseRegistration("instance-1", JSON.stringify(peer))).toEqual(peer);
     expect(() => parseRegistration("instance-2", JSON.stringify(peer))).toThrow("names instance-1");
 });
+
+// Guards against members that are not known, since nothing can be passed on to them.
+test("a registration whose address for callers is not usable holds without it", () => {
+    const registration = { ...peer, callersAddress: `${"a".repeat(64)}:80` };
+    expect(parseRegistration("instance-1", JSON.stringify(registration))).toEqual(peer);
+});
--- a/packages/peers/peer_schema.ts
+++ b/packages/peers/peer_schema.ts
@@ -6,6 +6,6 @@
     incarnation: z.string().max(64),
     address: z.string().max(64),
     failureDomain: z.string().max(128).default(""),
-    /** Address for callers, in registrations; undefined from a version that names none. */
-    callersAddress: z.string().max(64).optional(),
+    /** Address for callers, in registrations; undefined from a version that names none, or if it is too long. */
+    callersAddress: z.string().max(64).optional().catch(undefined),
 });
