Pass requests on to a peer while no backend server can be reached

While the instance is isolated, a request is passed on over HTTP to the port at which a peer takes requests of callers, before it is charged here; also one that waits for an engine's memory, or whose sends all ended without a run. RelayPeerChooser chooses among the peers that report to reach servers, PeerRelay tries up to three of them as long as they say that they have not run it, and relayAnswer relays the answer with flow control and breaks off where it does. A mark in the headers keeps a request from being passed on twice.

--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -15,6 +15,8 @@
 
 /** Delay in milliseconds after which a caller may retry while this instance shuts down. */
 const SHUTDOWN_RETRY_AFTER_MILLISECONDS = 500;
+/** Bytes by which the headers of a request may grow when another instance passes it on. */
+const RELAYED_HEADER_BYTES = 256;
 
 /** Result of the check. */
 type Admission =
@@ -59,7 +61,8 @@
             return { kind: "refused", refusal: refuseUnconfirmed("not-configured", "No configuration is known yet") };
         }
         const size = incoming.rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
-        if (size > configuration.limits.maximumHeaderBytes) {
+        const isRelayed = headerOf(incoming, headers.relayed) !== undefined;
+        if (size > configuration.limits.maximumHeaderBytes + (isRelayed ? RELAYED_HEADER_BYTES : 0)) {
             return refused(431, "headers-too-large", "The headers are too large");
         }
         const path = incoming.url ?? "/";
@@ -116,6 +119,8 @@
                 urgency,
                 urgencyRank: service.engine && this.context.loadPolicies.urgencies.rank(service.name, urgency),
                 isLate: false,
+                isRelayed,
+                triedPeers: new Set(),
                 receivedAt,
                 callerDeadline,
                 deadline,
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -3,6 +3,7 @@
 import { compareWaiting } from "../decisions/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import { EngineChooser } from "../speeds/mod.ts";
+import { createStreamRefusal } from "./_create_stream_refusal.ts";
 import { createWaiter } from "./_create_waiter.ts";
 import { findEngineRefusal } from "./_find_engine_refusal.ts";
 import { findRoom } from "./_find_room.ts";
@@ -15,6 +16,7 @@
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
+import type { PeerRelay } from "./peer_relay.ts";
 import type { PrefillDispatcher } from "./prefill_dispatcher.ts";
 import { ServerChooser } from "./server_chooser.ts";
 
@@ -57,11 +59,13 @@
      * @param context Shared objects of the gateway.
      * @param engineClient Calls engines.
      * @param prefillDispatcher Estimates when a prompt will have been computed.
+     * @param peerRelay Tells which requests another instance may take, which need not wait. Default: none.
      */
     constructor(
         private readonly context: GatewayContext,
         engineClient: EngineClient,
         private readonly prefillDispatcher: PrefillDispatcher,
+        private readonly peerRelay?: Pick<PeerRelay, "canPass">,
     ) {
         this.#chooser = new ServerChooser(context);
         this.#reserver = new DecodeReserver(context, engineClient);
@@ -145,6 +149,10 @@
             this.#refuse(waiter);
             return false;
         }
+        if (!waiter.answerBegun && this.peerRelay?.canPass(waiter.request)) {
+            waiter.resolve(err(createStreamRefusal("no-backend-server", "not-run", "No engine can be reached")));
+            return false;
+        }
         const { service } = waiter;
         const isBlocked = blockedServices.has(service) || this.#mustYield(waiter, now);
         const server = isBlocked ? undefined : this.#choose(waiter, now);
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -166,6 +166,7 @@
             loadPolicies,
             retryBudget: new RetryBudget(() => computeRetryLimit(this.settings.bounds), instanceCount),
             instanceCount,
+            peers: () => this.#peerMesh.peers(),
             reportPeriodMilliseconds: () => this.#peerMesh.reportPeriodMilliseconds,
             peerLoadWeight: () => this.#peerLoadWeight(),
             serverSubset: new ServerSubset(
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { MemoryBudget } from "../memory/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { KnownPeer } from "../peers/mod.ts";
 import type { PromptMemory } from "../prompt_memory/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
 import type { ReachabilityMonitor } from "../reachability/mod.ts";
@@ -65,6 +66,8 @@
     serverEndProbe: ServerEndProbe;
     /** Finds out whether the end of a connection was the end of an answer. */
     answerEndCheck: AnswerEndCheck;
+    /** Lists the other instances. */
+    peers(): KnownPeer[];
     /** Number of instances that share the fleet's limits, at least 1. */
     instanceCount(): number;
     /** Time in milliseconds between two reports of a peer, and so about the age of peers' loads. */
--- a/packages/gateway/gateway_request.ts
+++ b/packages/gateway/gateway_request.ts
@@ -36,6 +36,10 @@
     urgencyRank: number | undefined;
     /** Whether the first event could no longer meet the target latency when memory was last granted. */
     isLate: boolean;
+    /** Whether another instance has passed it on. */
+    isRelayed: boolean;
+    /** Names of the instances that it has been passed on to. */
+    triedPeers: Set<string>;
     /** Monotonic time in milliseconds at which the request's headers were received. */
     receivedAt: number;
     /** Monotonic time in milliseconds at which the caller gives up. */
--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -12,19 +12,13 @@
 import type { CallerExchange } from "./caller_exchange.ts";
 import { computeHeadMemory } from "./compute_head_memory.ts";
 import { createPipeliningLimit } from "./create_pipelining_limit.ts";
-import { DecodeQueue } from "./decode_queue.ts";
-import { EngineClient } from "./engine_client.ts";
 import type { GatewayContext } from "./gateway_context.ts";
-import type { GatewayRequest } from "./gateway_request.ts";
-import { PlainForwarder } from "./plain_forwarder.ts";
-import { PrefillDispatcher } from "./prefill_dispatcher.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import { readRequestBody } from "./read_request_body.ts";
-import { refuseBlockedPart } from "./refuse_blocked_part.ts";
 import { refuseUnread } from "./refuse_unread.ts";
+import { RequestForwarder } from "./request_forwarder.ts";
 import { RequestMemory } from "./request_memory.ts";
 import { sendRefusal } from "./send_refusal.ts";
-import { StreamForwarder } from "./stream_forwarder.ts";
 
 /** Limit of the HTTP parser for headers; the configuration's limit is checked after parsing. */
 const MAXIMUM_PARSED_HEADER_BYTES = 65_536;
@@ -54,9 +48,7 @@
     readonly #pipeliningLimit: PipeliningLimit;
     readonly #connectionBound: ConnectionBound;
     readonly #admission: AdmissionCheck;
-    readonly #decodeQueue: DecodeQueue;
-    readonly #plainForwarder: PlainForwarder;
-    readonly #streamForwarder: StreamForwarder;
+    readonly #forwarder: RequestForwarder;
     /** Aborts each request that has not been answered. */
     readonly #aborts = new Map<AbortController, ServerResponse>();
     #active = 0;
@@ -68,14 +60,10 @@
      */
     constructor(
         private readonly context: GatewayContext,
-        private readonly rateLimiter: RateLimiter,
+        rateLimiter: RateLimiter,
     ) {
         this.#admission = new AdmissionCheck(context);
-        const engineClient = new EngineClient(context);
-        const prefillDispatcher = new PrefillDispatcher(context);
-        this.#decodeQueue = new DecodeQueue(context, engineClient, prefillDispatcher);
-        this.#plainForwarder = new PlainForwarder(context);
-        this.#streamForwarder = new StreamForwarder(context, this.#decodeQueue, engineClient, prefillDispatcher);
+        this.#forwarder = new RequestForwarder(context, rateLimiter);
         this.#server = createServer({
             maxHeaderSize: MAXIMUM_PARSED_HEADER_BYTES,
             keepAliveTimeout: DEFAULT_IDLE_MILLISECONDS,
@@ -100,7 +88,6 @@
             applyCallerLimits(this.#server, this.#pipeliningLimit, context, REQUEST_TIMEOUT_MILLISECONDS)
         );
         context.metrics.gauge("gateway_requests_active", () => this.#active);
-        context.metrics.gauge("decode_queue_length", () => this.#decodeQueue.length);
     }
 
     /** Number of active requests. */
@@ -152,7 +139,7 @@
         this.connections.beginShutdown();
         this.#server.close();
         this.#server.closeAllConnections();
-        this.#decodeQueue.close();
+        this.#forwarder.close();
     }
 
     #handle(incoming: IncomingMessage, response: ServerResponse): void {
@@ -248,7 +235,7 @@
                     sendRefusal(request, refusal, this.context);
                     return;
                 }
-                await this.#forward(request);
+                await this.#forwarder.forward(request);
             }
             else if (body.kind === "broken" || abort.signal.reason === "caller-gone") {
                 response.destroy();
@@ -262,37 +249,6 @@
         }
     }
 
-    async #forward(request: GatewayRequest): Promise<void> {
-        const { retryBudget, metrics } = this.context;
-        if (this.context.crashRegistry.isBlocked(request)) {
-            const message = "Servers have crashed each time that the request ran";
-            sendRefusal(request, {
-                status: 502,
-                reason: "request-crashes-servers",
-                verdict: "may-have-run",
-                message,
-            }, this.context);
-            return;
-        }
-        const partAdmission = this.context.promptParts.admit(request.promptParts);
-        if (partAdmission === "blocked") {
-            sendRefusal(request, refuseBlockedPart(), this.context);
-            return;
-        }
-        request.isProbe = partAdmission === "probe";
-        const charge = this.rateLimiter.charge(request);
-        if (charge.isErr()) {
-            sendRefusal(request, charge.error, this.context);
-            return;
-        }
-        retryBudget.recordRequest(request.service.name);
-        metrics.increment("gateway_requests_total", { kind: request.route.kind });
-        const verdict = await (request.service.engine ? this.#streamForwarder : this.#plainForwarder).forward(request);
-        if (verdict === "not-run") {
-            charge.value.refund();
-        }
-    }
-
     #maximumBodyBytes(): number {
         return this.context.directory.configuration?.limits.maximumBodyBytes ?? 0;
     }
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -3,15 +3,14 @@
 import type { RegisteredServer } from "../directory/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
 import { logFailure } from "../logs/mod.ts";
-import type { Verdict } from "../verdicts/mod.ts";
+import { givenUpRefusal } from "./_given_up_refusal.ts";
+import { MEMORY_REFUSAL } from "./_memory_refusal.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import { PlainSend } from "./plain_send.ts";
 import { refuseKey } from "./refuse_key.ts";
-import { refuseUnread } from "./refuse_unread.ts";
 import type { SendOutcome } from "./send_outcome.ts";
-import { sendRefusal } from "./send_refusal.ts";
 import { ServerChooser } from "./server_chooser.ts";
 
 /** Largest number of sends of one request, including those that a server refused. */
@@ -39,17 +38,15 @@
     }
 
     /**
-     * Forwards a request and sends the response to its caller.
+     * Forwards a request and sends a server's response to its caller.
      *
      * @param request The request.
-     * @returns Whether the request may have run; resolves once the response was sent.
+     * @returns The refusal that its caller is to get; undefined if it has got a response.
      */
-    async forward(request: GatewayRequest): Promise<Verdict> {
+    async forward(request: GatewayRequest): Promise<GatewayRefusal | undefined> {
         const { answers } = request.memory;
         if (!await answers.expect(request.signal)) {
-            const isLeaving = request.signal.reason === "shutting-down";
-            refuseUnread(request, isLeaving ? "given-up" : "memory-full", this.context);
-            return "not-run";
+            return request.signal.reason === "shutting-down" ? givenUpRefusal(request.signal) : MEMORY_REFUSAL;
         }
         try {
             return await this.#sendAndRelay(request);
@@ -59,7 +56,7 @@
         }
     }
 
-    async #sendAndRelay(request: GatewayRequest): Promise<Verdict> {
+    async #sendAndRelay(request: GatewayRequest): Promise<GatewayRefusal | undefined> {
         const tried = new Set<string>();
         let runs = 0;
         let sends = 0;
@@ -87,7 +84,7 @@
                 if (outcome.kind === "answered") {
                     if (isUsable(outcome) || request.route.kind !== "idempotent") {
                         this.#relay(request, outcome.response, outcome.body);
-                        return "may-have-run";
+                        return undefined;
                     }
                     fallback = fallback?.isDoubtful ? fallback : outcome;
                     runs++;
@@ -110,12 +107,10 @@
         }
         if (fallback) {
             this.#relay(request, fallback.response, fallback.body);
-            return "may-have-run";
+            return undefined;
         }
         // An earlier send may have run, which its refusal says.
-        const final = runs === 0 && keyRefusal ? keyRefusal : this.#finalRefusal(request, refusal);
-        sendRefusal(request, final, this.context);
-        return final.verdict;
+        return runs === 0 && keyRefusal ? keyRefusal : this.#finalRefusal(request, refusal);
     }
 
     /**
--- a/packages/gateway/protocol_headers.ts
+++ b/packages/gateway/protocol_headers.ts
@@ -33,6 +33,8 @@
     leaving: string;
     /** Requests a second, as a decimal number, that the server takes from all instances together. */
     limit: string;
+    /** Present when another instance has passed the request on. */
+    relayed: string;
     /** Headers that only the router may set; they are removed from callers' requests. */
     reserved: string[];
 }
--- a/packages/gateway/refuse_unread.ts
+++ b/packages/gateway/refuse_unread.ts
@@ -1,4 +1,5 @@
 import { CONNECTIONS_REFUSAL } from "./_connections_refusal.ts";
+import { givenUpRefusal } from "./_given_up_refusal.ts";
 import { MEMORY_REFUSAL } from "./_memory_refusal.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { sendRefusal } from "./send_refusal.ts";
@@ -35,7 +36,5 @@
         sendRefusal(request, { status: 413, reason: "body-too-large", verdict, message }, context);
         return;
     }
-    const reason = request.signal?.reason === "shutting-down" ? "leaving" : "deadline-passed";
-    const message = "The request was given up before it was sent to a server";
-    sendRefusal(request, { status: 503, reason, verdict, message }, context);
+    sendRefusal(request, givenUpRefusal(request.signal), context);
 }
--- a/packages/gateway/retry_budget.ts
+++ b/packages/gateway/retry_budget.ts
@@ -37,9 +37,14 @@
      * Records a new request to a service.
      *
      * @param service Name of the service.
+     * @returns A function that takes the request back, since another instance counts it.
      */
-    recordRequest(service: string): void {
-        this.#currentBucket(service).requests++;
+    recordRequest(service: string): () => void {
+        const bucket = this.#currentBucket(service);
+        bucket.requests++;
+        return () => {
+            bucket.requests--;
+        };
     }
 
     /**
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -1,6 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
-import type { Verdict } from "../verdicts/mod.ts";
 import { chooseFinalRefusal } from "./_choose_final_refusal.ts";
 import { createPassProgress } from "./_create_pass_progress.ts";
 import { createStreamRefusal } from "./_create_stream_refusal.ts";
@@ -13,6 +12,7 @@
 import type { DecodeReservation } from "./decode_reservation.ts";
 import type { EngineClient } from "./engine_client.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { PassOutcome } from "./pass_outcome.ts";
 import type { PassProgress } from "./pass_progress.ts";
@@ -21,7 +21,6 @@
 import type { PrefillResult } from "./prefill_result.ts";
 import { refuseBlockedPart } from "./refuse_blocked_part.ts";
 import { refuseKey } from "./refuse_key.ts";
-import { sendRefusal } from "./send_refusal.ts";
 import { SuccessorSearch } from "./successor_search.ts";
 import { VersionGuard } from "./version_guard.ts";
 
@@ -63,17 +62,16 @@
     }
 
     /**
-     * Forwards a request and sends the response to its caller.
+     * Forwards a request and relays the answer of an engine to its caller.
      *
      * @param request The request.
-     * @returns Whether the request may have run; resolves once the response has ended.
+     * @returns The refusal with which it ends; undefined once its caller has got the whole answer.
      */
-    async forward(request: GatewayRequest): Promise<Verdict> {
+    async forward(request: GatewayRequest): Promise<GatewayRefusal | undefined> {
         const progress = createPassProgress();
         let refusal = await this.#versionGuard.admit(request, progress);
         if (refusal) {
-            sendRefusal(request, refusal, this.context);
-            return refusal.verdict;
+            return refusal;
         }
         for (let pass = 0; pass < MAXIMUM_PASSES && !request.signal.aborted; pass++) {
             const isBlocked = pass > 0 && this.context.promptParts.isBlocked(request.promptParts);
@@ -116,7 +114,7 @@
                 ...this.context.directoryUpdater.logFields(),
             });
             if (outcome.kind === "completed" || outcome.kind === "relayed") {
-                return "may-have-run";
+                return undefined;
             }
             if (outcome.kind === "key-refused" || outcome.kind === "part-blocked") {
                 refusal = progress.runs > 0 ? refusal : outcome.refusal;
@@ -143,9 +141,7 @@
         }
         this.#releaseRefusedPrefill(progress);
         this.#successorSearch.releaseUnused(progress);
-        const final = chooseFinalRefusal(request, refusal, this.context);
-        sendRefusal(request, final, this.context);
-        return final.verdict;
+        return chooseFinalRefusal(request, refusal, this.context);
     }
 
     /** Releases a prefill result that will not be used. */
