Pass on what is under way when the links to servers are lost

The first requests after a cut were still refused: one whose sends had failed got 503 while the monitor was finding out that the instance is isolated, and one that waited for a silent server got 504 at its deadline.

A request that ends without a run now waits for the finding before it is refused, if a peer may take it. The calls of one that may run again end once the isolation is found, and it is passed on within the retry budget.

--- a/packages/gateway/peer_relay.ts
+++ b/packages/gateway/peer_relay.ts
@@ -48,15 +48,25 @@
     }
 
     /**
-     * Returns whether a request is to be passed on: this instance is isolated, a peer may reach servers, and no answer has
-     * begun. A request that a peer has passed on stays here.
+     * Returns whether a request is to be passed on: this instance is isolated, and a peer may take the request.
      *
      * @param request The request.
      * @returns Whether it is.
      */
     canPass(request: GatewayRequest): boolean {
-        return this.context.reachability.isIsolated && !request.isRelayed && !request.signal.aborted
-            && !request.response.headersSent && request.triedPeers.size < MAXIMUM_PEERS
+        return this.context.reachability.isIsolated && this.hasPeer(request);
+    }
+
+    /**
+     * Returns whether a request could be passed on if this instance were isolated: a peer may reach servers, and no answer
+     * has begun. A request that a peer has passed on stays here.
+     *
+     * @param request The request.
+     * @returns Whether it could.
+     */
+    hasPeer(request: GatewayRequest): boolean {
+        return !request.isRelayed && !request.signal.aborted && !request.response.headersSent
+            && request.triedPeers.size < MAXIMUM_PEERS
             && this.#chooser.choose(request.service.name, request.triedPeers) !== undefined;
     }
 
--- a/packages/gateway/request_forwarder.ts
+++ b/packages/gateway/request_forwarder.ts
@@ -14,6 +14,8 @@
 import { sendRefusal } from "./send_refusal.ts";
 import { StreamForwarder } from "./stream_forwarder.ts";
 
+/** Reason with which calls to servers end once this instance is isolated. */
+const CUT_OFF = "isolated";
 /** Reasons of refusals that isolation explains. */
 const REASONS_OF_ISOLATION: ReadonlySet<GatewayRefusalReason> = new Set([
     "no-backend-server",
@@ -38,6 +40,8 @@
     readonly #plainForwarder: PlainForwarder;
     readonly #streamForwarder: StreamForwarder;
     readonly #peerRelay: PeerRelay;
+    /** Abort the calls to servers of requests that may run again. */
+    readonly #aborts = new Map<GatewayRequest, AbortController>();
 
     /**
      * @param context Shared objects of the gateway.
@@ -53,7 +57,7 @@
         this.#decodeQueue = new DecodeQueue(context, engineClient, prefillDispatcher, this.#peerRelay);
         this.#plainForwarder = new PlainForwarder(context);
         this.#streamForwarder = new StreamForwarder(context, this.#decodeQueue, engineClient, prefillDispatcher);
-        context.reachability.onChange(() => this.#decodeQueue.dispatch());
+        context.reachability.onChange(isIsolated => this.#applyChange(isIsolated));
         context.metrics.gauge("decode_queue_length", () => this.#decodeQueue.length);
     }
 
@@ -109,17 +113,15 @@
         }
         const takeBack = retryBudget.recordRequest(request.service.name);
         metrics.increment("gateway_requests_total", { kind: request.route.kind });
-        const forwarder = request.service.engine ? this.#streamForwarder : this.#plainForwarder;
-        const refusal = await forwarder.forward(request);
+        const { refusal, isCutOff } = await this.#send(request);
         if (!refusal) {
             return;
         }
-        const isRun = refusal.verdict !== "not-run";
-        if (!isRun) {
+        if (refusal.verdict === "not-run") {
             charge.value.refund();
         }
-        if (this.#mayPassOn(request, refusal)) {
-            if (!isRun) {
+        if (isCutOff || await this.#mayPassOn(request, refusal)) {
+            if (refusal.verdict === "not-run") {
                 takeBack();
             }
             if (await this.#peerRelay.pass(request, refusal.reason)) {
@@ -129,11 +131,59 @@
         sendRefusal(request, refusal, this.context);
     }
 
-    #mayPassOn(request: GatewayRequest, refusal: GatewayRefusal): boolean {
-        if (!REASONS_OF_ISOLATION.has(refusal.reason) || !this.#peerRelay.canPass(request)) {
+    /**
+     * Sends a request to servers. The calls of one that may run again end once this instance is found to be isolated, if a
+     * peer may take it.
+     */
+    async #send(request: GatewayRequest): Promise<{ refusal: GatewayRefusal | undefined; isCutOff: boolean; }> {
+        const forwarder = request.service.engine ? this.#streamForwarder : this.#plainForwarder;
+        if (!mayRunAgain(request)) {
+            return { refusal: await forwarder.forward(request), isCutOff: false };
+        }
+        const abort = new AbortController();
+        const end = () => abort.abort(request.signal.reason);
+        request.signal.addEventListener("abort", end, { once: true });
+        this.#aborts.set(request, abort);
+        try {
+            const refusal = await forwarder.forward({ ...request, signal: abort.signal });
+            const isCutOff = abort.signal.reason === CUT_OFF;
+            return { refusal: refusal && isCutOff ? cutOffRefusal(refusal) : refusal, isCutOff };
+        }
+        finally {
+            this.#aborts.delete(request);
+            request.signal.removeEventListener("abort", end);
+        }
+    }
+
+    #applyChange(isIsolated: boolean): void {
+        this.#decodeQueue.dispatch();
+        if (!isIsolated) {
+            return;
+        }
+        for (const [request, abort] of this.#aborts) {
+            if (this.#peerRelay.canPass(request) && this.context.retryBudget.trySpend(request.service.name)) {
+                abort.abort(CUT_OFF);
+            }
+        }
+    }
+
+    async #mayPassOn(request: GatewayRequest, refusal: GatewayRefusal): Promise<boolean> {
+        if (!REASONS_OF_ISOLATION.has(refusal.reason) || !this.#peerRelay.hasPeer(request)) {
             return false;
         }
-        return refusal.verdict === "not-run"
-            || (mayRunAgain(request) && this.context.retryBudget.trySpend(request.service.name));
+        // What has ended the sends may be the isolation that is being found out.
+        await Promise.race([this.context.reachability.settle(), whenAborted(request.signal)]);
+        return this.#peerRelay.canPass(request) && (refusal.verdict === "not-run"
+            || (mayRunAgain(request) && this.context.retryBudget.trySpend(request.service.name)));
     }
 }
+
+/** Creates the refusal of a request whose calls were ended, unlike one that has run out of time. */
+function cutOffRefusal({ verdict }: GatewayRefusal): GatewayRefusal {
+    const message = "The links to the servers are lost";
+    return createStreamRefusal(verdict === "not-run" ? "no-backend-server" : "backend-failed", verdict, message);
+}
+
+function whenAborted(signal: AbortSignal): Promise<void> {
+    return new Promise(resolve => signal.addEventListener("abort", () => resolve(), { once: true }));
+}
