Let streams go on at a peer when the links to servers are lost

A stream that may be resumed, and whose answer had begun when the links were lost, waited for an engine until its deadline, while callers leave after a gap of two seconds.

It now leaves the queue once the isolation is found, or its silent engine where no event comes, and is passed on with the id of its last event and of the attempt that got its first one, so that the peer finds the software version. The peer's events follow in the same answer only if they begin at the next id.

--- a/packages/gateway/_relayed_headers.ts
+++ b/packages/gateway/_relayed_headers.ts
@@ -1,12 +1,24 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { withoutHeaders } from "./_without_headers.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
 
 const RELAYED_VALUE = "1";
 
-/** Builds the headers, as alternating names and values, with which a request is passed on to another instance. */
+/**
+ * Builds the headers, as alternating names and values, with which a request is passed on to another instance. If a
+ * part of its stream has been sent, they ask for the rest.
+ */
 export function relayedHeaders(request: GatewayRequest, names: ProtocolHeaders): string[] {
     const remaining = Math.max(1, Math.floor(request.deadline - monotonicMilliseconds()));
     const key = request.key === undefined ? [] : [names.key, request.key];
-    return [...request.headers, names.remainingMilliseconds, String(remaining), ...key, names.relayed, RELAYED_VALUE];
+    const { lastEventId } = request.exchange;
+    const resumed = lastEventId === undefined ? [] : [
+        names.lastEventId,
+        String(lastEventId),
+        names.resumedAttempt,
+        request.resumedStream?.firstAttempt ?? request.id,
+    ];
+    const headers = [...withoutHeaders(request.headers, resumed), ...resumed];
+    return [...headers, names.remainingMilliseconds, String(remaining), ...key, names.relayed, RELAYED_VALUE];
 }
--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -69,6 +69,7 @@
             receivedAt: monotonicMilliseconds(),
             bodyBytes: 0,
             events: 0,
+            lastEventId: undefined,
             answered: false,
             isCommitted: false,
             end: undefined,
--- a/packages/gateway/caller_exchange.ts
+++ b/packages/gateway/caller_exchange.ts
@@ -10,6 +10,8 @@
     bodyBytes: number;
     /** Number of events of a stream that were written to the connection. */
     events: number;
+    /** Id of the last of these events; undefined before the first. */
+    lastEventId: number | undefined;
     /** Whether a whole answer was written to the connection. */
     answered: boolean;
     /** Whether the request may run only once and has been passed on, so that its answer is waited for. */
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -149,7 +149,7 @@
             this.#refuse(waiter);
             return false;
         }
-        if (!waiter.answerBegun && this.peerRelay?.canPass(waiter.request)) {
+        if (this.peerRelay?.canPass(waiter.request)) {
             waiter.resolve(err(createStreamRefusal("no-backend-server", "not-run", "No engine can be reached")));
             return false;
         }
--- a/packages/gateway/peer_relay.ts
+++ b/packages/gateway/peer_relay.ts
@@ -1,5 +1,6 @@
 import { BackendConnectionPool, type BackendFault, type BackendResponse } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { mayGoOn } from "./_may_go_on.ts";
 import { mayRunAgain } from "./_may_run_again.ts";
 import { readPeerRefusal } from "./_read_peer_refusal.ts";
 import { relayedHeaders } from "./_relayed_headers.ts";
@@ -13,6 +14,9 @@
 
 /** Largest number of peers that one request is passed on to. */
 const MAXIMUM_PEERS = 3;
+const OK_STATUS = 200;
+/** Statuses with which an instance or a server says that it has not run a request. */
+const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 const LEAST_REDIRECTION_STATUS = 300;
 
 /**
@@ -59,13 +63,13 @@
 
     /**
      * Returns whether a request could be passed on if this instance were isolated: a peer may reach servers, and no answer
-     * has begun. A request that a peer has passed on stays here.
+     * has begun, unless it is a stream that may go on. A request that a peer has passed on stays here.
      *
      * @param request The request.
      * @returns Whether it could.
      */
     hasPeer(request: GatewayRequest): boolean {
-        return !request.isRelayed && !request.signal.aborted && !request.response.headersSent
+        return !request.isRelayed && !request.signal.aborted && (!request.response.headersSent || mayGoOn(request))
             && request.triedPeers.size < MAXIMUM_PEERS
             && this.#chooser.choose(request.service.name, request.triedPeers) !== undefined;
     }
@@ -156,6 +160,11 @@
             answer.close();
             return { kind: "may-have-run", message: "The peer's answer is not signed by a server" };
         }
+        if (request.response.headersSent && answer.status !== OK_STATUS) {
+            answer.close();
+            const kind = NOT_RUN_STATUSES.has(answer.status) ? "not-run" : "may-have-run";
+            return { kind, message: `The peer has answered with status ${answer.status}` };
+        }
         return await relayAnswer(request, answer, refusal?.body)
             ? { kind: "ended", status: answer.status }
             : { kind: "may-have-run", message: "The peer's answer broke off" };
--- a/packages/gateway/relay_answer.ts
+++ b/packages/gateway/relay_answer.ts
@@ -10,7 +10,7 @@
  * Relays the answer of another instance to a caller as it comes, no faster than the caller takes it. Of a stream of
  * events, only whole ones are relayed.
  *
- * @param request The request, whose answer has not begun.
+ * @param request The request, whose answer has not begun, or is a stream that goes on with this one.
  * @param answer The answer, of which the headers have arrived.
  * @param body The body if it has been read already.
  * @returns Whether the answer was complete; if not, it has been left open where it broke off.
@@ -28,7 +28,7 @@
     const splitter = request.service.engine && answer.status === OK_STATUS ? new EventSplitter() : undefined;
     const begin = () => {
         if (!response.headersSent && !response.destroyed) {
-            response.writeHead(answer.status, headersOf(answer));
+            response.writeHead(answer.status, splitter ? withoutLength(answer) : withLength(answer));
         }
     };
     if (body) {
@@ -64,22 +64,31 @@
             if (isFinished) {
                 return;
             }
-            const pieces = splitter ? splitter.push(chunk).map(({ bytes }) => bytes) : [chunk];
-            if (splitter?.isTooLarge) {
-                finish(false);
+            if (!splitter) {
+                pauseIf(!response.write(chunk));
                 return;
             }
-            let mayGoOn = true;
-            for (const piece of pieces) {
+            const events = splitter.push(chunk);
+            for (const { id, bytes } of events) {
+                if (id === undefined || (exchange.lastEventId !== undefined && id !== exchange.lastEventId + 1)) {
+                    finish(false);
+                    return;
+                }
                 begin();
-                mayGoOn = response.write(piece);
-                exchange.events += splitter ? 1 : 0;
+                pauseIf(!response.write(bytes));
+                exchange.events++;
+                exchange.lastEventId = id;
+            }
+            if (splitter.isTooLarge) {
+                finish(false);
             }
-            if (!mayGoOn) {
+        });
+        const pauseIf = (isFull: boolean) => {
+            if (isFull && !answer.body.isPaused()) {
                 answer.body.pause();
                 response.once("drain", () => answer.body.resume());
             }
-        });
+        };
         answer.body.on("end", () => {
             const isWhole = isResponseComplete(answer) && answer.framing !== "connection";
             finish(isWhole && (splitter?.pendingBytes ?? 0) === 0);
@@ -89,8 +98,12 @@
     });
 }
 
-function headersOf(answer: BackendResponse): string[] {
-    const headers = filterRawHeaders(answer.rawHeaders, NO_HEADERS);
+/** Headers of a stream, which may go on with another answer. */
+function withoutLength({ rawHeaders }: BackendResponse): string[] {
+    return filterRawHeaders(rawHeaders, NO_HEADERS);
+}
+
+function withLength(answer: BackendResponse): string[] {
     const length = answer.headers["content-length"];
-    return length === undefined ? headers : [...headers, "Content-Length", length];
+    return length === undefined ? withoutLength(answer) : [...withoutLength(answer), "Content-Length", length];
 }
--- a/packages/gateway/relay_events.ts
+++ b/packages/gateway/relay_events.ts
@@ -99,6 +99,7 @@
                 }
                 response.write(event.bytes);
                 request.exchange.events++;
+                request.exchange.lastEventId = event.id;
             }
             // Only a whole event shows that the engine makes progress.
             if (events.length > 0) {
--- a/packages/gateway/request_forwarder.ts
+++ b/packages/gateway/request_forwarder.ts
@@ -56,7 +56,13 @@
         this.#peerRelay = new PeerRelay(context);
         this.#decodeQueue = new DecodeQueue(context, engineClient, prefillDispatcher, this.#peerRelay);
         this.#plainForwarder = new PlainForwarder(context);
-        this.#streamForwarder = new StreamForwarder(context, this.#decodeQueue, engineClient, prefillDispatcher);
+        this.#streamForwarder = new StreamForwarder(
+            context,
+            this.#decodeQueue,
+            engineClient,
+            prefillDispatcher,
+            this.#peerRelay,
+        );
         context.reachability.onChange(isIsolated => this.#applyChange(isIsolated));
         context.metrics.gauge("decode_queue_length", () => this.#decodeQueue.length);
     }
@@ -161,7 +167,10 @@
             return;
         }
         for (const [request, abort] of this.#aborts) {
-            if (this.#peerRelay.canPass(request) && this.context.retryBudget.trySpend(request.service.name)) {
+            const hasBegun = request.response.headersSent;
+            if (
+                !hasBegun && this.#peerRelay.canPass(request) && this.context.retryBudget.trySpend(request.service.name)
+            ) {
                 abort.abort(CUT_OFF);
             }
         }
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -16,6 +16,7 @@
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { PassOutcome } from "./pass_outcome.ts";
 import type { PassProgress } from "./pass_progress.ts";
+import type { PeerRelay } from "./peer_relay.ts";
 import type { PrefillDispatcher } from "./prefill_dispatcher.ts";
 import type { PrefillFailure } from "./prefill_failure.ts";
 import type { PrefillResult } from "./prefill_result.ts";
@@ -49,12 +50,14 @@
      * @param queue Reserves memory at decode engines.
      * @param engineClient Calls engines.
      * @param prefillDispatcher Sends prompts to prefill engines.
+     * @param peerRelay Tells which streams may go on at another instance.
      */
     constructor(
         private readonly context: GatewayContext,
         private readonly queue: DecodeQueue,
         private readonly engineClient: EngineClient,
         private readonly prefillDispatcher: PrefillDispatcher,
+        private readonly peerRelay: PeerRelay,
     ) {
         this.#decodePass = new DecodePass(context);
         this.#versionGuard = new VersionGuard(context);
@@ -200,8 +203,9 @@
             const mayResume = mayPassAgain && request.route.resumable
                 && progress.runs + 1 < request.route.maximumServers;
             const findSuccessor = mayResume
-                ? (isStillSilent: () => boolean) =>
-                    this.#successorSearch.find(request, progress, reservation, isStillSilent)
+                ? async (isStillSilent: () => boolean) =>
+                    this.peerRelay.canPass(request)
+                    || await this.#successorSearch.find(request, progress, reservation, isStillSilent)
                 : undefined;
             const run = { request, reservation, extraHeaders, progress, localPrefillTokens, findSuccessor };
             if (request.isProbe) {
