Heed the end of a request that was given up before it is sent here

Since the calls of requests that may run again have a signal of their own, one whose caller had left while peers refused it was sent to servers all the same: the signal followed only an end that came later. It now ends at once.

Found by reading; passed_on_requests_test.ts, peer_relay_test.ts and two other files pass (94 tests).

--- a/packages/gateway/request_forwarder.ts
+++ b/packages/gateway/request_forwarder.ts
@@ -148,6 +148,9 @@
         }
         const abort = new AbortController();
         const end = () => abort.abort(request.signal.reason);
+        if (request.signal.aborted) {
+            end();
+        }
         request.signal.addEventListener("abort", end, { once: true });
         this.#aborts.set(request, abort);
         try {
