Close idle connections to peers once the links are back

Connections over which requests had been passed on stayed open until their idle time was over, and count among the connections that callers may hold at the peer. Those that are not in use are closed when the instance reaches servers again.

--- a/packages/gateway/peer_relay.ts
+++ b/packages/gateway/peer_relay.ts
@@ -14,6 +14,7 @@
 
 /** Largest number of peers that one request is passed on to. */
 const MAXIMUM_PEERS = 3;
+const NO_ADDRESSES: ReadonlySet<string> = new Set();
 const OK_STATUS = 200;
 /** Statuses with which an instance or a server says that it has not run a request. */
 const NOT_RUN_STATUSES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
@@ -125,6 +126,11 @@
         return last !== undefined;
     }
 
+    /** Closes the connections to peers that are not in use, which count among those of their callers. */
+    closeIdle(): void {
+        this.#pool.retain(NO_ADDRESSES);
+    }
+
     /** Closes the connections to peers. */
     close(): void {
         this.#pool.close();
--- a/packages/gateway/request_forwarder.ts
+++ b/packages/gateway/request_forwarder.ts
@@ -167,6 +167,7 @@
     #applyChange(isIsolated: boolean): void {
         this.#decodeQueue.dispatch();
         if (!isIsolated) {
+            this.#peerRelay.closeIdle();
             return;
         }
         for (const [request, abort] of this.#aborts) {
