--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -4,8 +4,10 @@
 import type { Logger } from "../logs/mod.ts";
 import type { MemoryBudget } from "../memory/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { KnownPeer } from "../peers/mod.ts";
 import type { PromptMemory } from "../prompt_memory/mod.ts";
 import type { PromptPartRegistry } from "../prompt_parts/mod.ts";
+import type { ReachabilityMonitor } from "../reachability/mod.ts";
 import type { EngineSpeeds } from "../speeds/mod.ts";
 import type { StageWork } from "../stages/mod.ts";
 import type { StreamVersions } from "../stream_versions/mod.ts";
@@ -54,6 +56,8 @@
     promptMemory: PromptMemory | undefined;
     /** Engine time that requests take in each stage; undefined if the settings turn it off. */
     stageWork: StageWork | undefined;
+    /** Decides whether this instance is partitioned from all backend servers. */
+    reachability: ReachabilityMonitor;
     retryBudget: RetryBudget;
     crashRegistry: CrashRegistry;
     /** Parts of prompts that crash servers. */
@@ -62,6 +66,8 @@
     serverEndProbe: ServerEndProbe;
     /** Finds out whether the end of a connection was the end of an answer. */
     answerEndCheck: AnswerEndCheck;
+    /** Lists the other instances. */
+    peers(): KnownPeer[];
     /** Number of instances that share the fleet's limits, at least 1. */
     instanceCount(): number;
     /** Time in milliseconds between two reports of a peer, and so about the age of peers' loads. */
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -1,6 +1,5 @@
 import { err, ok, type Result } from "neverthrow";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
-import type { Verdict } from "../verdicts/mod.ts";
 import { chooseFinalRefusal } from "./_choose_final_refusal.ts";
 import { createPassProgress } from "./_create_pass_progress.ts";
 import { createStreamRefusal } from "./_create_stream_refusal.ts";
@@ -13,15 +12,16 @@
 import type { DecodeReservation } from "./decode_reservation.ts";
 import type { EngineClient } from "./engine_client.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { PassOutcome } from "./pass_outcome.ts";
 import type { PassProgress } from "./pass_progress.ts";
+import type { PeerRelay } from "./peer_relay.ts";
 import type { PrefillDispatcher } from "./prefill_dispatcher.ts";
 import type { PrefillFailure } from "./prefill_failure.ts";
 import type { PrefillResult } from "./prefill_result.ts";
 import { refuseBlockedPart } from "./refuse_blocked_part.ts";
 import { refuseKey } from "./refuse_key.ts";
-import { sendRefusal } from "./send_refusal.ts";
 import { SuccessorSearch } from "./successor_search.ts";
 import { VersionGuard } from "./version_guard.ts";
 
@@ -50,12 +50,14 @@
      * @param queue Reserves memory at decode engines.
      * @param engineClient Calls engines.
      * @param prefillDispatcher Sends prompts to prefill engines.
+     * @param peerRelay Tells which streams may go on at another instance.
      */
     constructor(
         private readonly context: GatewayContext,
         private readonly queue: DecodeQueue,
         private readonly engineClient: EngineClient,
         private readonly prefillDispatcher: PrefillDispatcher,
+        private readonly peerRelay: PeerRelay,
     ) {
         this.#decodePass = new DecodePass(context);
         this.#versionGuard = new VersionGuard(context);
@@ -63,17 +65,16 @@
     }
 
     /**
-     * Forwards a request and sends the response to its caller.
+     * Forwards a request and relays the answer of an engine to its caller.
      *
      * @param request The request.
-     * @returns Whether the request may have run; resolves once the response has ended.
+     * @returns The refusal with which it ends; undefined once its caller has got the whole answer.
      */
-    async forward(request: GatewayRequest): Promise<Verdict> {
+    async forward(request: GatewayRequest): Promise<GatewayRefusal | undefined> {
         const progress = createPassProgress();
         let refusal = await this.#versionGuard.admit(request, progress);
         if (refusal) {
-            sendRefusal(request, refusal, this.context);
-            return refusal.verdict;
+            return refusal;
         }
         for (let pass = 0; pass < MAXIMUM_PASSES && !request.signal.aborted; pass++) {
             const isBlocked = pass > 0 && this.context.promptParts.isBlocked(request.promptParts);
@@ -116,7 +117,7 @@
                 ...this.context.directoryUpdater.logFields(),
             });
             if (outcome.kind === "completed" || outcome.kind === "relayed") {
-                return "may-have-run";
+                return undefined;
             }
             if (outcome.kind === "key-refused" || outcome.kind === "part-blocked") {
                 refusal = progress.runs > 0 ? refusal : outcome.refusal;
@@ -143,9 +144,7 @@
         }
         this.#releaseRefusedPrefill(progress);
         this.#successorSearch.releaseUnused(progress);
-        const final = chooseFinalRefusal(request, refusal, this.context);
-        sendRefusal(request, final, this.context);
-        return final.verdict;
+        return chooseFinalRefusal(request, refusal, this.context);
     }
 
     /** Releases a prefill result that will not be used. */
@@ -204,8 +203,9 @@
             const mayResume = mayPassAgain && request.route.resumable
                 && progress.runs + 1 < request.route.maximumServers;
             const findSuccessor = mayResume
-                ? (isStillSilent: () => boolean) =>
-                    this.#successorSearch.find(request, progress, reservation, isStillSilent)
+                ? async (isStillSilent: () => boolean) =>
+                    this.peerRelay.canPass(request)
+                    || await this.#successorSearch.find(request, progress, reservation, isStillSilent)
                 : undefined;
             const run = { request, reservation, extraHeaders, progress, localPrefillTokens, findSuccessor };
             if (request.isProbe) {
--- a/packages/peers/member_list_test.ts
+++ b/packages/peers/member_list_test.ts
@@ -83,3 +83,17 @@
     times.now += 7_000;
     expect(members.names).toEqual(["b"]);
 });
+
+// Guards against peers to which nothing can be passed on, since their reports came after or before their registrations.
+test("reports name no address for callers, and leave that of the registration", () => {
+    const { members } = createList();
+    const callersAddress = "10.0.0.1:80";
+    members.recordReport(createPeer("a"), true, true);
+    members.register({ ...createPeer("a"), callersAddress });
+    expect(members.find("a")).toMatchObject({ peer: { callersAddress }, serversReachable: true });
+    members.recordReport(createPeer("a"), true, false);
+    expect(members.find("a")).toMatchObject({ peer: { callersAddress }, serversReachable: false });
+    members.recordReport(createPeer("a", "2"), true);
+    expect(members.find("a")).toMatchObject({ peer: createPeer("a", "2"), serversReachable: undefined });
+    expect(members.find("a")?.peer.callersAddress).toBeUndefined();
+});
