Log what the finding on a taken-up stream rests on

It names the versions that are registered and listed, the era in which the list was written, whether the copy is in doubt, and how a record came here. The list in the store names its era among the versions, where earlier programs pass over it. No decision changes.

--- a/packages/gateway/version_guard.ts
+++ b/packages/gateway/version_guard.ts
@@ -41,6 +41,8 @@
             service: service.name,
             finding: finding.kind,
             version: finding.kind === "unknown" ? undefined : finding.version,
+            ...finding.evidence,
+            copyInDoubt: directoryUpdater.isCopyInDoubt,
             ...directoryUpdater.logFields(),
         });
         if (finding.kind === "unknown") {
--- /dev/null
+++ b/packages/stream_versions/_format_version_list.ts
@@ -0,0 +1,10 @@
+/**
+ * Formats the value of the store's item. The era stands among the versions, where programs that do not know it pass over it.
+ *
+ * @param versions The versions.
+ * @param era Era of the store in which they are written.
+ * @returns The value.
+ */
+export function formatVersionList(versions: Iterable<string>, era: number): string {
+    return JSON.stringify([...[...versions].sort(), { era }]);
+}
--- a/packages/stream_versions/served_versions.ts
+++ b/packages/stream_versions/served_versions.ts
@@ -3,15 +3,20 @@
 import type { Directory } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { ItemReplica } from "../replica/mod.ts";
+import { formatVersionList } from "./_format_version_list.ts";
+import { parseVersionList } from "./_parse_version_list.ts";
+import type { VersionEvidence } from "./version_evidence.ts";
 
 const KEY_PREFIX = "laburnumslip/versions/";
 /** Longest life of a stream over all attempts of its caller, as a multiple of its route's time-out. */
 const LIFETIME_TIMEOUTS = 2;
+/** Largest number of versions in a log line's list. */
+const MAXIMUM_LOGGED_VERSIONS = 8;
 
 /** Dependencies of {@linkcode ServedVersions}. */
 interface ServedVersionsOptions {
     directory: Pick<Directory, "servers" | "configuration">;
-    replica: Pick<ItemReplica, "get" | "getStored" | "isFilled">;
+    replica: Pick<ItemReplica, "get" | "getStored" | "isFilled" | "position">;
     store: Pick<CoordinationStore, "write">;
     clock: Pick<SuspensionAwareClock, "now">;
     /** Shortest time in milliseconds after the last server of a version has left, for which its streams may be taken up. */
@@ -107,6 +112,21 @@
         return new Set([...this.#knownAt].filter(([, known]) => known.size > 1).map(([service]) => service));
     }
 
+    /**
+     * Describes what is known of the versions of a service.
+     *
+     * @param service Name of the service.
+     * @returns What is registered now, and what the store lists.
+     */
+    describe(service: string): Omit<VersionEvidence, "record"> {
+        const { versions, era } = parseVersionList(this.options.replica.getStored(KEY_PREFIX + service)?.value);
+        return {
+            registered: [...this.#registered().get(service)?.versions ?? []].slice(0, MAXIMUM_LOGGED_VERSIONS),
+            listed: [...versions].slice(0, MAXIMUM_LOGGED_VERSIONS),
+            listEra: era,
+        };
+    }
+
     /**
      * Brings the list in the store up to date, if this instance writes it: adds versions that are registered, and removes
      * those whose streams nobody takes up any more.
@@ -123,7 +143,7 @@
         for (const [service, { versions: inUse, lifetimeMilliseconds }] of registered) {
             const known = this.#knownAt.get(service) ?? new Map<string, number>();
             const key = KEY_PREFIX + service;
-            const listed = parseList(replica.getStored(key)?.value);
+            const listed = [...parseVersionList(replica.getStored(key)?.value).versions];
             const isKept = (version: string) => now - (known.get(version) ?? -Infinity) < lifetimeMilliseconds;
             const lacking = [...inUse].filter(version => !listed.includes(version));
             const kept = listed.filter(isKept);
@@ -132,7 +152,7 @@
                 continue;
             }
             const versions = [...kept, ...lacking].sort();
-            const written = await store.write([{ key, value: JSON.stringify(versions) }]);
+            const written = await store.write([{ key, value: formatVersionList(versions, replica.position.era) }]);
             const outcome = written.isOk() ? written.value.kind : written.error.message;
             if (outcome !== "stored") {
                 logger.warn("software versions not recorded", { service, versions, outcome });
@@ -164,18 +184,7 @@
         return registered;
     }
 
-    #listed(service: string): Set<string> {
-        return new Set(parseList(this.options.replica.get(KEY_PREFIX + service)?.value));
-    }
-}
-
-/** Parses the list of the store; empty if there is none or another writer has put something else there. */
-function parseList(value: string | undefined): string[] {
-    try {
-        const content: unknown = JSON.parse(value ?? "[]");
-        return Array.isArray(content) ? content.filter(version => typeof version === "string") : [];
-    }
-    catch {
-        return [];
+    #listed(service: string): ReadonlySet<string> {
+        return parseVersionList(this.options.replica.get(KEY_PREFIX + service)?.value).versions;
     }
 }
--- a/packages/stream_versions/served_versions_test.ts
+++ b/packages/stream_versions/served_versions_test.ts
@@ -85,7 +85,11 @@
     pass(LIFETIME_MILLISECONDS);
     await versions.record();
     await versions.record();
-    expect(writes.map(({ value }) => value)).toEqual(['["v1"]', '["v1","v2"]', '["v2"]']);
+    expect(writes.map(({ value }) => value)).toEqual([
+        '["v1",{"era":1}]',
+        '["v1","v2",{"era":1}]',
+        '["v2",{"era":1}]',
+    ]);
     versions.observe();
     expect(versions.candidates("models")).toEqual(["v2"]);
 });
@@ -97,6 +101,6 @@
     await versions.record();
     read('["v2"]');
     await versions.record();
-    expect(writes.map(({ value }) => value)).toEqual(['["v1","v2"]']);
+    expect(writes.map(({ value }) => value)).toEqual(['["v1","v2",{"era":1}]']);
     expect(versions.candidates("models").sort()).toEqual(["v1", "v2"]);
 });
--- a/packages/stream_versions/stream_ledger.ts
+++ b/packages/stream_versions/stream_ledger.ts
@@ -52,7 +52,7 @@
             if (change.kind === "written" && change.item.key.startsWith(KEY_PREFIX)) {
                 const batch = parseBatch(change.item.value);
                 if (batch) {
-                    origins.learn(batch.origins);
+                    origins.learn(batch.origins, change.item.era);
                 }
             }
         });
--- a/packages/stream_versions/stream_ledger_test.ts
+++ b/packages/stream_versions/stream_ledger_test.ts
@@ -59,8 +59,8 @@
     await first.ledger.record(MODELS);
     expect(state.writes).toBe(1);
     for (const { origins } of [second, start("c")]) {
-        expect(origins.find("s1")).toEqual(origin);
-        expect(origins.find("s2")).toEqual({ service: "models", version: "v1" });
+        expect(origins.find("s1")?.origin).toEqual(origin);
+        expect(origins.find("s2")?.origin).toEqual({ service: "models", version: "v1" });
         expect(origins.find("s3")).toBeUndefined();
     }
 });
@@ -75,7 +75,7 @@
     state.isAway = false;
     expect(await ledger.record(MODELS)).toBe(true);
     const later = start("b").origins;
-    expect(later.find("s1")).toEqual(origin);
+    expect(later.find("s1")?.origin).toEqual(origin);
     expect(later.find("s2")).toBeUndefined();
 });
 
@@ -89,7 +89,7 @@
         await ledger.record(MODELS);
     }
     const later = start("b").origins;
-    expect(["s1", "s2", "s3"].map(id => later.find(id)?.version)).toEqual(["v2", "v2", "v2"]);
+    expect(["s1", "s2", "s3"].map(id => later.find(id)?.origin.version)).toEqual(["v2", "v2", "v2"]);
     expect(items.size).toBe(2);
 });
 
@@ -104,7 +104,7 @@
     }
     expect(items.size).toBe(8);
     expect(origins.find("s0")).toBeUndefined();
-    expect(origins.find("s99")).toEqual(origin);
+    expect(origins.find("s99")?.origin).toEqual(origin);
 });
 
 test("an item of another writer is ignored", async () => {
@@ -113,7 +113,7 @@
     const { origins, ledger } = start("a");
     origins.begin("s1", origin);
     await ledger.record(MODELS);
-    expect(start("b").origins.find("s1")).toEqual(origin);
+    expect(start("b").origins.find("s1")?.origin).toEqual(origin);
 });
 
 // Guards against memory that grows with the streams of callers.
--- a/packages/stream_versions/stream_origins.ts
+++ b/packages/stream_versions/stream_origins.ts
@@ -1,5 +1,6 @@
 import type { SuspensionAwareClock } from "../clocks/mod.ts";
 import { streamKey } from "./_stream_key.ts";
+import type { FoundOrigin } from "./found_origin.ts";
 import type { StreamOrigin } from "./stream_origin.ts";
 
 /** Largest number of remembered streams; the oldest are forgotten first. */
@@ -10,6 +11,8 @@
     origin: StreamOrigin;
     /** Time in milliseconds at which it became known. */
     at: number;
+    /** Era of the store in which it was read; undefined if it began here. */
+    era: number | undefined;
 }
 
 /**
@@ -19,7 +22,7 @@
  * ```ts
  * const origins = new StreamOrigins(clock, 60_000);
  * origins.begin("9c41d07b", { service: "models", version: "v2" });
- * origins.find("9c41d07b"); // { service: "models", version: "v2" }
+ * origins.find("9c41d07b")?.origin; // { service: "models", version: "v2" }
  * ```
  */
 export class StreamOrigins {
@@ -50,7 +53,7 @@
      */
     begin(id: string, origin: StreamOrigin): void {
         const key = streamKey(id);
-        this.#add(key, origin);
+        this.#add(key, origin, undefined);
         this.#unrecorded.set(key, origin);
     }
 
@@ -58,11 +61,12 @@
      * Remembers streams that were read from a record.
      *
      * @param origins The streams by their keys.
+     * @param era Era of the store in which the record was read.
      */
-    learn(origins: ReadonlyMap<string, StreamOrigin>): void {
+    learn(origins: ReadonlyMap<string, StreamOrigin>, era: number): void {
         for (const [key, origin] of origins) {
             if (!this.#streams.has(key)) {
-                this.#add(key, origin);
+                this.#add(key, origin, era);
             }
         }
     }
@@ -71,10 +75,16 @@
      * Returns what began a stream.
      *
      * @param id Id of the stream.
-     * @returns Its origin; undefined if it is not known.
+     * @returns Its origin and how it is known; undefined if it is not.
      */
-    find(id: string): StreamOrigin | undefined {
-        return this.#streams.get(streamKey(id))?.origin;
+    find(id: string): FoundOrigin | undefined {
+        const known = this.#streams.get(streamKey(id));
+        return known && {
+            origin: known.origin,
+            source: known.era === undefined ? "begun-here" : "read",
+            era: known.era,
+            ageMilliseconds: Math.round(this.clock.now() - known.at),
+        };
     }
 
     /**
@@ -109,10 +119,10 @@
         }
     }
 
-    #add(key: string, origin: StreamOrigin): void {
+    #add(key: string, origin: StreamOrigin, era: number | undefined): void {
         // A stream that begins again moves to the end of the order.
         this.#streams.delete(key);
-        this.#streams.set(key, { origin, at: this.clock.now() });
+        this.#streams.set(key, { origin, at: this.clock.now(), era });
         const [oldest] = this.#streams.keys();
         if (this.#streams.size > MAXIMUM_STREAMS && oldest !== undefined) {
             this.#remove(oldest);
--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -1,5 +1,6 @@
 import { monotonicMilliseconds, PeriodicTask, sleep } from "../clocks/mod.ts";
 import { logFailure } from "../logs/mod.ts";
+import type { FoundOrigin } from "./found_origin.ts";
 import { ServedVersions } from "./served_versions.ts";
 import { StreamLedger } from "./stream_ledger.ts";
 import type { StreamOrigin } from "./stream_origin.ts";
@@ -33,7 +34,7 @@
  * const versions = new StreamVersions(options);
  * versions.start();
  * versions.begin("9c41d07b", { service: "models", version: "v2" });
- * await versions.find("9c41d07b", "models"); // { kind: "recorded", version: "v2" }
+ * await versions.find("9c41d07b", "models"); // { kind: "recorded", version: "v2", evidence }
  * await versions.close();
  * ```
  */
@@ -91,9 +92,10 @@
     async find(stream: string | undefined, service: string): Promise<VersionFinding> {
         const until = monotonicMilliseconds() + RECORD_WAIT_MILLISECONDS;
         while (true) {
-            const origin = stream === undefined ? undefined : this.#origins.find(stream);
-            if (origin?.service === service) {
-                return { kind: "recorded", version: origin.version };
+            const found = stream === undefined ? undefined : this.#origins.find(stream);
+            const evidence = () => ({ ...this.#served.describe(service), record: withoutOrigin(found) });
+            if (found?.origin.service === service) {
+                return { kind: "recorded", version: found.origin.version, evidence: evidence() };
             }
             this.#served.observe();
             const [version, ...others] = this.#served.candidates(service);
@@ -102,10 +104,10 @@
                 if (stream !== undefined) {
                     this.#origins.begin(stream, { service, version });
                 }
-                return { kind: "only-version", version };
+                return { kind: "only-version", version, evidence: evidence() };
             }
             if (stream === undefined || others.length === 0 || monotonicMilliseconds() >= until) {
-                return { kind: "unknown" };
+                return { kind: "unknown", evidence: evidence() };
             }
             await sleep(RECORD_CHECK_MILLISECONDS);
         }
@@ -122,3 +124,8 @@
         this.#recordAt = monotonicMilliseconds() + Math.max(pause, isRecorded ? 0 : FAILED_PAUSE_MILLISECONDS);
     }
 }
+
+/** How a stream is known, without what began it. */
+function withoutOrigin(found: FoundOrigin | undefined): Omit<FoundOrigin, "origin"> | undefined {
+    return found && { source: found.source, era: found.era, ageMilliseconds: found.ageMilliseconds };
+}
