Never keep a concluded version as a record

StreamVersions.find kept the version that it had concluded with origins.begin: from then on the stream was recorded, at this instance and, once the service was mixed, in the store for all, and nothing corrected it. The conclusion now holds for the request in progress only. The test failed before (recorded in place of only-version at the second try).

--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -28,6 +28,7 @@
  * all instances have been restarted. What several versions write does not fit together, and servers do not check it.
  *
  * While a service has one version only, nothing is recorded. Otherwise each stream that begins is recorded in the store.
+ * What is only concluded, is never recorded.
  *
  * @example
  * ```ts
@@ -101,9 +102,6 @@
             const [version, ...others] = this.#served.candidates(service);
             const isRecent = this.options.directoryAge() < MAXIMUM_DIRECTORY_AGE_MILLISECONDS;
             if (version !== undefined && others.length === 0 && isRecent) {
-                if (stream !== undefined) {
-                    this.#origins.begin(stream, { service, version });
-                }
                 return { kind: "only-version", version, evidence: evidence() };
             }
             if (stream === undefined || others.length === 0 || monotonicMilliseconds() >= until) {
