Take nothing that a returned store lacks for what never was

All instances ended and the store came back from a copy that was older than a release: callers got the rest of streams of the newer version from engines of the older one, since the directory and the list, both from the copy, named one version.

The list of versions now speaks only for the era of the store that it names. An instance concludes the only version of a service if the list is of this era, if all instances start for the first time, if it was there before the return, or if it has seen enough since: a stream's lifetime, or 8 s in which no server of the copy has gone, left or started again. Until then streams that begin are recorded, and those without a record are refused as not run, with the time until it may be certain. An instance that was there before writes the list for the new era with all that it knows; others than the readers write it only if it is still lacking, spread by their number, and only if the item is unchanged.

--- a/packages/gateway/store_reading.ts
+++ b/packages/gateway/store_reading.ts
@@ -68,6 +68,7 @@
         this.streamVersions = new StreamVersions({
             ...options,
             self: settings().name,
+            isFirstStart: settings().firstStart,
             isWriter: isReader,
             directoryAge: () => this.directoryUpdater.age,
         });
--- a/packages/gateway/version_guard.ts
+++ b/packages/gateway/version_guard.ts
@@ -47,7 +47,9 @@
         });
         if (finding.kind === "unknown") {
             const message = "Which software version began the stream is not known";
-            return createStreamRefusal("stream-version-unknown", "not-run", message);
+            const refusal = createStreamRefusal("stream-version-unknown", "not-run", message);
+            const milliseconds = Math.max(finding.retryAfterMilliseconds ?? 0, refusal.retryAfterMilliseconds ?? 0);
+            return { ...refusal, retryAfterMilliseconds: milliseconds };
         }
         progress.softwareVersion = finding.version;
         return undefined;
--- a/packages/stream_versions/served_versions.ts
+++ b/packages/stream_versions/served_versions.ts
@@ -1,42 +1,24 @@
-import type { SuspensionAwareClock } from "../clocks/mod.ts";
-import type { CoordinationStore } from "../coordination/mod.ts";
-import type { Directory } from "../directory/mod.ts";
-import type { Logger } from "../logs/mod.ts";
-import type { ItemReplica } from "../replica/mod.ts";
 import { formatVersionList } from "./_format_version_list.ts";
+import { listRegisteredVersions } from "./_list_registered_versions.ts";
 import { parseVersionList } from "./_parse_version_list.ts";
+import type { RegisteredVersions } from "./registered_versions.ts";
+import type { ServedVersionsOptions } from "./served_versions_options.ts";
+import { ServiceVersions } from "./service_versions.ts";
 import type { VersionEvidence } from "./version_evidence.ts";
+import type { VersionList } from "./version_list.ts";
 
 const KEY_PREFIX = "laburnumslip/versions/";
-/** Longest life of a stream over all attempts of its caller, as a multiple of its route's time-out. */
-const LIFETIME_TIMEOUTS = 2;
 /** Largest number of versions in a log line's list. */
 const MAXIMUM_LOGGED_VERSIONS = 8;
-
-/** Dependencies of {@linkcode ServedVersions}. */
-interface ServedVersionsOptions {
-    directory: Pick<Directory, "servers" | "configuration">;
-    replica: Pick<ItemReplica, "get" | "getStored" | "isFilled" | "position">;
-    store: Pick<CoordinationStore, "write">;
-    clock: Pick<SuspensionAwareClock, "now">;
-    /** Shortest time in milliseconds after the last server of a version has left, for which its streams may be taken up. */
-    minimumLifetimeMilliseconds: number;
-    /** Whether this instance is one of those that write for all. */
-    isWriter(): boolean;
-    logger: Logger;
-}
-
-/** What is registered of a service. */
-interface RegisteredVersions {
-    versions: Set<string>;
-    /** Time in milliseconds after the last server of a version has left, for which its streams may be taken up. */
-    lifetimeMilliseconds: number;
-}
+/** Shortest time in milliseconds for which other instances leave a list to those that write for all. */
+const WRITER_MILLISECONDS = 1_000;
+/** Time in milliseconds, for each instance, over which these spread their writes. */
+const SPREAD_MILLISECONDS = 10;
 
 /**
  * Knows which software versions of a service may have begun a stream that can still be taken up: those of the registered
  * servers, those that left lately, and those that the store lists. The list in the store outlives the instances, so that
- * one that has just started knows of versions that it has never seen.
+ * one that has just started knows of versions that it has never seen; it speaks only for the era in which it was written.
  *
  * @example
  * ```ts
@@ -46,50 +28,48 @@
  * ```
  */
 export class ServedVersions {
-    /** By service: versions with the time in milliseconds at which a server of them was last known. */
-    readonly #knownAt = new Map<string, Map<string, number>>();
+    readonly #services = new Map<string, ServiceVersions>();
+    readonly #lists = new Map<string, { value: string | undefined; list: VersionList; }>();
+    /** By service: time in milliseconds from which this instance writes a list that the writers have left undone. */
+    readonly #writeAt = new Map<string, number>();
     readonly #lastLogged = new Map<string, string>();
+    #isFirstEra = true;
 
     /**
      * @param options Dependencies.
      */
-    constructor(private readonly options: ServedVersionsOptions) {}
+    constructor(private readonly options: ServedVersionsOptions) {
+        options.replica.onEraChange(() => {
+            this.#isFirstEra = false;
+        });
+    }
 
     /** Takes note of the versions that are registered or listed now. To be called often, so that no version is missed. */
     observe(): void {
-        const { directory, clock, logger } = this.options;
+        const { clock, replica, isFirstStart } = this.options;
         const now = clock.now();
         const registered = this.#registered();
-        for (const [service, { versions, lifetimeMilliseconds }] of registered) {
-            const known = this.#knownAt.get(service) ?? new Map<string, number>();
-            this.#knownAt.set(service, known);
-            versions.forEach(version => known.set(version, now));
-            const listed = this.#listed(service);
-            for (const version of listed) {
-                if (!known.has(version)) {
-                    known.set(version, now);
-                }
+        for (const [service, servers] of registered) {
+            const observation = {
+                registered: servers,
+                list: parseVersionList(replica.get(KEY_PREFIX + service)?.value),
+                era: replica.position.era,
+                now,
+                confirmedAt: replica.confirmedAt,
+            };
+            const known = this.#services.get(service);
+            if (known) {
+                known.observe(observation);
             }
-            for (const [version, at] of known) {
-                if (now - at >= lifetimeMilliseconds && !listed.has(version)) {
-                    known.delete(version);
-                }
-            }
-            const inService = JSON.stringify([...known.keys()].sort());
-            if (this.#lastLogged.get(service) !== inService && known.size > 0) {
-                this.#lastLogged.set(service, inService);
-                logger.info("software versions in service", {
-                    service,
-                    versions: [...known.keys()].sort(),
-                    configuration: directory.configuration?.version,
-                });
+            else if (replica.isFilled) {
+                this.#services.set(service, new ServiceVersions(isFirstStart && this.#isFirstEra, observation));
             }
+            this.#log(service);
         }
-        for (const service of this.#knownAt.keys()) {
-            if (!registered.has(service)) {
-                this.#knownAt.delete(service);
-                this.#lastLogged.delete(service);
-            }
+        for (const service of [...this.#services.keys()].filter(service => !registered.has(service))) {
+            this.#services.delete(service);
+            this.#lists.delete(service);
+            this.#lastLogged.delete(service);
         }
     }
 
@@ -100,7 +80,27 @@
      * @returns The versions as last observed.
      */
     candidates(service: string): string[] {
-        return [...this.#knownAt.get(service)?.keys() ?? []];
+        return this.#services.get(service)?.candidates ?? [];
+    }
+
+    /**
+     * Returns whether no version but the candidates can have begun a stream of a service.
+     *
+     * @param service Name of the service.
+     * @returns Whether this instance is certain.
+     */
+    isCertain(service: string): boolean {
+        return this.#services.get(service)?.isCertain ?? false;
+    }
+
+    /**
+     * Returns how long it may take until this instance is certain of the versions of a service.
+     *
+     * @param service Name of the service.
+     * @returns The time in milliseconds; undefined if it is certain, or is not in the near future.
+     */
+    remainingMilliseconds(service: string): number | undefined {
+        return this.#services.get(service)?.remainingMilliseconds(this.options.clock.now());
     }
 
     /**
@@ -109,7 +109,8 @@
      * @returns Their names.
      */
     mixedServices(): Set<string> {
-        return new Set([...this.#knownAt].filter(([, known]) => known.size > 1).map(([service]) => service));
+        const mixed = [...this.#services].filter(([, known]) => !known.isCertain || known.candidates.length > 1);
+        return new Set(mixed.map(([service]) => service));
     }
 
     /**
@@ -119,72 +120,97 @@
      * @returns What is registered now, and what the store lists.
      */
     describe(service: string): Omit<VersionEvidence, "record"> {
-        const { versions, era } = parseVersionList(this.options.replica.getStored(KEY_PREFIX + service)?.value);
+        const { versions, era } = this.#stored(service);
+        const registered = this.#registered().get(service)?.servers.map(({ softwareVersion }) => softwareVersion);
         return {
-            registered: [...this.#registered().get(service)?.versions ?? []].slice(0, MAXIMUM_LOGGED_VERSIONS),
+            registered: [...new Set(registered)].slice(0, MAXIMUM_LOGGED_VERSIONS),
             listed: [...versions].slice(0, MAXIMUM_LOGGED_VERSIONS),
             listEra: era,
+            isCertain: this.isCertain(service),
         };
     }
 
     /**
-     * Brings the list in the store up to date, if this instance writes it: adds versions that are registered, and removes
-     * those whose streams nobody takes up any more.
+     * Brings the lists in the store up to date, if this instance writes them: adds versions that are registered, removes
+     * those whose streams nobody takes up any more, and confirms the list in the present era.
      *
      * @returns Whether all writes succeeded; those that failed are tried again at the next call.
      */
     async record(): Promise<boolean> {
-        const { replica, store, isWriter, clock, logger } = this.options;
-        if (!replica.isFilled || !isWriter()) {
+        const { replica } = this.options;
+        if (!replica.isFilled) {
             return true;
         }
-        const now = clock.now();
-        const registered = this.#registered();
-        for (const [service, { versions: inUse, lifetimeMilliseconds }] of registered) {
-            const known = this.#knownAt.get(service) ?? new Map<string, number>();
-            const key = KEY_PREFIX + service;
-            const listed = [...parseVersionList(replica.getStored(key)?.value).versions];
-            const isKept = (version: string) => now - (known.get(version) ?? -Infinity) < lifetimeMilliseconds;
-            const lacking = [...inUse].filter(version => !listed.includes(version));
-            const kept = listed.filter(isKept);
-            // A version that has left is not added again, or instances with other memories would undo each other's lists.
-            if (lacking.length === 0 && kept.length === listed.length) {
-                continue;
+        this.observe();
+        for (const [service, known] of this.#services) {
+            const wanted = known.correct(this.#stored(service), this.options.clock.now());
+            if (!wanted) {
+                this.#writeAt.delete(service);
             }
-            const versions = [...kept, ...lacking].sort();
-            const written = await store.write([{ key, value: formatVersionList(versions, replica.position.era) }]);
-            const outcome = written.isOk() ? written.value.kind : written.error.message;
-            if (outcome !== "stored") {
-                logger.warn("software versions not recorded", { service, versions, outcome });
+            else if (this.#mayWrite(service) && !await this.#write(service, wanted)) {
                 return false;
             }
-            logger.info("software versions recorded", { service, versions });
         }
         return true;
     }
 
-    /** Versions of the registered servers, by service, of the services whose streams callers may take up. */
-    #registered(): Map<string, RegisteredVersions> {
-        const { directory: { servers, configuration }, minimumLifetimeMilliseconds } = this.options;
-        const routes = configuration?.routes.filter(({ kind, resumable }) => kind === "stream" && resumable) ?? [];
-        const registered = new Map<string, RegisteredVersions>();
-        for (const { services, timeoutMilliseconds } of routes) {
-            for (const { service } of services) {
-                const lifetimeMilliseconds = Math.max(
-                    minimumLifetimeMilliseconds,
-                    timeoutMilliseconds * LIFETIME_TIMEOUTS,
-                    registered.get(service)?.lifetimeMilliseconds ?? 0,
-                );
-                registered.set(service, { versions: new Set(), lifetimeMilliseconds });
-            }
+    /** Whether this instance writes a list: at once if it writes for all, else after some time if it still must be. */
+    #mayWrite(service: string): boolean {
+        const { isWriter, clock, instanceCount, draw = Math.random } = this.options;
+        const spread = () => WRITER_MILLISECONDS + draw() * instanceCount() * SPREAD_MILLISECONDS;
+        const at = this.#writeAt.get(service) ?? clock.now() + spread();
+        this.#writeAt.set(service, at);
+        return isWriter() || clock.now() >= at;
+    }
+
+    async #write(service: string, { versions, era }: VersionList): Promise<boolean> {
+        const { replica, store, logger } = this.options;
+        const key = KEY_PREFIX + service;
+        const item = replica.getStored(key);
+        const condition = item ? { unchangedSince: { era: item.era, revision: item.revision } } : { isNew: true };
+        const fields = { service, versions: [...versions].sort(), listEra: era };
+        const written = await store.write([{ key, value: formatVersionList(versions, era), ...condition }]);
+        const outcome = written.isOk() ? written.value.kind : written.error.message;
+        if (outcome === "conflict") {
+            // Another instance has written it, which the next look shows.
+            return true;
         }
-        for (const { service, softwareVersion } of servers.values()) {
-            registered.get(service)?.versions.add(softwareVersion);
+        if (outcome !== "stored") {
+            logger.warn("software versions not recorded", { ...fields, outcome });
+            return false;
         }
-        return registered;
+        logger.info("software versions recorded", fields);
+        return true;
+    }
+
+    #registered(): Map<string, RegisteredVersions> {
+        return listRegisteredVersions(this.options.directory, this.options.minimumLifetimeMilliseconds);
     }
 
-    #listed(service: string): ReadonlySet<string> {
-        return parseVersionList(this.options.replica.get(KEY_PREFIX + service)?.value).versions;
+    #stored(service: string): VersionList {
+        const value = this.options.replica.getStored(KEY_PREFIX + service)?.value;
+        const last = this.#lists.get(service);
+        if (last && last.value === value) {
+            return last.list;
+        }
+        const list = parseVersionList(value);
+        this.#lists.set(service, { value, list });
+        return list;
+    }
+
+    #log(service: string): void {
+        const { directory, logger } = this.options;
+        const versions = this.candidates(service).sort();
+        const isCertain = this.isCertain(service);
+        const inService = JSON.stringify([versions, isCertain]);
+        if (this.#lastLogged.get(service) !== inService && versions.length > 0) {
+            this.#lastLogged.set(service, inService);
+            logger.info("software versions in service", {
+                service,
+                versions,
+                isCertain,
+                configuration: directory.configuration?.version,
+            });
+        }
     }
 }
--- a/packages/stream_versions/served_versions_test.ts
+++ b/packages/stream_versions/served_versions_test.ts
@@ -32,7 +32,9 @@
         },
         clock: { now: () => state.now },
         minimumLifetimeMilliseconds: LIFETIME_MILLISECONDS,
+        isFirstStart: true,
         isWriter: () => true,
+        instanceCount: () => 1,
         logger: { info: () => {}, warn: () => {}, error: () => {} },
     });
     const register = (...softwareVersions: string[]) => {
@@ -99,7 +101,7 @@
     const { versions, writes, read, register } = create('["v1"]');
     register("v2");
     await versions.record();
-    read('["v2"]');
+    read('["v2",{"era":1}]');
     await versions.record();
     expect(writes.map(({ value }) => value)).toEqual(['["v1","v2",{"era":1}]']);
     expect(versions.candidates("models").sort()).toEqual(["v1", "v2"]);
--- /dev/null
+++ b/packages/stream_versions/service_versions.ts
@@ -0,0 +1,149 @@
+import type { RegisteredServer } from "../directory/mod.ts";
+import type { VersionList } from "./version_list.ts";
+import type { VersionObservation } from "./version_observation.ts";
+
+/**
+ * Time in milliseconds after which the servers that were there before the store's return have registered again, and the
+ * entries of those that have gone have lapsed.
+ */
+const RETURN_MILLISECONDS = 8_000;
+
+/**
+ * Versions of one service that may have begun a stream, as one instance has observed them, and whether it can be certain
+ * that there are no others. A store that has come back from a copy can lack a version, so an instance is certain only if it
+ * was there before, if the list was written since, or if it has seen enough since.
+ *
+ * @example
+ * ```ts
+ * const versions = new ServiceVersions(false, observation);
+ * versions.observe(laterObservation);
+ * versions.candidates; // ["v1"]
+ * versions.isCertain; // false until it has seen enough
+ * ```
+ */
+export class ServiceVersions {
+    /** Versions with the time in milliseconds at which a server of them was last known, or they were first listed. */
+    readonly #knownAt = new Map<string, number>();
+    /** Versions with the time in milliseconds at which a server of them was last registered. */
+    readonly #registeredAt = new Map<string, number>();
+    /** Versions of the servers that are registered now. */
+    #registered: ReadonlySet<string> = new Set();
+    readonly #firstServers: ReadonlyMap<string, RegisteredServer>;
+    /** Time in milliseconds since which the present era has been observed. */
+    #since: number;
+    /** Time in milliseconds of the last change of the era that this instance was there to see. */
+    #survivedAt = Number.NEGATIVE_INFINITY;
+    #era: number;
+    #isCertain: boolean;
+    /** Whether all servers that were there at first have stayed as they were. */
+    #isSteady = true;
+    #lifetimeMilliseconds = 0;
+
+    /**
+     * @param isCertain Whether no other version can have begun a stream before.
+     * @param observation What the first look shows.
+     */
+    constructor(isCertain: boolean, observation: VersionObservation) {
+        this.#isCertain = isCertain;
+        this.#era = observation.era;
+        this.#since = observation.now;
+        this.#firstServers = new Map(observation.registered.servers.map(server => [server.id, server]));
+        this.observe(observation);
+    }
+
+    /** Versions that may have begun a stream that can still be taken up. */
+    get candidates(): string[] {
+        return [...this.#knownAt.keys()];
+    }
+
+    /** Whether no version but the candidates can have begun such a stream. */
+    get isCertain(): boolean {
+        return this.#isCertain;
+    }
+
+    /**
+     * Returns how long it may take until this instance is certain.
+     *
+     * @param now Current time in milliseconds.
+     * @returns The time in milliseconds; undefined if it is certain, or is not in the near future.
+     */
+    remainingMilliseconds(now: number): number | undefined {
+        return this.#isCertain || !this.#isSteady ? undefined : Math.max(0, this.#since + RETURN_MILLISECONDS - now);
+    }
+
+    /**
+     * Takes note of what is registered and listed.
+     *
+     * @param observation What a look shows.
+     */
+    observe(observation: VersionObservation): void {
+        const { registered: { servers, lifetimeMilliseconds }, list, now } = observation;
+        this.#lifetimeMilliseconds = lifetimeMilliseconds;
+        this.#registered = new Set(servers.map(({ softwareVersion }) => softwareVersion));
+        for (const version of this.#registered) {
+            this.#knownAt.set(version, now);
+            this.#registeredAt.set(version, now);
+        }
+        for (const version of list.versions) {
+            this.#knownAt.set(version, this.#knownAt.get(version) ?? now);
+        }
+        for (const [version, at] of this.#knownAt) {
+            if (now - at >= lifetimeMilliseconds && !list.versions.has(version)) {
+                this.#knownAt.delete(version);
+                this.#registeredAt.delete(version);
+            }
+        }
+        this.#follow(observation);
+    }
+
+    /**
+     * Decides what the list in the store should hold.
+     *
+     * @param list What it holds.
+     * @param now Current time in milliseconds.
+     * @returns The versions, and the era for which they are complete; undefined if the list is right.
+     */
+    correct(list: VersionList, now: number): VersionList | undefined {
+        const isVouching = list.era === this.#era;
+        if (this.#isCertain && !isVouching) {
+            return { versions: new Set(this.candidates), era: this.#era };
+        }
+        const left = [...this.#registeredAt].filter(([, at]) => this.#mustOutliveReturn(at, now));
+        const wanted = new Set([...this.#registered, ...left.map(([version]) => version)]);
+        const lacking = [...wanted].filter(version => !list.versions.has(version));
+        const isKept = (version: string) =>
+            now - (this.#knownAt.get(version) ?? -Infinity) < this.#lifetimeMilliseconds;
+        // An instance that may lack knowledge removes nothing.
+        const kept = [...list.versions].filter(version => !this.#isCertain || isKept(version));
+        return lacking.length === 0 && kept.length === list.versions.size
+            ? undefined
+            : { versions: new Set([...kept, ...lacking]), era: list.era };
+    }
+
+    /** Whether a version that has left must be listed, since the list may be that of an instance which never saw it. */
+    #mustOutliveReturn(registeredAt: number, now: number): boolean {
+        return now - registeredAt < this.#lifetimeMilliseconds
+            && now - this.#survivedAt < this.#lifetimeMilliseconds;
+    }
+
+    #follow({ registered, list, era, now, confirmedAt }: VersionObservation): void {
+        if (era !== this.#era) {
+            this.#era = era;
+            this.#since = now;
+            this.#survivedAt = this.#isCertain ? now : this.#survivedAt;
+        }
+        const present = new Map(registered.servers.map(server => [server.id, server]));
+        this.#isSteady &&= [...this.#firstServers.values()].every(server =>
+            isSameStart(server, present.get(server.id))
+        );
+        const observedMilliseconds = confirmedAt - this.#since;
+        this.#isCertain ||= list.era === era || observedMilliseconds >= this.#lifetimeMilliseconds
+            || (this.#isSteady && observedMilliseconds >= RETURN_MILLISECONDS);
+    }
+}
+
+/** Whether a server is still there and has not started again or begun to leave. */
+function isSameStart(first: RegisteredServer, now: RegisteredServer | undefined): boolean {
+    return now !== undefined && now.startedAt === first.startedAt && now.softwareVersion === first.softwareVersion
+        && now.leaving === first.leaving;
+}
--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -27,8 +27,8 @@
  * Finds out which software version began a stream that a caller takes up, at whichever instance it arrives and also after
  * all instances have been restarted. What several versions write does not fit together, and servers do not check it.
  *
- * While a service has one version only, nothing is recorded. Otherwise each stream that begins is recorded in the store.
- * What is only concluded, is never recorded.
+ * While a service certainly has one version only, nothing is recorded. Otherwise each stream that begins is recorded in the
+ * store. What is only concluded, is never recorded.
  *
  * @example
  * ```ts
@@ -100,12 +100,13 @@
             }
             this.#served.observe();
             const [version, ...others] = this.#served.candidates(service);
-            const isRecent = this.options.directoryAge() < MAXIMUM_DIRECTORY_AGE_MILLISECONDS;
-            if (version !== undefined && others.length === 0 && isRecent) {
+            const isOnly = version !== undefined && others.length === 0 && this.#served.isCertain(service);
+            if (isOnly && this.options.directoryAge() < MAXIMUM_DIRECTORY_AGE_MILLISECONDS) {
                 return { kind: "only-version", version, evidence: evidence() };
             }
-            if (stream === undefined || others.length === 0 || monotonicMilliseconds() >= until) {
-                return { kind: "unknown", evidence: evidence() };
+            if (stream === undefined || isOnly || monotonicMilliseconds() >= until) {
+                const retryAfterMilliseconds = this.#served.remainingMilliseconds(service);
+                return { kind: "unknown", retryAfterMilliseconds, evidence: evidence() };
             }
             await sleep(RECORD_CHECK_MILLISECONDS);
         }
--- a/packages/stream_versions/stream_versions_options.ts
+++ b/packages/stream_versions/stream_versions_options.ts
@@ -13,6 +13,8 @@
     replica: ItemReplica;
     store: Pick<CoordinationStore, "write">;
     clock: SuspensionAwareClock;
+    /** Whether this instance and all others start for the first time. */
+    isFirstStart: boolean;
     /** Whether this instance is one of those that write for all. */
     isWriter(): boolean;
     /** Age of the directory in milliseconds. */
--- a/packages/stream_versions/stream_versions_test.ts
+++ b/packages/stream_versions/stream_versions_test.ts
@@ -5,7 +5,7 @@
 import { StreamVersions } from "./stream_versions.ts";
 
 /** An instance that reads servers of the version v1, and a list that is complete for an era of the store. */
-function create(listEra: number) {
+function create(listEra: number, isFirstStart = false) {
     const replica = new ItemReplica();
     const value = JSON.stringify(["v1", { era: listEra }]);
     replica.replace({
@@ -23,6 +23,7 @@
             write: () => Promise.resolve(ok({ kind: "stored", position: replica.position })),
         },
         clock: { now: () => 0 } as never,
+        isFirstStart,
         isWriter: () => true,
         directoryAge: () => 0,
         instanceCount: () => 1,
@@ -38,3 +39,26 @@
         expect(await versions.find("s1", "models")).toMatchObject({ kind: "only-version", version: "v1" });
     }
 });
+
+test.each([
+    ["a list of this era", 2, false, "only-version", undefined],
+    ["a list of the era before", 1, false, "unknown", 8_000],
+    ["the first start of all instances", 1, true, "only-version", undefined],
+])("a stream without a record: %s", async (_name, listEra, isFirstStart, kind, retryAfterMilliseconds) => {
+    const finding = await create(listEra, isFirstStart).find("s1", "models");
+    expect(finding).toMatchObject({ kind, evidence: { registered: ["v1"], listed: ["v1"], listEra } });
+    expect("retryAfterMilliseconds" in finding ? finding.retryAfterMilliseconds : undefined).toBe(
+        retryAfterMilliseconds,
+    );
+});
+
+test("a stream that began here is known while nobody is certain of the versions", async () => {
+    const versions = create(1);
+    versions.begin("s1", { service: "models", version: "v2" });
+    const record = { source: "begun-here", ageMilliseconds: 0 };
+    expect(await versions.find("s1", "models")).toMatchObject({
+        kind: "recorded",
+        version: "v2",
+        evidence: { record },
+    });
+});
--- a/packages/stream_versions/version_finding.ts
+++ b/packages/stream_versions/version_finding.ts
@@ -7,6 +7,7 @@
         | { kind: "recorded"; version: string; }
         /** No other version can have begun the stream. */
         | { kind: "only-version"; version: string; }
-        | { kind: "unknown"; }
+        /** It may be known after the time in milliseconds, if there is one. */
+        | { kind: "unknown"; retryAfterMilliseconds?: number | undefined; }
     )
     & { evidence: VersionEvidence; };
--- /dev/null
+++ b/packages/stream_versions/version_observation.ts
@@ -0,0 +1,14 @@
+import type { RegisteredVersions } from "./registered_versions.ts";
+import type { VersionList } from "./version_list.ts";
+
+/** What a look at the store and the directory shows of a service. */
+export interface VersionObservation {
+    registered: RegisteredVersions;
+    list: VersionList;
+    /** Present era of the store. */
+    era: number;
+    /** Current time in milliseconds. */
+    now: number;
+    /** Start in milliseconds of the last read that confirmed what is observed. */
+    confirmedAt: number;
+}
