Begin streams at versions that stand on the store's list

A version whose engines had registered got streams before the list named it. A stream that may be taken up begins at a listed version now, and at any if no engine of a listed version serves on.

--- /dev/null
+++ b/packages/gateway/_prefer_listed_versions.ts
@@ -0,0 +1,19 @@
+import type { RegisteredServer } from "../directory/mod.ts";
+import type { DecodeWaiter } from "./decode_waiter.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+
+/**
+ * Narrows engines to those at whose software version a stream may begin: one that stands on the store's list, so that it
+ * is known of once all instances have ended. All engines stay if none of those that serve on has such a version.
+ */
+export function preferListedVersions(
+    engines: RegisteredServer[],
+    { request, service, softwareVersion }: DecodeWaiter,
+    { streamVersions }: Pick<GatewayContext, "streamVersions">,
+): RegisteredServer[] {
+    if (softwareVersion !== undefined || !request.route.resumable) {
+        return engines;
+    }
+    const listed = engines.filter(server => streamVersions.isListed(service, server.softwareVersion));
+    return listed.some(({ leaving }) => !leaving) ? listed : engines;
+}
--- /dev/null
+++ b/packages/gateway/_prefer_listed_versions_test.ts
@@ -0,0 +1,22 @@
+import { expect, test } from "vitest";
+import { preferListedVersions } from "./_prefer_listed_versions.ts";
+import type { DecodeWaiter } from "./decode_waiter.ts";
+import type { GatewayContext } from "./gateway_context.ts";
+
+// Guards against streams of versions that nobody lists, and against engines left unused where there are no others.
+test.each([
+    ["a listed version is preferred", ["v1", "v2"], ["v1"], undefined, true, ["v1"]],
+    ["no version is listed", ["v1", "v2"], [], undefined, true, ["v1", "v2"]],
+    ["all listed engines leave", ["v1 leaving", "v2"], ["v1"], undefined, true, ["v1", "v2"]],
+    ["a stream goes on at its version", ["v1", "v2"], ["v1"], "v2", true, ["v1", "v2"]],
+    ["streams of the route are not taken up", ["v1", "v2"], ["v1"], undefined, false, ["v1", "v2"]],
+])("engines at which a stream may begin: %s", (_name, engines, listed, softwareVersion, resumable, expected) => {
+    const servers = engines.map(text => ({
+        softwareVersion: text.split(" ")[0],
+        leaving: text.endsWith("leaving"),
+    }));
+    const waiter = { service: "models", softwareVersion, request: { route: { resumable } } } as unknown as DecodeWaiter;
+    const streamVersions = { isListed: (_service: string, version: string) => listed.includes(version) };
+    const chosen = preferListedVersions(servers as never, waiter, { streamVersions } as unknown as GatewayContext);
+    expect(chosen.map(server => server.softwareVersion)).toEqual(expected);
+});
--- a/packages/gateway/decode_queue.ts
+++ b/packages/gateway/decode_queue.ts
@@ -7,6 +7,7 @@
 import { findEngineRefusal } from "./_find_engine_refusal.ts";
 import { findRoom } from "./_find_room.ts";
 import { hasVersion } from "./_has_version.ts";
+import { preferListedVersions } from "./_prefer_listed_versions.ts";
 import { refuseWaiter } from "./_refuse_waiter.ts";
 import type { DecodeReservation } from "./decode_reservation.ts";
 import { DecodeReserver } from "./decode_reserver.ts";
@@ -231,7 +232,7 @@
         const estimate = this.prefillDispatcher.estimateMilliseconds(waiter.request);
         const prefillWait = estimate - waiter.request.promptTokens / this.prefillDispatcher.tokensPerMillisecond;
         const engines = availability.usableServers(service.name, "decode");
-        const eligible = engines.filter(server => {
+        const eligible = preferListedVersions(engines, waiter, this.context).filter(server => {
             const load = serverLoads.get(server.id);
             const { active, reservedTokens } = load.total();
             return load.avoidedUntil <= now && !waiter.excluded.has(server.id) && hasVersion(server, waiter)
--- a/packages/gateway/decode_queue_test.ts
+++ b/packages/gateway/decode_queue_test.ts
@@ -51,6 +51,7 @@
             count: () => {},
         },
         serverLoads: { get: (id: string) => loads.get(id), admits: () => true },
+        streamVersions: { isListed: () => true },
         serverLimits: { admits: () => true, take: () => () => {} },
         serverSubset: { narrow: (list: unknown) => list },
         engineProtocol: { reserve: () => ({}), parseReservation: () => "h1" },
--- a/packages/stream_versions/served_versions.ts
+++ b/packages/stream_versions/served_versions.ts
@@ -103,6 +103,17 @@
         return this.#services.get(service)?.remainingMilliseconds(this.options.clock.now());
     }
 
+    /**
+     * Returns whether a version stands on the list in the store, so that it is known of once all instances have ended.
+     *
+     * @param service Name of the service.
+     * @param version The version.
+     * @returns Whether it is listed.
+     */
+    isListed(service: string, version: string): boolean {
+        return this.#stored(service).versions.has(version);
+    }
+
     /**
      * Lists the services of which several versions may have begun a stream.
      *
--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -112,6 +112,17 @@
         }
     }
 
+    /**
+     * Returns whether a version stands on the list in the store; one that does not is forgotten if all instances end.
+     *
+     * @param service Name of the service.
+     * @param version The version.
+     * @returns Whether it is listed.
+     */
+    isListed(service: string, version: string): boolean {
+        return this.#served.isListed(service, version);
+    }
+
     async #step(): Promise<void> {
         this.#origins.removeExpired();
         this.#served.observe();
