--- a/packages/gateway/version_guard.ts
+++ b/packages/gateway/version_guard.ts
@@ -41,11 +41,15 @@
             service: service.name,
             finding: finding.kind,
             version: finding.kind === "unknown" ? undefined : finding.version,
+            ...finding.evidence,
+            copyInDoubt: directoryUpdater.isCopyInDoubt,
             ...directoryUpdater.logFields(),
         });
         if (finding.kind === "unknown") {
             const message = "Which software version began the stream is not known";
-            return createStreamRefusal("stream-version-unknown", "not-run", message);
+            const refusal = createStreamRefusal("stream-version-unknown", "not-run", message);
+            const milliseconds = Math.max(finding.retryAfterMilliseconds ?? 0, refusal.retryAfterMilliseconds ?? 0);
+            return { ...refusal, retryAfterMilliseconds: milliseconds };
         }
         progress.softwareVersion = finding.version;
         return undefined;
--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -1,5 +1,6 @@
 import { monotonicMilliseconds, PeriodicTask, sleep } from "../clocks/mod.ts";
 import { logFailure } from "../logs/mod.ts";
+import type { FoundOrigin } from "./found_origin.ts";
 import { ServedVersions } from "./served_versions.ts";
 import { StreamLedger } from "./stream_ledger.ts";
 import type { StreamOrigin } from "./stream_origin.ts";
@@ -26,14 +27,15 @@
  * Finds out which software version began a stream that a caller takes up, at whichever instance it arrives and also after
  * all instances have been restarted. What several versions write does not fit together, and servers do not check it.
  *
- * While a service has one version only, nothing is recorded. Otherwise each stream that begins is recorded in the store.
+ * While a service certainly has one version only, nothing is recorded. Otherwise each stream that begins is recorded in the
+ * store. What is only concluded, is never recorded.
  *
  * @example
  * ```ts
  * const versions = new StreamVersions(options);
  * versions.start();
  * versions.begin("9c41d07b", { service: "models", version: "v2" });
- * await versions.find("9c41d07b", "models"); // { kind: "recorded", version: "v2" }
+ * await versions.find("9c41d07b", "models"); // { kind: "recorded", version: "v2", evidence }
  * await versions.close();
  * ```
  */
@@ -91,26 +93,36 @@
     async find(stream: string | undefined, service: string): Promise<VersionFinding> {
         const until = monotonicMilliseconds() + RECORD_WAIT_MILLISECONDS;
         while (true) {
-            const origin = stream === undefined ? undefined : this.#origins.find(stream);
-            if (origin?.service === service) {
-                return { kind: "recorded", version: origin.version };
+            const found = stream === undefined ? undefined : this.#origins.find(stream);
+            const evidence = () => ({ ...this.#served.describe(service), record: withoutOrigin(found) });
+            if (found?.origin.service === service) {
+                return { kind: "recorded", version: found.origin.version, evidence: evidence() };
             }
             this.#served.observe();
             const [version, ...others] = this.#served.candidates(service);
-            const isRecent = this.options.directoryAge() < MAXIMUM_DIRECTORY_AGE_MILLISECONDS;
-            if (version !== undefined && others.length === 0 && isRecent) {
-                if (stream !== undefined) {
-                    this.#origins.begin(stream, { service, version });
-                }
-                return { kind: "only-version", version };
+            const isOnly = version !== undefined && others.length === 0 && this.#served.isCertain(service);
+            if (isOnly && this.options.directoryAge() < MAXIMUM_DIRECTORY_AGE_MILLISECONDS) {
+                return { kind: "only-version", version, evidence: evidence() };
             }
-            if (stream === undefined || others.length === 0 || monotonicMilliseconds() >= until) {
-                return { kind: "unknown" };
+            if (stream === undefined || isOnly || monotonicMilliseconds() >= until) {
+                const retryAfterMilliseconds = this.#served.remainingMilliseconds(service);
+                return { kind: "unknown", retryAfterMilliseconds, evidence: evidence() };
             }
             await sleep(RECORD_CHECK_MILLISECONDS);
         }
     }
 
+    /**
+     * Returns whether a version stands on the list in the store; one that does not is forgotten if all instances end.
+     *
+     * @param service Name of the service.
+     * @param version The version.
+     * @returns Whether it is listed.
+     */
+    isListed(service: string, version: string): boolean {
+        return this.#served.isListed(service, version);
+    }
+
     async #step(): Promise<void> {
         this.#origins.removeExpired();
         this.#served.observe();
@@ -122,3 +134,8 @@
         this.#recordAt = monotonicMilliseconds() + Math.max(pause, isRecorded ? 0 : FAILED_PAUSE_MILLISECONDS);
     }
 }
+
+/** How a stream is known, without what began it. */
+function withoutOrigin(found: FoundOrigin | undefined): Omit<FoundOrigin, "origin"> | undefined {
+    return found && { source: found.source, era: found.era, ageMilliseconds: found.ageMilliseconds };
+}
