Record streams again after the store's return

What an instance had recorded since the copy was lost, also while that instance lived on: an instance that started later refused its streams. After a return each instance records once more the streams that began at it. The test failed before.

--- a/packages/stream_versions/stream_ledger.ts
+++ b/packages/stream_versions/stream_ledger.ts
@@ -21,7 +21,7 @@
     /** Name of this instance. */
     self: string;
     origins: StreamOrigins;
-    replica: Pick<ItemReplica, "getStored" | "isFilled" | "onChange">;
+    replica: Pick<ItemReplica, "getStored" | "isFilled" | "onChange" | "onEraChange">;
     store: Pick<CoordinationStore, "write">;
     metrics: Metrics;
     logger: Logger;
@@ -48,6 +48,7 @@
      */
     constructor(private readonly options: StreamLedgerOptions) {
         const { replica, origins } = options;
+        replica.onEraChange(() => origins.markLost());
         replica.onChange(change => {
             if (change.kind === "written" && change.item.key.startsWith(KEY_PREFIX)) {
                 const batch = parseBatch(change.item.value);
--- a/packages/stream_versions/stream_ledger_test.ts
+++ b/packages/stream_versions/stream_ledger_test.ts
@@ -13,13 +13,13 @@
 
 /** A store, and instances that all follow it. */
 function createStore() {
-    const state = { now: 0, isAway: false, writes: 0 };
+    const state = { now: 0, isAway: false, writes: 0, era: 1 };
     const items = new Map<string, string>();
     const replicas: ItemReplica[] = [];
     const publish = () => {
         const revision = state.writes + 1;
-        const stored = [...items].map(([key, value]) => ({ key, value, era: 1, revision }));
-        replicas.forEach(replica => replica.replace({ items: stored, era: 1, revision }, 0));
+        const stored = [...items].map(([key, value]) => ({ key, value, era: state.era, revision }));
+        replicas.forEach(replica => replica.replace({ items: stored, era: state.era, revision }, 0));
     };
     const start = (self: string) => {
         const origins = new StreamOrigins({ now: () => state.now }, LIFETIME_MILLISECONDS);
@@ -47,7 +47,12 @@
         publish();
         return { origins, ledger };
     };
-    return { state, items, start };
+    const returnEmpty = () => {
+        items.clear();
+        state.era++;
+        publish();
+    };
+    return { state, items, start, returnEmpty };
 }
 
 test("streams of several versions are recorded with one write and known everywhere, also to later instances", async () => {
@@ -107,6 +112,19 @@
     expect(origins.find("s99")?.origin).toEqual(origin);
 });
 
+// Guards against streams that are refused by instances which start after the store's return, though their instance lives.
+test("an instance records its streams again after the store's return from a copy that lacks them", async () => {
+    const { state, start, returnEmpty } = createStore();
+    const { origins, ledger } = start("a");
+    origins.begin("s1", origin);
+    await ledger.record(MODELS);
+    state.now += PERIOD_MILLISECONDS;
+    returnEmpty();
+    expect(start("b").origins.find("s1")).toBeUndefined();
+    await ledger.record(MODELS);
+    expect(start("c").origins.find("s1")?.origin).toEqual(origin);
+});
+
 test("an item of another writer is ignored", async () => {
     const { items, start } = createStore();
     items.set("laburnumslip/streams/a/0", '{"period":0,"origins":[["models"]]}');
--- a/packages/stream_versions/stream_origins.ts
+++ b/packages/stream_versions/stream_origins.ts
@@ -108,6 +108,15 @@
         }
     }
 
+    /** Notes that the records of the streams that began at this instance are lost. */
+    markLost(): void {
+        for (const [key, { origin, era }] of this.#streams) {
+            if (era === undefined) {
+                this.#unrecorded.set(key, origin);
+            }
+        }
+    }
+
     /** Forgets the streams that nobody takes up any more. */
     removeExpired(): void {
         const oldest = this.clock.now() - this.lifetimeMilliseconds;
