Ask the engines which of them keeps the prompt of a stream that nobody knows

The engines have not ended: a decode engine keeps what it has read of a prompt, and the last part of a prompt belongs to its request or session. If engines of exactly one version keep it, and all engines have answered, the stream goes on there; else it is refused as before.

--- a/packages/gateway/engine_protocol.ts
+++ b/packages/gateway/engine_protocol.ts
@@ -22,6 +22,10 @@
     report(): EngineCall;
     /** Parses an engine's state. */
     parseReport(body: string): EngineReport | undefined;
+    /** Requests the parts of prompts that an engine keeps. */
+    listKeptParts(): EngineCall;
+    /** Parses the parts that an engine keeps; returns their ids, or undefined. */
+    parseKeptParts(body: string): ReadonlySet<string> | undefined;
     /** Orders an engine to change its stage; `sequence` is the number of orders that it has accepted before. */
     changeStage(stage: "prefill" | "decode", holder: string, fence: number, sequence: number): EngineCall;
 }
--- a/packages/gateway/version_guard.ts
+++ b/packages/gateway/version_guard.ts
@@ -1,9 +1,11 @@
 import type { RegisteredServer } from "../directory/mod.ts";
 import { createStreamRefusal } from "./_create_stream_refusal.ts";
+import { EngineClient } from "./engine_client.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { PassProgress } from "./pass_progress.ts";
+import { PromptWitness } from "./prompt_witness.ts";
 
 /**
  * Lets a stream go on only at the software version that began it.
@@ -14,10 +16,14 @@
  * ```
  */
 export class VersionGuard {
+    readonly #promptWitness: PromptWitness;
+
     /**
      * @param context Shared objects of the gateway.
      */
-    constructor(private readonly context: GatewayContext) {}
+    constructor(private readonly context: GatewayContext) {
+        this.#promptWitness = new PromptWitness({ ...context, engineClient: new EngineClient(context) });
+    }
 
     /**
      * Finds out at which version a stream that its caller takes up may go on, and keeps it in the progress.
@@ -45,16 +51,26 @@
             copyInDoubt: directoryUpdater.isCopyInDoubt,
             ...directoryUpdater.logFields(),
         });
-        if (finding.kind === "unknown") {
+        progress.softwareVersion = finding.kind === "unknown" ? await this.#askEngines(request) : finding.version;
+        if (finding.kind === "unknown" && progress.softwareVersion === undefined) {
             const message = "Which software version began the stream is not known";
             const refusal = createStreamRefusal("stream-version-unknown", "not-run", message);
             const milliseconds = Math.max(finding.retryAfterMilliseconds ?? 0, refusal.retryAfterMilliseconds ?? 0);
             return { ...refusal, retryAfterMilliseconds: milliseconds };
         }
-        progress.softwareVersion = finding.version;
         return undefined;
     }
 
+    /** Asks the engines which of them has run a stream that no instance knows. */
+    async #askEngines(request: GatewayRequest): Promise<string | undefined> {
+        const { metrics, logger } = this.context;
+        const testimony = await this.#promptWitness.ask(request);
+        const { version, keptAt, silent } = testimony;
+        metrics.increment("streams_placed_by_prompt_total", { result: version === undefined ? "open" : "placed" });
+        logger.info("engines asked for the prompt of a stream", { request: request.id, version, keptAt, silent });
+        return version;
+    }
+
     /**
      * Notes at the first event of a stream that its caller may take up which version began it.
      *
