Conclude no steadiness of servers from a look that showed none

Cause: where the first look after a start showed no server of a service, all of no servers had stayed as they were, so the instance was certain of the versions after 8 s and confirmed the list for all others.

Change: without a server at the first look, certainty takes the lifetime of a stream or a confirmed list.

Measured: the new test fails without the change (certain after 8.3 s) and passes with it; the 20 tests of service_versions_test.ts pass.

--- a/packages/stream_versions/service_versions.ts
+++ b/packages/stream_versions/service_versions.ts
@@ -35,8 +35,8 @@
     #survivedAt = Number.NEGATIVE_INFINITY;
     #era: number;
     #isCertain: boolean;
-    /** Whether all servers that were there at first have stayed as they were. */
-    #isSteady = true;
+    /** Whether there were servers at first, and all of them have stayed as they were. */
+    #isSteady: boolean;
     #lifetimeMilliseconds = 0;
 
     /**
@@ -48,6 +48,7 @@
         this.#era = observation.era;
         this.#since = observation.now;
         this.#firstServers = new Map(observation.registered.servers.map(server => [server.id, server]));
+        this.#isSteady = this.#firstServers.size > 0;
         this.observe(observation);
     }
 
