Count no step of the wall clock as time in which no change was seen

Cause: certainty of the versions 8 s or 64 s after the store's return was counted on the clock that never runs slower than real time; a forward step of the wall clock made it run fast, so an instance was certain that had seen almost nothing.

Change: the time must have passed on the monotonic clock too. It leaves out suspensions, so certainty comes later, never sooner. The tests' looks name both times; no expectation of theirs is changed.

--- a/packages/stream_versions/review_63_first_look_test.ts
+++ b/packages/stream_versions/review_63_first_look_test.ts
@@ -12,6 +12,7 @@
         list: { versions: new Set(["v1"]), era: 1 },
         era,
         now,
+        monotonicNow: now,
         confirmedAt: now,
     };
 }
--- a/packages/stream_versions/served_versions.ts
+++ b/packages/stream_versions/served_versions.ts
@@ -1,3 +1,4 @@
+import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { formatVersionList } from "./_format_version_list.ts";
 import { listRegisteredVersions } from "./_list_registered_versions.ts";
 import { parseVersionList } from "./_parse_version_list.ts";
@@ -55,6 +56,7 @@
                 list: parseVersionList(replica.get(KEY_PREFIX + service)?.value),
                 era: replica.position.era,
                 now,
+                monotonicNow: monotonicMilliseconds(),
                 confirmedAt: replica.confirmedAt,
             };
             const known = this.#services.get(service);
--- a/packages/stream_versions/service_versions.ts
+++ b/packages/stream_versions/service_versions.ts
@@ -29,8 +29,9 @@
     /** Versions of the servers that are registered now. */
     #registered: ReadonlySet<string> = new Set();
     readonly #firstServers: ReadonlyMap<string, RegisteredServer>;
-    /** Time in milliseconds since which the present era has been observed. */
+    /** Time in milliseconds since which the present era has been observed, and on the monotonic clock. */
     #since: number;
+    #monotonicSince: number;
     /** Time in milliseconds of the last change of the era that this instance was there to see. */
     #survivedAt = Number.NEGATIVE_INFINITY;
     #era: number;
@@ -47,6 +48,7 @@
         this.#isCertain = isCertain;
         this.#era = observation.era;
         this.#since = observation.now;
+        this.#monotonicSince = observation.monotonicNow;
         this.#firstServers = new Map(observation.registered.servers.map(server => [server.id, server]));
         this.#isSteady = this.#firstServers.size > 0;
         this.observe(observation);
@@ -127,17 +129,19 @@
             && now - this.#survivedAt < this.#lifetimeMilliseconds;
     }
 
-    #follow({ registered, list, era, now, confirmedAt }: VersionObservation): void {
+    #follow({ registered, list, era, now, monotonicNow, confirmedAt }: VersionObservation): void {
         if (era !== this.#era) {
             this.#era = era;
             this.#since = now;
+            this.#monotonicSince = monotonicNow;
             this.#survivedAt = this.#isCertain ? now : this.#survivedAt;
         }
         const present = new Map(registered.servers.map(server => [server.id, server]));
         this.#isSteady &&= [...this.#firstServers.values()].every(server =>
             isSameStart(server, present.get(server.id))
         );
-        const observedMilliseconds = confirmedAt - this.#since;
+        // A step of the wall clock makes the other clock run fast.
+        const observedMilliseconds = Math.min(confirmedAt - this.#since, monotonicNow - this.#monotonicSince);
         this.#isCertain ||= list.era === era || observedMilliseconds >= this.#lifetimeMilliseconds
             || (this.#isSteady && observedMilliseconds >= RETURN_MILLISECONDS);
     }
--- a/packages/stream_versions/service_versions_test.ts
+++ b/packages/stream_versions/service_versions_test.ts
@@ -19,6 +19,7 @@
         list: { versions: new Set(listed), era: listEra },
         era,
         now,
+        monotonicNow: now,
         confirmedAt: now,
     };
 }
--- a/packages/stream_versions/version_observation.ts
+++ b/packages/stream_versions/version_observation.ts
@@ -9,6 +9,8 @@
     era: number;
     /** Current time in milliseconds. */
     now: number;
+    /** Current monotonic time in milliseconds, which never runs faster than real time. */
+    monotonicNow: number;
     /** Start in milliseconds of the last read that confirmed what is observed. */
     confirmedAt: number;
 }
