Believe neither of two records that name different versions for a stream

Cause: a stream that is passed on keeps its caller's id. If a peer recorded it at its first event and the event got lost on the way, the stream begins anew at the next peer, perhaps at another version. Of the two records the one that was read first was believed, which is that of the version from which the caller got nothing.

Change: a stream whose records differ is not known.

That the event gets lost on the way was read, not played.

--- a/packages/stream_versions/stream_origins.ts
+++ b/packages/stream_versions/stream_origins.ts
@@ -8,7 +8,8 @@
 
 /** What is known of a stream. */
 interface KnownStream {
-    origin: StreamOrigin;
+    /** Undefined if records differ. */
+    origin: StreamOrigin | undefined;
     /** Time in milliseconds at which it became known. */
     at: number;
     /** Era of the store in which it was read; undefined if it began here. */
@@ -58,16 +59,21 @@
     }
 
     /**
-     * Remembers streams that were read from a record.
+     * Remembers streams that were read from a record. One whose records differ is not known any more: it has begun at two
+     * instances, and which of them its caller got events from is in neither record.
      *
      * @param origins The streams by their keys.
      * @param era Era of the store in which the record was read.
      */
     learn(origins: ReadonlyMap<string, StreamOrigin>, era: number): void {
         for (const [key, origin] of origins) {
-            if (!this.#streams.has(key)) {
+            const known = this.#streams.get(key);
+            if (!known) {
                 this.#add(key, origin, era);
             }
+            else if (known.origin?.service !== origin.service || known.origin.version !== origin.version) {
+                known.origin = undefined;
+            }
         }
     }
 
@@ -79,7 +85,7 @@
      */
     find(id: string): FoundOrigin | undefined {
         const known = this.#streams.get(streamKey(id));
-        return known && {
+        return known?.origin && {
             origin: known.origin,
             source: known.era === undefined ? "begun-here" : "read",
             era: known.era,
