--- a/packages/stream_versions/stream_origins.ts
+++ b/packages/stream_versions/stream_origins.ts
@@ -117,7 +117,7 @@
     /** Notes that the records of the streams that began at this instance are lost. */
     markLost(): void {
         for (const [key, { origin, era }] of this.#streams) {
-            if (era === undefined) {
+            if (era === undefined && origin) {
                 this.#unrecorded.set(key, origin);
             }
         }
