--- a/packages/gateway/peer_relay.ts
+++ b/packages/gateway/peer_relay.ts
@@ -1,7 +1,6 @@
 import { BackendConnectionPool, type BackendFault, type BackendResponse } from "../backends/mod.ts";
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import { mayGoOn } from "./_may_go_on.ts";
-import { mayRunAgain } from "./_may_run_again.ts";
 import { readPeerRefusal } from "./_read_peer_refusal.ts";
 import { relayedHeaders } from "./_relayed_headers.ts";
 import type { GatewayContext } from "./gateway_context.ts";
@@ -83,7 +82,6 @@
      * @returns Whether its caller has been answered, with a refusal if need be; false if no peer has run it.
      */
     async pass(request: GatewayRequest, why: "isolated" | GatewayRefusalReason): Promise<boolean> {
-        const mayHaveRun: { message: string; }[] = [];
         while (this.canPass(request)) {
             const peer = this.#chooser.choose(request.service.name, request.triedPeers);
             if (!peer) {
@@ -110,20 +108,13 @@
                 return true;
             }
             request.exchange.isCommitted = false;
+            // The peer may have sent the request to as many servers as its route allows.
             if (outcome.kind === "may-have-run") {
-                mayHaveRun.push(outcome);
-                const mayRepeat = mayRunAgain(request) && this.canPass(request)
-                    && this.context.retryBudget.trySpend(request.service.name);
-                if (!mayRepeat) {
-                    break;
-                }
+                sendRefusal(request, failureRefusal(request, outcome.message), this.context);
+                return true;
             }
         }
-        const last = mayHaveRun.at(-1);
-        if (last) {
-            sendRefusal(request, failureRefusal(request, last.message), this.context);
-        }
-        return last !== undefined;
+        return false;
     }
 
     /** Closes the connections to peers that are not in use, which count among those of their callers. */
