--- a/packages/gateway/peer_relay.ts
+++ b/packages/gateway/peer_relay.ts
@@ -8,6 +8,7 @@
 import type { GatewayRefusalReason } from "./gateway_refusal_reason.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import { relayAnswer } from "./relay_answer.ts";
+import type { RelayPeer } from "./relay_peer.ts";
 import { RelayPeerChooser } from "./relay_peer_chooser.ts";
 import { sendRefusal } from "./send_refusal.ts";
 
@@ -127,7 +128,7 @@
         this.#pool.close();
     }
 
-    async #send(request: GatewayRequest, peer: { name: string; callersAddress: string; }): Promise<RelayOutcome> {
+    async #send(request: GatewayRequest, peer: RelayPeer): Promise<RelayOutcome> {
         const { headers } = this.context;
         const remaining = request.deadline - monotonicMilliseconds();
         const sent = await this.#pool.send({
@@ -150,7 +151,12 @@
             return { kind: "may-have-run", message: "The peer's answer broke off" };
         }
         if (refusal && (refusal.reason === "no-backend-server" || refusal.reason === "leaving")) {
-            this.#chooser.leaveOut(peer.name, refusal.reason === "leaving" ? undefined : request.service.name);
+            if (refusal.reason === "leaving") {
+                this.#chooser.leaveOutLeaving(peer);
+            }
+            else {
+                this.#chooser.leaveOut(peer.name, request.service.name);
+            }
             return { kind: "not-run", message: `The peer has refused the request: ${refusal.reason}` };
         }
         if (!this.#isGenuine(answer)) {
--- a/packages/gateway/relay_peer_chooser.ts
+++ b/packages/gateway/relay_peer_chooser.ts
@@ -1,17 +1,14 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { instanceId, type InstanceIdentity } from "../instances/mod.ts";
 import type { KnownPeer, Peer } from "../peers/mod.ts";
+import type { RelayPeer } from "./relay_peer.ts";
 
 /** Age in milliseconds up to which a peer's report says that it reaches servers. */
 const REPORT_LIFETIME_MILLISECONDS = 1_500;
 /** Time in milliseconds for which a peer is left out that could not take a request. */
 const LEFT_OUT_MILLISECONDS = 1_000;
-
-/** A peer that requests can be passed on to. */
-interface RelayPeer {
-    name: string;
-    /** Address at which it takes requests. */
-    callersAddress: string;
-}
+/** The same for a peer that leaves; the time that processes are given to end is about as long. */
+const LEAVING_MILLISECONDS = 8_000;
 
 /**
  * Chooses the peers that requests are passed on to.
@@ -25,7 +22,7 @@
 export class RelayPeerChooser {
     /** Requests under way, by name of the peer. */
     readonly #active = new Map<string, number>();
-    /** Monotonic times in milliseconds until which peers are left out, for all services or for one. */
+    /** Monotonic times in milliseconds until which peers are left out, for all services or for one; by their process if they leave. */
     readonly #leftOutUntil = new Map<string, number>();
 
     /**
@@ -49,9 +46,9 @@
      * @returns The peer; undefined if there is none.
      */
     choose(service: string, tried: ReadonlySet<string>): RelayPeer | undefined {
-        const usable = this.peers().filter(({ peer: { name }, serversReachable }) =>
-            serversReachable !== false && !tried.has(name)
-            && !this.#isLeftOut(name) && !this.#isLeftOut(keyOf(name, service))
+        const usable = this.peers().filter(({ peer, serversReachable }) =>
+            serversReachable !== false && !tried.has(peer.name)
+            && ![peer.name, instanceId(peer), keyOf(peer.name, service)].some(left => this.#isLeftOut(left))
         );
         const oldest = this.now() - REPORT_LIFETIME_MILLISECONDS;
         const reaching = usable.filter(peer => peer.serversReachable && peer.lastReportAt >= oldest);
@@ -84,13 +81,26 @@
      * @param service The only service whose requests are meant. Default: all.
      */
     leaveOut(name: string, service?: string): void {
+        this.#leaveOut(service === undefined ? name : keyOf(name, service), LEFT_OUT_MILLISECONDS);
+    }
+
+    /**
+     * Leaves a process out that is about to end. The next one of the same name may be chosen.
+     *
+     * @param peer Its name and incarnation.
+     */
+    leaveOutLeaving(peer: InstanceIdentity): void {
+        this.#leaveOut(instanceId(peer), LEAVING_MILLISECONDS);
+    }
+
+    #leaveOut(left: string, milliseconds: number): void {
         const now = this.now();
         for (const [key, until] of this.#leftOutUntil) {
             if (until <= now) {
                 this.#leftOutUntil.delete(key);
             }
         }
-        this.#leftOutUntil.set(service === undefined ? name : keyOf(name, service), now + LEFT_OUT_MILLISECONDS);
+        this.#leftOutUntil.set(left, now + milliseconds);
     }
 
     #isLeftOut(key: string): boolean {
--- a/packages/gateway/relay_peer_chooser_test.ts
+++ b/packages/gateway/relay_peer_chooser_test.ts
@@ -64,3 +64,15 @@
     expect(chooser.choose("orders", NO_PEERS)?.name).toBe("a");
     expect(chooser.choose("orders", new Set(["a"]))).toBeUndefined();
 });
+
+// Guards against requests that reach a peer in the moment of its end, since it is asked again each second.
+test("a peer that leaves is left out until it has ended, and its successor is not", () => {
+    let now = 10_000;
+    let incarnation = "1";
+    const chooser = new RelayPeerChooser("north", () => [peer("a", { incarnation })], () => now);
+    chooser.leaveOutLeaving({ name: "a", incarnation: "1" });
+    now += 7_000;
+    expect(chooser.choose("orders", NO_PEERS)).toBeUndefined();
+    incarnation = "2";
+    expect(chooser.choose("orders", NO_PEERS)?.name).toBe("a");
+});
