Ask engines for a stream's prompt only once all that are alive have registered

The engines that are asked are those of the directory. Soon after the store's return it may lack the one that began the stream, and an earlier request of the session may be kept at another version, which was then taken for the stream's: once more absence taken for a fact.

--- a/packages/gateway/version_guard.ts
+++ b/packages/gateway/version_guard.ts
@@ -61,7 +61,11 @@
 
     /** Asks the engines which of them has run a stream that no instance knows. */
     async #askEngines(request: GatewayRequest): Promise<string | undefined> {
-        const { metrics, logger } = this.context;
+        const { metrics, logger, streamVersions } = this.context;
+        if (!streamVersions.haveServersReturned(request.service.name)) {
+            // The engine that keeps the prompt may be one that the directory lacks.
+            return undefined;
+        }
         const testimony = await this.#promptWitness.ask(request);
         const { version, keptAt, silent } = testimony;
         metrics.increment("streams_placed_by_prompt_total", { result: version === undefined ? "open" : "placed" });
--- a/packages/stream_versions/served_versions.ts
+++ b/packages/stream_versions/served_versions.ts
@@ -95,6 +95,16 @@
         return this.#services.get(service)?.isCertain ?? false;
     }
 
+    /**
+     * Returns whether the servers of a service that are alive have registered since the store may have come back.
+     *
+     * @param service Name of the service.
+     * @returns Whether the directory lacks none of them.
+     */
+    haveServersReturned(service: string): boolean {
+        return this.#services.get(service)?.haveServersReturned ?? false;
+    }
+
     /**
      * Returns whether a version stands on the list in the store, so that it is known of once all instances have ended.
      *
--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -111,6 +111,16 @@
         }
     }
 
+    /**
+     * Returns whether the servers of a service that are alive have registered since the store may have come back.
+     *
+     * @param service Name of the service.
+     * @returns Whether the directory lacks none of them.
+     */
+    haveServersReturned(service: string): boolean {
+        return this.#served.haveServersReturned(service);
+    }
+
     /**
      * Returns whether a version stands on the list in the store; one that does not is forgotten if all instances end.
      *
