--- a/packages/stream_versions/served_versions.ts
+++ b/packages/stream_versions/served_versions.ts
@@ -13,6 +13,8 @@
 const MAXIMUM_LOGGED_VERSIONS = 8;
 /** Shortest time in milliseconds for which other instances leave a list to those that write for all. */
 const WRITER_MILLISECONDS = 1_000;
+/** Time in milliseconds after the store's return within which servers that are alive have registered again. */
+const RETURN_MILLISECONDS = 2_000;
 /** Time in milliseconds, for each instance, over which these spread their writes. */
 const SPREAD_MILLISECONDS = 10;
 
@@ -102,7 +104,8 @@
      * @returns Whether the directory lacks none of them.
      */
     haveServersReturned(service: string): boolean {
-        return this.#services.get(service)?.haveServersReturned ?? false;
+        const { confirmedAt, eraEnteredAt } = this.options.replica;
+        return this.isCertain(service) || confirmedAt - eraEnteredAt >= RETURN_MILLISECONDS;
     }
 
     /**
--- a/packages/stream_versions/served_versions_options.ts
+++ b/packages/stream_versions/served_versions_options.ts
@@ -7,7 +7,10 @@
 /** Dependencies of `ServedVersions`. */
 export interface ServedVersionsOptions {
     directory: Pick<Directory, "servers" | "configuration">;
-    replica: Pick<ItemReplica, "get" | "getStored" | "isFilled" | "position" | "confirmedAt" | "onEraChange">;
+    replica: Pick<
+        ItemReplica,
+        "get" | "getStored" | "isFilled" | "position" | "confirmedAt" | "eraEnteredAt" | "onEraChange"
+    >;
     store: Pick<CoordinationStore, "write">;
     clock: Pick<SuspensionAwareClock, "now">;
     /** Shortest time in milliseconds after the last server of a version has left, for which its streams may be taken up. */
--- a/packages/stream_versions/service_versions.ts
+++ b/packages/stream_versions/service_versions.ts
@@ -4,9 +4,6 @@
 /** Time in milliseconds without a read of the store, above which an instance may have missed a version before its return. */
 const MAXIMUM_GAP_MILLISECONDS = 5_000;
 
-/** Time in milliseconds after the store's return within which servers that are alive have registered again. */
-const RETURN_MILLISECONDS = 2_500;
-
 /**
  * Versions of one service that may have begun a stream, as one instance has observed them, and whether it can be certain
  * that there are no others. A store that has come back from a copy can lack a version, so an instance is certain only if it
@@ -37,8 +34,6 @@
     /** Start of the last read of the store that was observed, in milliseconds. */
     #readAt: number;
     #lifetimeMilliseconds = 0;
-    /** Time in milliseconds for which the present era has been observed. */
-    #observedMilliseconds = 0;
 
     /**
      * @param isCertain Whether no other version can have begun a stream before.
@@ -63,11 +58,6 @@
         return this.#isCertain;
     }
 
-    /** Whether servers that are alive have registered again, if the store may have come back without their entries. */
-    get haveServersReturned(): boolean {
-        return this.#isCertain || this.#observedMilliseconds >= RETURN_MILLISECONDS;
-    }
-
     /**
      * Takes note of what is registered and listed.
      *
@@ -133,8 +123,8 @@
         }
         this.#readAt = confirmedAt;
         // A step of the wall clock makes the other clock run fast.
-        this.#observedMilliseconds = Math.min(confirmedAt - this.#since, monotonicNow - this.#monotonicSince);
+        const observedMilliseconds = Math.min(confirmedAt - this.#since, monotonicNow - this.#monotonicSince);
         this.#isCertain ||= list.era === era
-            || this.#observedMilliseconds >= this.#lifetimeMilliseconds;
+            || observedMilliseconds >= this.#lifetimeMilliseconds;
     }
 }
