Name the stream that a refused request takes up

Callers who took streams up after the store's return were refused, and the lines of the instances did not tell which refusals were theirs: a request that is refused at its admission logged neither route nor stream. LOST counts only such requests, so that its breach could not be traced to a check.

The line "request ended by the router" has the field "resumes" now.

--- a/packages/gateway/gateway_server.ts
+++ b/packages/gateway/gateway_server.ts
@@ -13,6 +13,7 @@
 import { computeHeadMemory } from "./compute_head_memory.ts";
 import { createPipeliningLimit } from "./create_pipelining_limit.ts";
 import type { GatewayContext } from "./gateway_context.ts";
+import { headerOf } from "./header_of.ts";
 import type { RateLimiter } from "./rate_limiter.ts";
 import { readRequestBody } from "./read_request_body.ts";
 import { refuseUnread } from "./refuse_unread.ts";
@@ -188,7 +189,8 @@
                 abort.abort("half-closed");
             }
         });
-        const unreadRequest = { id, receivedAt, callerDeadline: receivedAt + 3_000, response, exchange };
+        const resumedStream = { firstAttempt: headerOf(incoming, this.context.headers.resumedAttempt) };
+        const unreadRequest = { id, receivedAt, callerDeadline: receivedAt + 3_000, resumedStream, response, exchange };
         if (this.#connectionBound.isBeyond(incoming.socket)) {
             refuseUnread(unreadRequest, "too-many-connections", this.context);
             return;
--- a/packages/gateway/send_refusal.ts
+++ b/packages/gateway/send_refusal.ts
@@ -5,6 +5,7 @@
 import type { EndedBy } from "./ended_by.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewayRefusal } from "./gateway_refusal.ts";
+import type { ResumedStream } from "./resumed_stream.ts";
 
 /** Largest delay before a retry, as a fraction of the caller's remaining time. */
 const MAXIMUM_RETRY_DELAY_FRACTION = 1 / 3;
@@ -16,6 +17,7 @@
     receivedAt: number;
     callerDeadline: number;
     route?: { name: string; };
+    resumedStream?: ResumedStream;
     response: ServerResponse;
     exchange: CallerExchange;
     /** Aborts with the reason if the request was given up. */
@@ -41,6 +43,7 @@
     context.logger.info("request ended by the router", {
         request: request.id,
         route: request.route?.name,
+        resumes: request.resumedStream?.firstAttempt,
         status: refusal.status,
         reason: refusal.reason,
         verdict: refusal.verdict,
