Begin the read that ends the doubt about the store's copy as soon as it may

For 2 s after the store's return an instance that was not there before refuses keys, until a read that began later has confirmed them. That read began by the period of the watches, whatever the doubt lasted: 0.1 to 1.2 s late, as a watch of 800 ms that began just before confirmed nothing, or as one with changes was followed by a pause of 600 ms.

The follower knows now from when on a read is awaited. It ends its watch then, shortens its pause, and an instance that relies on its peers reads once itself. The 2 s are the same, and what may confirm is the same read as before.

--- a/packages/gateway/copy_doubt.ts
+++ b/packages/gateway/copy_doubt.ts
@@ -54,6 +54,11 @@
         return this.replica.confirmedAt < this.#until;
     }
 
+    /** Time in milliseconds from which on a read ends the doubt; undefined if there is none. */
+    get endsFrom(): number | undefined {
+        return this.isOpen ? this.#until : undefined;
+    }
+
     /** Start of the last read that confirmed the configuration, in milliseconds. */
     get confirmedAt(): number {
         return this.isOpen ? this.#confirmedBefore : this.replica.confirmedAt;
--- a/packages/gateway/directory_updater.ts
+++ b/packages/gateway/directory_updater.ts
@@ -79,6 +79,11 @@
         return this.#copyDoubt.isOpen;
     }
 
+    /** Time in milliseconds from which on a read shows what was written again; undefined if none is awaited. */
+    get awaitedReadAt(): number | undefined {
+        return this.#copyDoubt.endsFrom;
+    }
+
     /**
      * Returns the fields that describe the directory in the log line of a decision.
      *
--- a/packages/gateway/directory_updater_test.ts
+++ b/packages/gateway/directory_updater_test.ts
@@ -113,3 +113,20 @@
     expect(directory.servers.has("b")).toBe(false);
     updater.close();
 });
+
+// Guards against a read that begins before the doubt can end, and so confirms nothing, and against one for no reason.
+test("a read is awaited 2 s after the store's return, until one that began then has ended", async () => {
+    const { replica, clock, updater, pass } = createUpdater();
+    expect(updater.awaitedReadAt).toBeUndefined();
+    await pass(500, true);
+    const returnedAt = clock.now();
+    replica.replace({ items: [], era: 2, revision: 4 }, returnedAt);
+    expect(updater.awaitedReadAt).toBe(returnedAt + 2_000);
+    await pass(2_000, true);
+    expect(updater.awaitedReadAt).toBe(returnedAt + 2_000);
+    expect(updater.isCopyInDoubt).toBe(true);
+    replica.confirm(replica.position, returnedAt + 2_000);
+    expect(updater.awaitedReadAt).toBeUndefined();
+    expect(updater.isCopyInDoubt).toBe(false);
+    updater.close();
+});
--- a/packages/gateway/gateway.ts
+++ b/packages/gateway/gateway.ts
@@ -199,6 +199,7 @@
         this.#replicaFollower = new ReplicaFollower(this.#replica, this.#store, {
             prefix: this.adapter.itemPrefix,
             isReader: () => this.#peerMesh.isReader(),
+            awaitedReadAt: () => this.#storeReading.directoryUpdater.awaitedReadAt,
             onRead: update => this.#peerMesh.publish(update),
             clock: this.#clock,
             logger: this.#logger,
--- a/packages/replica/replica_follower.ts
+++ b/packages/replica/replica_follower.ts
@@ -105,7 +105,8 @@
         }
         if (!this.#mustRead()) {
             this.#wake = new AbortController();
-            await sleep(READ_CHECK_MILLISECONDS, AbortSignal.any([signal, this.#wake.signal]));
+            const pause = this.#untilAwaitedRead(this.options.clock.now(), READ_CHECK_MILLISECONDS);
+            await sleep(pause, AbortSignal.any([signal, this.#wake.signal]));
             return;
         }
         await (this.#needsSnapshot ? this.#list() : this.#watch(signal));
@@ -116,7 +117,7 @@
         if (this.replica.isFilled && now - this.replica.confirmedAt > STALE_REPLICA_MILLISECONDS) {
             this.#takeoverUntil = now + TAKEOVER_MILLISECONDS;
         }
-        return !this.#connected || now < this.#takeoverUntil || this.options.isReader()
+        return !this.#connected || now < this.#takeoverUntil || this.options.isReader() || this.#isAwaited(now)
             || comparePositions(this.#announcedPosition, this.replica.position) > 0;
     }
 
@@ -153,11 +154,12 @@
     }
 
     async #watch(signal: AbortSignal): Promise<void> {
-        const wait = this.#lastWatchHadChanges ? WATCH_WAIT_AFTER_CHANGES_MILLISECONDS : WATCH_WAIT_MILLISECONDS;
+        const longestWait = this.#lastWatchHadChanges ? WATCH_WAIT_AFTER_CHANGES_MILLISECONDS : WATCH_WAIT_MILLISECONDS;
         if (this.#lastWatchHadChanges) {
-            await sleep(this.#batchDelay(), signal);
+            await sleep(this.#untilAwaitedRead(this.options.clock.now(), this.#batchDelay()), signal);
         }
         const readAt = this.options.clock.now();
+        const wait = this.#untilAwaitedRead(readAt, longestWait);
         const after = this.replica.position;
         const response = await this.source.watch(this.options.prefix, after, wait);
         if (response.isErr()) {
@@ -178,6 +180,10 @@
         const waitedFully = !this.#lastWatchHadChanges && this.options.clock.now() - readAt >= wait;
         this.replica.apply(changes, response.value, waitedFully ? readAt + wait : readAt);
         this.#succeed();
+        if (this.#isAwaited(readAt)) {
+            // The read began in time and confirmed nothing, as the replica is ahead of it by now.
+            this.#retryMilliseconds = MINIMUM_RETRY_MILLISECONDS;
+        }
         if (this.#lastWatchHadChanges) {
             this.options.onRead({ after, ...positionOf(response.value), changes });
         }
@@ -189,6 +195,17 @@
         return startupEnded ? MINIMUM_BATCH_DELAY_MILLISECONDS : STARTUP_BATCH_DELAY_MILLISECONDS;
     }
 
+    /** Whether a read that begins now is one that this instance waits for. */
+    #isAwaited(now: number): boolean {
+        return now >= (this.options.awaitedReadAt() ?? Number.POSITIVE_INFINITY);
+    }
+
+    /** Returns a wait in whole milliseconds, cut short at the time from which on a read is awaited. */
+    #untilAwaitedRead(now: number, milliseconds: number): number {
+        const awaitedAt = this.options.awaitedReadAt() ?? Number.POSITIVE_INFINITY;
+        return Math.max(0, Math.min(milliseconds, Math.ceil(awaitedAt - now)));
+    }
+
     #succeed(): void {
         this.#retryMilliseconds = 0;
         if (!this.#connected) {
--- a/packages/replica/replica_follower_options.ts
+++ b/packages/replica/replica_follower_options.ts
@@ -11,6 +11,11 @@
     clock: SuspensionAwareClock;
     /** Whether this instance must read the store itself rather than rely on peers. */
     isReader(): boolean;
+    /**
+     * Returns from when on a read must begin to tell this instance what it waits for, in milliseconds on the clock; undefined
+     * if it waits for none. It begins just then, whoever else reads.
+     */
+    awaitedReadAt(): number | undefined;
     /** Receives the result of each read, to be forwarded to peers. */
     onRead(update: ReplicaUpdate): void;
     logger: Logger;
