Let a stream wait until each engine has told about its prompt or is gone

After the store's return a stream that no instance knows is placed by the engines. One that did not answer for 0.6 s left it open, and the stream was refused at once.

Such a stream is asked for again until each engine has answered or is gone, for 2 s at most and half of its remaining time. It waits just so until the servers may have returned, where it was refused before. Nobody is asked earlier, what decides is the same, and keys are judged after the wait. The line tells how long a stream has waited.

Tests: a stream was refused with 503 before, if a silent engine is gone or back 0.8 s later (2 of 2); now it goes on. The tests of restored, lapsed and mixed versions pass (106 of 106).

--- a/packages/gateway/version_guard.ts
+++ b/packages/gateway/version_guard.ts
@@ -1,3 +1,4 @@
+import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import { createStreamRefusal } from "./_create_stream_refusal.ts";
 import { EngineClient } from "./engine_client.ts";
@@ -7,6 +8,16 @@
 import type { PassProgress } from "./pass_progress.ts";
 import { PromptWitness } from "./prompt_witness.ts";
 
+/**
+ * Longest time in milliseconds for which a stream waits for the engines' word: entries of engines that are gone lapse within
+ * three heartbeats of the store's return, and those that are alive are back within two seconds.
+ */
+const MAXIMUM_TESTIMONY_MILLISECONDS = 2_000;
+/** Largest part of a request's remaining time that it waits for the engines' word. */
+const MAXIMUM_TESTIMONY_FRACTION = 1 / 2;
+/** Pause in milliseconds before engines are asked again. */
+const ASK_AGAIN_MILLISECONDS = 100;
+
 /**
  * Lets a stream go on only at the software version that began it.
  *
@@ -59,18 +70,32 @@
         return undefined;
     }
 
-    /** Asks the engines which of them has run a stream that no instance knows. */
+    /** Asks the engines which of them has run a stream that no instance knows, until each has answered or is gone. */
     async #askEngines(request: GatewayRequest): Promise<string | undefined> {
         const { metrics, logger, streamVersions } = this.context;
-        if (!streamVersions.haveServersReturned(request.service.name)) {
-            // The engine that keeps the prompt may be one that the directory lacks.
-            return undefined;
+        const startedAt = monotonicMilliseconds();
+        const longest = (request.deadline - startedAt) * MAXIMUM_TESTIMONY_FRACTION;
+        const until = startedAt + Math.min(MAXIMUM_TESTIMONY_MILLISECONDS, longest);
+        while (true) {
+            // Before the servers have returned, the engine that keeps the prompt may be one that the directory lacks.
+            const haveReturned = streamVersions.haveServersReturned(request.service.name);
+            const testimony = haveReturned ? await this.#promptWitness.ask(request) : undefined;
+            const isFinal = testimony && (testimony.silent === 0 || testimony.keptAt.length > 1);
+            const now = monotonicMilliseconds();
+            if (isFinal || now >= until || request.signal.aborted) {
+                const version = testimony?.version;
+                const result = version === undefined ? "open" : "placed";
+                metrics.increment("streams_placed_by_prompt_total", { result });
+                logger.info("engines asked for the prompt of a stream", {
+                    request: request.id,
+                    ...testimony,
+                    haveReturned,
+                    waitedMilliseconds: Math.round(now - startedAt),
+                });
+                return version;
+            }
+            await sleep(ASK_AGAIN_MILLISECONDS, request.signal);
         }
-        const testimony = await this.#promptWitness.ask(request);
-        const { version, keptAt, silent } = testimony;
-        metrics.increment("streams_placed_by_prompt_total", { result: version === undefined ? "open" : "placed" });
-        logger.info("engines asked for the prompt of a stream", { request: request.id, version, keptAt, silent });
-        return version;
     }
 
     /**
