Call no request not run that servers may have run before a peer refused it

An idempotent call or a stream that a server may have run from here before the links were lost was passed on, and a peer's own 429 or 503 went to its caller as it came, which says that it has not run. Without the hop such a call ends with 502. The exchange counts the servers that may have run it; once there is one, a peer's unsigned refusal leads to the next peer, and to this instance's 502 if none is left.

--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -71,6 +71,7 @@
             events: 0,
             lastEventId: undefined,
             answered: false,
+            runs: 0,
             isCommitted: false,
             end: undefined,
         };
--- a/packages/gateway/caller_exchange.ts
+++ b/packages/gateway/caller_exchange.ts
@@ -12,6 +12,8 @@
     events: number;
     /** Id of the last of these events; undefined before the first. */
     lastEventId: number | undefined;
+    /** Number of servers that may have run the request from here. */
+    runs: number;
     /** Whether a whole answer was written to the connection. */
     answered: boolean;
     /** Whether the request may run only once and has been passed on, so that its answer is waited for. */
--- a/packages/gateway/peer_relay.ts
+++ b/packages/gateway/peer_relay.ts
@@ -163,7 +163,9 @@
             answer.close();
             return { kind: "may-have-run", message: "The peer's answer is not signed by a server" };
         }
-        if (request.response.headersSent && answer.status !== OK_STATUS) {
+        const isRefused = NOT_RUN_STATUSES.has(answer.status) && answer.headers[headers.signature] === undefined;
+        // What has run from here is not called not run, whatever the peer knows.
+        if ((request.response.headersSent && answer.status !== OK_STATUS) || (request.exchange.runs > 0 && isRefused)) {
             answer.close();
             const kind = NOT_RUN_STATUSES.has(answer.status) ? "not-run" : "may-have-run";
             return { kind, message: `The peer has answered with status ${answer.status}` };
--- a/packages/gateway/peer_relay_test.ts
+++ b/packages/gateway/peer_relay_test.ts
@@ -79,7 +79,7 @@
 }
 
 /** Passes a request on and returns what its caller gets, and what the peers have got. */
-async function pass(behaviours: string[], kind: string) {
+async function pass(behaviours: string[], kind: string, runs: number) {
     const received: IncomingMessage[] = [];
     const peers = await startPeers(behaviours, received);
     const context = {
@@ -118,7 +118,7 @@
             isRelayed: false,
             triedPeers: new Set(),
             memory: { tryHold: () => true, hold: () => Promise.resolve(true) },
-            exchange: { events: 0 },
+            exchange: { events: 0, runs },
             response,
         } as unknown as GatewayRequest;
         incoming.resume();
@@ -154,6 +154,9 @@
     { peers: ["limits", "answers"], kind: "idempotent", status: 429, tries: 1 },
     { peers: ["full", "answers"], kind: "idempotent", status: 503, head: { "retry-after": "0.2" }, tries: 1 },
     { peers: ["fails", "answers"], kind: "idempotent", status: 503, tries: 1 },
+    { peers: ["limits", "full", "answers"], kind: "idempotent", runs: 1, status: 200, body: "text", tries: 3 },
+    { peers: ["limits", "full"], kind: "idempotent", runs: 1, status: 599, tries: 2 },
+    { peers: ["fails", "answers"], kind: "idempotent", runs: 1, status: 503, tries: 1 },
     { peers: ["resets", "answers"], kind: "non_idempotent", status: 502, tries: 1 },
     { peers: ["resets", "answers"], kind: "idempotent", status: 502, tries: 1 },
     { peers: ["isolated", "resets", "answers"], kind: "idempotent", status: 502, tries: 2 },
@@ -161,8 +164,8 @@
     { peers: ["breaks", "answers"], kind: "idempotent", status: 200, body: "te", complete: false, tries: 1 },
     { peers: ["shortens", "answers"], kind: "idempotent", status: 200, body: "te", complete: false, tries: 1 },
 ])("$kind request to peers $peers ends with $status", async testCase => {
-    const { peers, kind, status, body, head = {}, complete = true, tries } = testCase;
-    const result = await pass(peers, kind);
+    const { peers, kind, runs = 0, status, body, head = {}, complete = true, tries } = testCase;
+    const result = await pass(peers, kind, runs);
     expect(result).toMatchObject({ status, complete, headers: head });
     expect(result.received).toHaveLength(tries);
     if (body !== undefined) {
--- a/packages/gateway/plain_forwarder.ts
+++ b/packages/gateway/plain_forwarder.ts
@@ -88,9 +88,11 @@
                     }
                     fallback = fallback?.isDoubtful ? fallback : outcome;
                     runs++;
+                    request.exchange.runs++;
                 }
                 else if (outcome.kind === "may-have-run") {
                     runs++;
+                    request.exchange.runs++;
                     refusal = outcome.isOutOfTime
                         ? outOfTimeRefusal()
                         : { status: 502, reason: "backend-failed", verdict: "may-have-run", message: outcome.message };
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -131,6 +131,7 @@
                     this.context.serverLoads.get(reservation.value.server.id).recordFailure();
                 }
                 progress.runs++;
+                request.exchange.runs++;
                 progress.mustGoOn = false;
                 refusal = createStreamRefusal("backend-failed", "may-have-run", outcome.message);
                 const mayRepeat = request.route.resumable && progress.runs < request.route.maximumServers;
