Tell a peer how many servers a request may still be sent to

A stream or an idempotent call that had run on a server before the links were lost was passed on, and the peer counted its servers from none: with two allowed, one client attempt was sent to three (PROTOCOL, MaxAttempts). The mark of a request that is passed on names the number that is left now, and the peer keeps to it. One is left at least, since a server that is cut off does not count (BUDGET). A caller who sends the mark himself can only lower his own number. A program of before sends 1, which costs its requests repeats at a peer of this one during a deployment.

--- a/packages/gateway/admission_check.ts
+++ b/packages/gateway/admission_check.ts
@@ -61,7 +61,8 @@
             return { kind: "refused", refusal: refuseUnconfirmed("not-configured", "No configuration is known yet") };
         }
         const size = incoming.rawHeaders.reduce((sum, part) => sum + part.length + 2, 0);
-        const isRelayed = headerOf(incoming, headers.relayed) !== undefined;
+        const mark = headerOf(incoming, headers.relayed);
+        const isRelayed = mark !== undefined;
         if (size > configuration.limits.maximumHeaderBytes + (isRelayed ? RELAYED_HEADER_BYTES : 0)) {
             return refused(431, "headers-too-large", "The headers are too large");
         }
@@ -106,7 +107,7 @@
                 method: incoming.method ?? "GET",
                 path,
                 headers: filterRawHeaders(incoming.rawHeaders, this.#removedHeaders()),
-                route,
+                route: limitServers(route, Number(mark)),
                 service,
                 organisation,
                 key,
@@ -177,6 +178,11 @@
     };
 }
 
+/** Lowers the number of servers that a request may be sent to, where it names a lower one. */
+function limitServers(route: TrafficRoute, maximumServers: number): TrafficRoute {
+    return maximumServers >= 1 && maximumServers < route.maximumServers ? { ...route, maximumServers } : route;
+}
+
 function parseTokenCounts(header: string | undefined): [number, number] {
     const [prompt, output] = (header ?? "").split(",").map(Number);
     return [
--- a/packages/gateway/peer_relay_test.ts
+++ b/packages/gateway/peer_relay_test.ts
@@ -110,7 +110,7 @@
             body: Buffer.from("body"),
             key: "secret",
             service: { name: "orders", engine: undefined },
-            route: { name: "r", kind, resumable: false },
+            route: { name: "r", kind, resumable: false, maximumServers: 3 },
             receivedAt: monotonicMilliseconds(),
             callerDeadline: monotonicMilliseconds() + 5_000,
             deadline: monotonicMilliseconds() + 5_000,
@@ -173,7 +173,8 @@
     }
     for (const { method, url, headers } of result.received) {
         expect({ method, url }).toEqual({ method: "POST", url: "/a?b" });
-        expect(headers).toMatchObject({ "host": "h", "key": "secret", "relayed": "1", "content-length": "4" });
+        expect(headers).toMatchObject({ "host": "h", "key": "secret", "content-length": "4" });
+        expect(headers["relayed"]).toBe(String(3 - runs));
         expect(Number(headers["remaining"])).toBeLessThanOrEqual(5_000);
     }
 });
--- a/packages/gateway/protocol_headers.ts
+++ b/packages/gateway/protocol_headers.ts
@@ -33,7 +33,7 @@
     leaving: string;
     /** Requests a second, as a decimal number, that the server takes from all instances together. */
     limit: string;
-    /** Present when another instance has passed the request on. */
+    /** Present when another instance has passed the request on: the number of servers that it may still be sent to. */
     relayed: string;
     /** Headers that only the router may set; they are removed from callers' requests. */
     reserved: string[];
