Pass on a stream that engines can't place since the links are lost

A stream that is taken up and that only the engines can place was refused with stream-version-unknown (503 after 1.0 s) where it came to an instance that was just losing its links: the engines' silence was the effect of the cut, and that reason was not among those for which the finding is waited for. It is now, and the peer asks the engines. Where the links stand, the refusal stays as it was.

--- a/packages/gateway/request_forwarder.ts
+++ b/packages/gateway/request_forwarder.ts
@@ -22,6 +22,8 @@
     "no-capacity",
     "retry-budget-spent",
     "backend-failed",
+    // Engines that can't be reached don't say what they keep.
+    "stream-version-unknown",
 ]);
 
 /**
