Suspect the links when a stream falls silent

A stream at an instance that was cut off and had no other calls under way stood still until its deadline: calls wait only for heads, and with no other engine of its version nothing else was asked, so that the links were never suspected. Only the leader, which asks engines for reports, found the cut. A stream whose silence finds no successor is now a cause to look at the links, as a call that times out is: one probe of another server, within the usual pauses.

--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -102,6 +102,10 @@
         const onError = logFailure(this.context.logger, "search for another engine failed", { request: request.id });
         const onSilence = async (isStillSilent: () => boolean) => {
             const found = await findSuccessor?.(isStillSilent).catch(onError) ?? false;
+            if (!found) {
+                // A stream that falls silent may be all that shows a lost link.
+                this.context.reachability.recordFault(reservation.server.id, "timeout");
+            }
             if (!found && !recorded) {
                 recorded = true;
                 load.recordFailure();
