Write the phase of a roll-out again that a copy of the store lacks

What callers and operators saw: after the store had come back from a copy of the move, instances kept the completed phase that they knew and nobody wrote it again. The operator's status stayed at running for good, so the old servers never stopped, and an instance that started later went on from the copy's phase.

Cause: the leader writes only a next phase, and after completed or rolled-back there is none. "An instance keeps the later phase" was taken for enough.

Change: a state names the era of the store in which it was written. In a new era, the leader writes again at once what it knows, others after 1 s and up to 10 ms for each instance, if the state is still not of that era or of an earlier phase. The write requires that the state is unchanged.

--- a/packages/gateway/_service_rollout.ts
+++ b/packages/gateway/_service_rollout.ts
@@ -18,6 +18,8 @@
     readonly judge: VersionJudge;
     judgement: Judgement;
     phase: RolloutPhase | undefined;
+    /** Era of the store in which the phase was last known to be stored. */
+    phaseEra: number | undefined;
     /** Whether the order is no longer in the store. */
     isWithdrawn = false;
     #orderedAt: number;
@@ -74,8 +76,9 @@
      * @param unixTime Present Unix time in milliseconds, by which an instance that started later knows the time since the
      *     order; undefined if this instance has seen the order arrive.
      * @param now Present time in milliseconds.
+     * @param era Era in which the store holds it.
      */
-    apply(state: RolloutState, unixTime: number | undefined, now: number): void {
+    apply(state: RolloutState, unixTime: number | undefined, now: number, era: number): void {
         if (phaseRank(state.phase) <= phaseRank(this.phase)) {
             return;
         }
@@ -84,6 +87,7 @@
             : Math.min(unixTime - state.orderedAt, this.order.durationMilliseconds);
         this.#orderedAt = Math.min(this.#orderedAt, now - Math.max(passed, state.elapsedMilliseconds));
         this.phase = state.phase;
+        this.phaseEra = era;
         this.#phaseAt = now;
     }
 
--- a/packages/gateway/rollout_decider.ts
+++ b/packages/gateway/rollout_decider.ts
@@ -2,18 +2,23 @@
 import type { CoordinationStore, Leadership } from "../coordination/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import type { ItemReplica } from "../replica/mod.ts";
-import { nextPhase, type PhaseChange, type RolloutState } from "../rollouts/mod.ts";
+import { nextPhase, type PhaseChange, phaseRank, type RolloutState } from "../rollouts/mod.ts";
+import { parseRolloutState } from "./_parse_rollout_state.ts";
 import type { ServiceRollout } from "./_service_rollout.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 
 const STEP_MILLISECONDS = 250;
 /** Time in milliseconds that a request may take if no route leads to its service. */
 const DEFAULT_REQUEST_MILLISECONDS = 1_000;
+/** Shortest time in milliseconds for which other instances leave it to the leader to write again what they know. */
+const LEADER_MILLISECONDS = 1_000;
+/** Time in milliseconds, for each instance, over which these spread their writes. */
+const SPREAD_MILLISECONDS = 10;
 
 /**
  * Decides the phases of roll-outs. Every instance judges the versions; only the leader decides, and writes each phase to
  * the store under the condition that nobody else has written one since it read the last. So a write that arrives late, of
- * a former leader too, has no effect.
+ * a former leader too, has no effect. What a copy of the store lacks, instances that know it write again.
  *
  * @example
  * ```ts
@@ -23,6 +28,8 @@
  */
 export class RolloutDecider {
     readonly #task: PeriodicTask;
+    /** By service: time in milliseconds from which this instance writes again what the leader has left undone. */
+    readonly #writeAt = new Map<string, number>();
 
     /**
      * @param context Shared objects of the gateway.
@@ -54,12 +61,46 @@
         const { rollouts } = this.context;
         rollouts.judge();
         for (const rollout of rollouts.rollouts.values()) {
+            if (await this.#keep(rollout)) {
+                continue;
+            }
             if (this.leadership.fence() !== undefined) {
                 await this.#decide(rollout);
             }
         }
     }
 
+    /**
+     * Writes the phase that this instance knows again, if the store has come back from a copy that lacks it or that may.
+     *
+     * @returns Whether the store does not hold it yet.
+     */
+    async #keep(rollout: ServiceRollout): Promise<boolean> {
+        const { clock, instanceCount } = this.context;
+        const { phase, order: { service } } = rollout;
+        const { era } = this.replica.position;
+        const stored = this.#storedState(rollout);
+        const isStored = stored?.era === era && phaseRank(stored.phase) >= phaseRank(phase);
+        if (phase === undefined || rollout.phaseEra === era || isStored) {
+            this.#writeAt.delete(service);
+            rollout.phaseEra = era;
+            return false;
+        }
+        const spread = () => LEADER_MILLISECONDS + Math.random() * instanceCount() * SPREAD_MILLISECONDS;
+        const writeAt = this.#writeAt.get(service) ?? clock.now() + spread();
+        this.#writeAt.set(service, writeAt);
+        if (this.leadership.fence() !== undefined || clock.now() >= writeAt) {
+            await this.#write(rollout, { phase, reason: "store's return" }, clock.now());
+        }
+        return true;
+    }
+
+    #storedState({ order }: ServiceRollout): RolloutState | undefined {
+        const value = this.replica.getStored(this.context.rollouts.stateKey(order.service))?.value;
+        const state = value === undefined ? undefined : parseRolloutState(value);
+        return state?.order === order.id ? state : undefined;
+    }
+
     async #decide(rollout: ServiceRollout): Promise<void> {
         const now = this.context.clock.now();
         const { service } = rollout.order;
@@ -75,14 +116,15 @@
             oldCapacity: sumSlots(servers.filter(server => rollout.isOld(server))),
         });
         if (change) {
-            await this.#enter(rollout, change, now);
+            await this.#write(rollout, change, now);
         }
     }
 
-    async #enter(rollout: ServiceRollout, { phase, reason }: PhaseChange, now: number): Promise<void> {
+    async #write(rollout: ServiceRollout, { phase, reason }: PhaseChange, now: number): Promise<void> {
         const { rollouts, logger, metrics, encodeRolloutStatus } = this.context;
         const { id, service, version } = rollout.order;
         const elapsed = Math.max(0, Math.round(rollout.elapsed(now)));
+        const { era } = this.replica.position;
         const state: RolloutState = {
             order: id,
             service,
@@ -91,6 +133,7 @@
             elapsedMilliseconds: elapsed,
             orderedAt: Date.now() - elapsed,
             refused: [...rollout.refused],
+            era,
         };
         const key = rollouts.stateKey(service);
         const stored = this.replica.getStored(key);
@@ -117,7 +160,8 @@
             ...rollout.judgement,
         });
         if (written.isOk() && written.value.kind === "stored") {
-            rollout.apply(state, undefined, now);
+            rollout.apply(state, undefined, now, era);
+            rollout.phaseEra = era;
         }
     }
 
--- a/packages/gateway/rollout_decider_test.ts
+++ b/packages/gateway/rollout_decider_test.ts
@@ -108,7 +108,9 @@
     read(): void {
         if (!this.isCutOff && store.mode !== "away") {
             const { era, revision } = store;
-            this.replica.replace({ items: [...store.items.values()], era, revision }, performance.now());
+            // The platform's adapter gives an item the era in which it was read.
+            const items = [...store.items.values()].map(item => ({ ...item, era }));
+            this.replica.replace({ items, era, revision }, performance.now());
         }
     }
 
@@ -240,6 +242,26 @@
     expect(instances[1]!.send(3)).toEqual(["new", "new", "new"]);
 });
 
+// Guards against a status that never ends, and instances that start later and know only the copy.
+test.each([[0, "the leader"], [1, "another instance, without a leader"]])(
+    "instance %i writes again what a copy of the store lacks: %s",
+    async index => {
+        await pass(9_500);
+        const copy = new Map(store.items);
+        await pass(2_500);
+        expect(storedState().phase).toBe("completed");
+        store.items = copy;
+        store.era++;
+        instances.forEach((instance, other) => instance.isLeader &&= index === other);
+        await pass(2_000);
+        expect(storedState()).toMatchObject({ phase: "completed", era: 2 });
+        expect(store.statuses.at(-1)).toBe("completed");
+        const written = store.revision;
+        await pass(2_000);
+        expect(store.revision).toBe(written);
+    },
+);
+
 test("an order that replaces one leaves the former version without requests", async () => {
     await pass(1_000);
     instances.forEach(({ directory }) =>
--- a/packages/gateway/service_rollouts.ts
+++ b/packages/gateway/service_rollouts.ts
@@ -291,10 +291,9 @@
         if (!state) {
             this.options.metrics.increment("unreadable_items_total");
             this.options.logger.warn("state of a roll-out cannot be read", { service, key: item.key });
-            return;
         }
-        if (state.order === rollout.order.id) {
-            rollout.apply(state, isBeforeOrder ? Date.now() : undefined, this.options.clock.now());
+        else if (state.order === rollout.order.id) {
+            rollout.apply(state, isBeforeOrder ? Date.now() : undefined, this.options.clock.now(), item.era);
         }
     }
 }
--- a/packages/rollouts/rollout_state_schema.ts
+++ b/packages/rollouts/rollout_state_schema.ts
@@ -13,4 +13,6 @@
     orderedAt: z.number(),
     /** Versions that an earlier order had rolled back, which get nothing. */
     refused: z.array(z.string()).max(1_024),
+    /** Era of the store in which the state was written; undefined in states of earlier programs. */
+    era: z.number().optional(),
 });
