Begin a roll-out's trial anew where only a copy of the store tells its phase

What callers and operators saw: all instances ended, the store came back from an older copy, and an instance started after the order's deadline. From a copy of the move it completed a version that had been rolled back for being slow, upon which the old servers stop. From a copy of the trial it rolled back a version that had been completed, "not moved by the deadline": the old servers were gone and the new ones got nothing.

Cause: the phase in a copy was taken for the last one. What followed it was absent, and the deadline then decided without any evidence.

Change: only final phases of another era are believed. An instance that was not there leaves the others 2 s to write what they know, then begins the trial anew, with the order's whole time.

--- a/packages/gateway/rollout_decider.ts
+++ b/packages/gateway/rollout_decider.ts
@@ -3,6 +3,7 @@
 import type { RegisteredServer } from "../directory/mod.ts";
 import type { ItemReplica } from "../replica/mod.ts";
 import { nextPhase, type PhaseChange, phaseRank, type RolloutState } from "../rollouts/mod.ts";
+import { isProvedState } from "./_is_proved_state.ts";
 import { parseRolloutState } from "./_parse_rollout_state.ts";
 import type { ServiceRollout } from "./_service_rollout.ts";
 import type { GatewayContext } from "./gateway_context.ts";
@@ -10,6 +11,8 @@
 const STEP_MILLISECONDS = 250;
 /** Time in milliseconds that a request may take if no route leads to its service. */
 const DEFAULT_REQUEST_MILLISECONDS = 1_000;
+/** Time in milliseconds after the store's return for which a new leader leaves the state to instances that know it. */
+const RETURN_MILLISECONDS = 2_000;
 /** Shortest time in milliseconds for which other instances leave it to the leader to write again what they know. */
 const LEADER_MILLISECONDS = 1_000;
 /** Time in milliseconds, for each instance, over which these spread their writes. */
@@ -64,7 +67,7 @@
             if (await this.#keep(rollout)) {
                 continue;
             }
-            if (this.leadership.fence() !== undefined) {
+            if (this.leadership.fence() !== undefined && !this.#mayBeKnown(rollout)) {
                 await this.#decide(rollout);
             }
         }
@@ -95,6 +98,14 @@
         return true;
     }
 
+    /** Whether the store has just come back from a copy, so that instances may know more than it and this one. */
+    #mayBeKnown(rollout: ServiceRollout): boolean {
+        const stored = this.#storedState(rollout);
+        const { position, eraEnteredAt } = this.replica;
+        return stored !== undefined && !isProvedState(stored, position.era)
+            && this.context.clock.now() - eraEnteredAt < RETURN_MILLISECONDS;
+    }
+
     #storedState({ order }: ServiceRollout): RolloutState | undefined {
         const value = this.replica.getStored(this.context.rollouts.stateKey(order.service))?.value;
         const state = value === undefined ? undefined : parseRolloutState(value);
--- a/packages/gateway/rollout_decider_test.ts
+++ b/packages/gateway/rollout_decider_test.ts
@@ -262,6 +262,23 @@
     },
 );
 
+// Guards against the copy's phase taken for the last one: a roll-back may have followed a move, and an end a trial.
+test("an instance that was not there does not go on from the phase of a copy", async () => {
+    await pass(9_500);
+    expect(storedState().phase).toBe("move");
+    store.era++;
+    await Promise.all(instances.map(({ decider }) => decider.close()));
+    instances = [];
+    instances.push(new Instance());
+    instances[0]!.isLeader = true;
+    expect((await pass(1_900)).exposed).toBe(0);
+    expect(storedState()).toMatchObject({ phase: "move", era: 1 });
+    await pass(600);
+    expect(storedState()).toMatchObject({ phase: "trial", era: 2 });
+    await pass(12_000);
+    expect(store.statuses.at(-1)).toBe("completed");
+});
+
 test("an order that replaces one leaves the former version without requests", async () => {
     await pass(1_000);
     instances.forEach(({ directory }) =>
--- a/packages/gateway/service_rollouts.ts
+++ b/packages/gateway/service_rollouts.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { ItemReplica } from "../replica/mod.ts";
 import { encodeOutcomeKey, ExposureLimit, responseTimeBuckets } from "../rollouts/mod.ts";
+import { isProvedState } from "./_is_proved_state.ts";
 import { parseRolloutState } from "./_parse_rollout_state.ts";
 import { ServiceRollout } from "./_service_rollout.ts";
 import { usedByAll } from "./_used_by_all.ts";
@@ -292,7 +293,7 @@
             this.options.metrics.increment("unreadable_items_total");
             this.options.logger.warn("state of a roll-out cannot be read", { service, key: item.key });
         }
-        else if (state.order === rollout.order.id) {
+        else if (state.order === rollout.order.id && isProvedState(state, item.era)) {
             rollout.apply(state, isBeforeOrder ? Date.now() : undefined, this.options.clock.now(), item.era);
         }
     }
