Conclude nothing about a stream from a directory older than 1.5 s

What callers saw: an instance that was cut off from the store and all peers went on with a stream at the only version it knew, while a newer version, registered since, had begun it elsewhere: two versions joined in one answer, at any take-up within 5 s of the last read (3.25 s where API keys are refused sooner).

Cause: the directory of an instance without any confirmed read was taken for the present one for 5 s.

Change: 1.5 s, which a watch that answers, or a peer's, stays within; an instance whose directory is older waits up to 1 s for its next read. Then the engines are asked which of them keeps the prompt, and only a stream that none keeps is refused. While reads are confirmed, nothing changes.

Measured (x86-64, load 20 to 25): platform/cut_versions_test.ts before: 4 of 4 take-ups joined with a store that resets connections and 4 of 4 with one that is silent, finding "only-version", age 1.7 to 2.2 s; since: 0 and 0, and a stream of the only version goes on while the store is away if an engine keeps its prompt. The fixture can start an instance without links to the others. software_versions, kept_prompts, lapsed_versions and restored_versions tests: 25 of 25, one run.

--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -17,8 +17,13 @@
 const MILLISECONDS_PER_SECOND = 1_000;
 /** Pause after a write that failed. */
 const FAILED_PAUSE_MILLISECONDS = 1_000;
-/** Age of the directory above which a version that is not in it may be in service. */
-const MAXIMUM_DIRECTORY_AGE_MILLISECONDS = 5_000;
+/**
+ * Age of the directory above which nothing is concluded from what it lacks: no watch answers. Shorter ages are ordinary,
+ * between two answers of a watch and on the way from peers.
+ */
+const MAXIMUM_DIRECTORY_AGE_MILLISECONDS = 1_500;
+/** Longest wait for the next read of an instance whose directory is older. */
+const READ_WAIT_MILLISECONDS = 1_000;
 /** Longest wait for the record of a stream that began a moment ago at another instance. */
 const RECORD_WAIT_MILLISECONDS = 400;
 const RECORD_CHECK_MILLISECONDS = 25;
@@ -88,10 +93,10 @@
      *
      * @param stream Id of the caller's attempt that got the first event; undefined if the caller has not named it.
      * @param service Name of the service.
-     * @returns What is known; resolves after a short wait if a record may be on its way.
+     * @returns What is known; resolves after a short wait if a record or a read of the store may be on its way.
      */
     async find(stream: string | undefined, service: string): Promise<VersionFinding> {
-        const until = monotonicMilliseconds() + RECORD_WAIT_MILLISECONDS;
+        const startedAt = monotonicMilliseconds();
         while (true) {
             const found = stream === undefined ? undefined : this.#origins.find(stream);
             const evidence = () => ({ ...this.#served.describe(service), record: withoutOrigin(found) });
@@ -104,7 +109,12 @@
             if (isOnly && this.options.directoryAge() < MAXIMUM_DIRECTORY_AGE_MILLISECONDS) {
                 return { kind: "only-version", version, evidence: evidence() };
             }
-            if (stream === undefined || isOnly || monotonicMilliseconds() >= until) {
+            const waited = monotonicMilliseconds() - startedAt;
+            if (
+                isOnly
+                    ? waited >= READ_WAIT_MILLISECONDS
+                    : stream === undefined || waited >= RECORD_WAIT_MILLISECONDS
+            ) {
                 return { kind: "unknown", evidence: evidence() };
             }
             await sleep(RECORD_CHECK_MILLISECONDS);
