Wait for the instance list before a member joins by the copy of a store

What the fleet saw: the stand-alone router's store came back from an older copy whose members had all ended. An instance that joined while the platform's list could not be read wrote a record without the member that served on: two instances were the home of the same keys.

Cause: a list that could not be read was taken for an empty one, and a listed instance that did not answer for one that knows nothing. Both counted as proof that nobody knows a newer record.

Change: a record of another era is replaced only once the list has been read, and each listed instance is a known member, has responded, or has refused the connection. While the list is away, nobody joins in a new era; a listed machine that is gone delays it until the list drops it.

Measured (x86-64, load 20 to 25): membership_test.ts, "waits while the list cannot be read": joined as a,c and then as c alone before, passed since.

--- a/packages/membership/_peer_records.ts
+++ b/packages/membership/_peer_records.ts
@@ -26,13 +26,16 @@
     /**
      * Adopts the newest record of all members, of the members that this record names in turn, and of listed instances.
      *
-     * @returns Whether no member of the record can know a newer one: each has responded, left or terminated.
+     * @returns Whether nobody can know a newer one: the list has been read, and each instance has responded, left or
+     *     terminated.
      */
     async collect(): Promise<boolean> {
         const { membership, options } = this;
         const heard = new Set<string>();
         // All members of a copy may have terminated, and later ones not.
-        await this.fetchFromList();
+        if (!await this.fetchFromList()) {
+            return false;
+        }
         while (true) {
             const members = membership.otherMembers.filter(member => this.#mustRespond(member, heard));
             if (members.length === 0) {
@@ -52,13 +55,19 @@
         }
     }
 
-    /** Without the store an instance cannot join, but it can serve callers with a membership record from its peers. */
-    async fetchFromList(): Promise<void> {
+    /**
+     * Adopts the newest record of the listed instances. Without the store an instance cannot join, but it can serve callers
+     * with a membership record from its peers.
+     *
+     * @returns Whether the list was read and each of them is a known member, has responded or has terminated.
+     */
+    async fetchFromList(): Promise<boolean> {
         const { membership, options } = this;
         const listed = await options.instanceList.fetch();
         if (listed.isErr()) {
-            return;
+            return false;
         }
+        let isComplete = true;
         for (const { name, address } of listed.value) {
             if (address === membership.self.address) {
                 continue;
@@ -68,9 +77,11 @@
             );
             if (!isKnownMember) {
                 const response = await options.pool.callAddress(address, "membership.record", {});
-                this.#adoptResponse(response.unwrapOr(undefined));
+                const isHeard = this.#adoptResponse(response.unwrapOr(undefined));
+                isComplete &&= isHeard || response.isErr() && response.error.provesTermination;
             }
         }
+        return isComplete;
     }
 
     #mustRespond(member: Member, heard: Set<string>): boolean {
--- a/packages/membership/membership_test.ts
+++ b/packages/membership/membership_test.ts
@@ -1,4 +1,4 @@
-import { ok } from "neverthrow";
+import { err, ok, type Result } from "neverthrow";
 import { randomBytes } from "node:crypto";
 import { expect, onTestFinished, test } from "vitest";
 import * as z from "zod";
@@ -31,7 +31,12 @@
     /** Whether the node tells others its record. */
     responding = true;
 
-    constructor(name: string, private readonly address: string, storeAddress: string, listed: ListedInstance[]) {
+    constructor(
+        name: string,
+        private readonly address: string,
+        storeAddress: string,
+        fetchList: () => Promise<Result<ListedInstance[], string>>,
+    ) {
         const self = { name, incarnation: randomBytes(4).toString("hex"), address, failureDomain: "d" };
         const metrics = new Metrics();
         const invariants = new Invariants(metrics, noopLogger, false);
@@ -39,7 +44,7 @@
         this.#server = new InstanceServer(self, "secret", { metrics, logger: noopLogger });
         const pool = new InstancePool(self, "secret", metrics, this.#server);
         const configuration = new ConfigurationState(invariants);
-        const instanceList = { fetch: async () => ok(listed), close: async () => {} };
+        const instanceList = { fetch: fetchList, close: async () => {} };
         const listLagMilliseconds = LIST_LAG_MILLISECONDS;
         const base = { store, pool, instanceList, metrics, logger: noopLogger, invariants, listLagMilliseconds };
         const shared = { ...base, configuration };
@@ -79,6 +84,8 @@
 }
 
 class Fleet {
+    /** Whether the platform's list can be read. */
+    isListed = true;
     readonly #listed: ListedInstance[] = [];
 
     private constructor(readonly standIn: StoreStandIn, private readonly ports: PortBlock) {}
@@ -102,7 +109,8 @@
     async start(name: string, followsStore: boolean): Promise<Node> {
         const address = `127.0.0.1:${this.ports.next()}`;
         this.#listed.push({ name, address, state: "live" });
-        const node = new Node(name, address, this.standIn.address, this.#listed);
+        const fetchList = async () => this.isListed ? ok(this.#listed) : err("No answer");
+        const node = new Node(name, address, this.standIn.address, fetchList);
         await node.start(followsStore);
         return node;
     }
@@ -199,6 +207,27 @@
     expect(joined.filter(names => names.includes("c") && !names.includes("b"))).toEqual([]);
 });
 
+// Guards against a second record: the members of the copy have ended, and those that came later are not heard.
+test.each([
+    ["the list cannot be read", (fleet: Fleet, _second: Node, isHeard: boolean) => fleet.isListed = isHeard],
+    [
+        "a listed instance does not respond",
+        (_fleet: Fleet, second: Node, isHeard: boolean) => second.responding = isHeard,
+    ],
+])("an instance that joins after the return waits while %s", async (_name, setHeard) => {
+    const { fleet, first, second } = await startWithLostMember(false);
+    await first.close();
+    setHeard(fleet, second, false);
+    const third = await fleet.start("c", true);
+    const joined: string[][] = [];
+    third.membership.onChange(() => joined.push(third.names));
+    await sleep(2_000);
+    expect(joined.filter(names => names.includes("c") && !names.includes("b"))).toEqual([]);
+    setHeard(fleet, second, true);
+    await waitFor(() => second.names.join() === "b,c" && third.names.join() === "b,c");
+    expectOneRecord(fleet, [second, third]);
+});
+
 // Guards against living members that are removed as terminated since the list was read for the first time in a while.
 test("a member is removed if successive reads of the list lack it, not if they are far apart", async () => {
     const fleet = await Fleet.begin();
