--- a/packages/gateway/caller_connections.ts
+++ b/packages/gateway/caller_connections.ts
@@ -7,6 +7,7 @@
 import { awaitsRequest } from "./_awaits_request.ts";
 import { closeIfUnread } from "./_close_if_unread.ts";
 import { createCallerConnection } from "./_create_caller_connection.ts";
+import { createCallerExchange } from "./_create_caller_exchange.ts";
 import { createRejection } from "./_create_rejection.ts";
 import { findRequestId } from "./_find_request_id.ts";
 import { isIdle } from "./_is_idle.ts";
@@ -64,17 +65,7 @@
      *     about to be closed, and the request must not run.
      */
     begin(incoming: IncomingMessage, response: ServerResponse): CallerExchange {
-        const exchange: CallerExchange = {
-            id: headerOf(incoming, this.context.headers.requestId) ?? "",
-            receivedAt: monotonicMilliseconds(),
-            bodyBytes: 0,
-            events: 0,
-            lastEventId: undefined,
-            answered: false,
-            runs: 0,
-            isCommitted: false,
-            end: undefined,
-        };
+        const exchange = createCallerExchange(headerOf(incoming, this.context.headers.requestId) ?? "");
         const { socket } = incoming;
         const connection = this.#connections.get(socket);
         if (!connection) {
