Log which process of an engine an entry names, and each change of its version

What callers saw: events of two software versions in one stream. Now `generation pass ended` names version and start of the engine as registered, and `server registered` is written when the version changes.

--- a/packages/gateway/directory_updater.ts
+++ b/packages/gateway/directory_updater.ts
@@ -243,5 +243,6 @@
 /** Whether a registration differs from the previous one in more than its renewal. */
 function hasChanged(before: RegisteredServer | undefined, after: RegisteredServer): boolean {
     return before?.address !== after.address || before.stage !== after.stage || before.leaving !== after.leaving
-        || before.startedAt !== after.startedAt || before.service !== after.service;
+        || before.startedAt !== after.startedAt || before.service !== after.service
+        || before.softwareVersion !== after.softwareVersion;
 }
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -110,6 +110,8 @@
                 request: request.id,
                 pass: pass + 1,
                 engine: reservation.value.server.id,
+                engineVersion: reservation.value.server.softwareVersion,
+                engineStart: reservation.value.server.startedAt,
                 outcome: outcome.kind,
                 cause: "message" in outcome ? outcome.message : undefined,
                 lastEvent: progress.lastEventId,
