Identify the process that writes a stream before its version is recorded

What callers saw: an engine had started again under its id with another software version, its entry came 0.1 to 0.7 s later, and the streams that it had begun meanwhile went on at engines of the former version; a take-up could also be sent to such an engine. Cause: the version of a stream was the one of the entry under the engine's id, which outlives the process. Change: once an engine answers, it is asked for the start of its process (`GET /report`, shared, and left out where the connection is older than the last answer). If that is the registered start, the stream is of the registered version; else it waits for the entry of the process that writes it. Events of a stream that goes on are passed on only from an identified process. Records say that they are of identified processes (`identified`); those of former builds lack it and are a claim.

--- a/packages/backends/backend_response.ts
+++ b/packages/backends/backend_response.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage } from "node:http";
+import type { BackendConnection } from "./backend_connection.ts";
 import type { BackendRequest } from "./backend_request.ts";
 import type { BodyFraming } from "./body_framing.ts";
 
@@ -10,6 +11,8 @@
     /** Alternating names and values, as received. */
     rawHeaders: string[];
     body: IncomingMessage;
+    /** The connection that it came over. */
+    connection: BackendConnection;
     /** What ends the body. */
     framing: BodyFraming;
     /** Time in milliseconds by which the end of the body follows the end of what the server has sent. */
--- a/packages/backends/mod.ts
+++ b/packages/backends/mod.ts
@@ -1,5 +1,6 @@
 /** Persistent HTTP connections to backend servers and to the store. */
 export { AnswerMemory } from "./answer_memory.ts";
+export type { BackendConnection } from "./backend_connection.ts";
 export { BackendConnectionPool } from "./backend_connection_pool.ts";
 export type { BackendFault } from "./backend_fault.ts";
 export type { BackendRequest } from "./backend_request.ts";
--- a/packages/backends/on_backend_response.ts
+++ b/packages/backends/on_backend_response.ts
@@ -1,4 +1,5 @@
 import type { ClientRequest, IncomingMessage } from "node:http";
+import { connectionOf } from "./_connection_of.ts";
 import { findBodyFraming } from "./_find_body_framing.ts";
 import { RESET_WAIT_MILLISECONDS } from "./_reset_wait_milliseconds.ts";
 import { ResponseBytes } from "./_response_bytes.ts";
@@ -78,6 +79,7 @@
         headers,
         rawHeaders: response.rawHeaders,
         body: response,
+        connection: connectionOf(response.socket),
         framing,
         endWaitMilliseconds: framing === "connection" ? RESET_WAIT_MILLISECONDS : 0,
         wasReset: framing === "connection" ? watchForReset(response, outgoing) : () => false,
--- a/packages/gateway/_create_pass_progress.ts
+++ b/packages/gateway/_create_pass_progress.ts
@@ -5,6 +5,7 @@
     return {
         lastEventId: undefined,
         softwareVersion: undefined,
+        identified: undefined,
         runs: 0,
         prefillAttempted: false,
         localPrefill: false,
--- a/packages/gateway/_find_obstacle.ts
+++ b/packages/gateway/_find_obstacle.ts
@@ -18,9 +18,10 @@
     if (!context.availability.isUsable(engine)) {
         return { kind: "withheld", message: "The decode engine is leaving or asks for a pause" };
     }
-    // An engine may start again under its id with another version.
-    if (context.directory.servers.get(engine.id)?.softwareVersion !== engine.softwareVersion) {
-        return { kind: "withheld", message: "The decode engine has another software version now" };
+    // An engine may start again under its id; the reservation was made at its former process.
+    const registered = context.directory.servers.get(engine.id);
+    if (registered?.startedAt !== engine.startedAt || registered.softwareVersion !== engine.softwareVersion) {
+        return { kind: "withheld", message: "The decode engine has started again" };
     }
     if (!request.isProbe && context.promptParts.isBlocked(request.promptParts)) {
         const message = "A part of the prompt crashes servers";
--- a/packages/gateway/create_server_access.ts
+++ b/packages/gateway/create_server_access.ts
@@ -9,6 +9,8 @@
 import { EngineSpeeds } from "../speeds/mod.ts";
 import { StageWork } from "../stages/mod.ts";
 import { probeServer } from "./_probe_server.ts";
+import { EngineClient } from "./engine_client.ts";
+import { EngineProcesses } from "./engine_processes.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
@@ -56,6 +58,7 @@
 ): Pick<
     GatewayContext,
     | "availability"
+    | "engineProcesses"
     | "engineSpeeds"
     | "leavingServers"
     | "promptMemory"
@@ -103,7 +106,9 @@
         serverLimits,
         reachability,
     });
+    const engineClient = new EngineClient({ ...options, serverClient });
     return {
+        engineProcesses: new EngineProcesses({ ...options, engineClient }),
         engineSpeeds,
         promptMemory,
         stageWork: settings().measuredStages ? new StageWork() : undefined,
--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -1,5 +1,5 @@
 import { type BackendResponse, readResponseBody } from "../backends/mod.ts";
-import { monotonicMilliseconds } from "../clocks/mod.ts";
+import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
 import { logFailure } from "../logs/mod.ts";
@@ -24,8 +24,13 @@
 /** Time in milliseconds allowed for the body of an error response that is not relayed. */
 const ERROR_BODY_MILLISECONDS = 2_500;
 const MAXIMUM_RESPONSE_BYTES = 1_024 * 1_024;
+/** Longest time in milliseconds for which the events of a stream that goes on wait until their process is identified. */
+const IDENTIFY_MILLISECONDS = 1_000;
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
+/** Called for each event, with the version of the process that writes it, once that is identified. */
+type OnEvent = (identified: Promise<string | undefined> | undefined) => void;
+
 /** A run of a request at the decode engine that holds its reservation. */
 interface DecodeRun {
     request: GatewayRequest;
@@ -59,16 +64,17 @@
      * Sends a request to its decode engine and relays the answer.
      *
      * @param run The run.
-     * @param onFirstEvent Called for each event; the first one shows that the prompt has been computed.
+     * @param onFirstEvent Called for each event; the first one shows that the prompt has been computed. Gets the version of the
+     * process that writes them, once it is identified.
      * @returns How the run ended.
      */
-    async run(run: DecodeRun, onFirstEvent: () => void): Promise<PassOutcome> {
+    async run(run: DecodeRun, onFirstEvent: OnEvent): Promise<PassOutcome> {
         const watch = this.#watch(run);
         const pace = this.#measure(run);
-        const onEvent = () => {
+        const onEvent: OnEvent = identified => {
             pace.recordEvent();
             this.context.reachability.recordAnswer(run.reservation.server.id);
-            onFirstEvent();
+            onFirstEvent(identified);
         };
         try {
             const outcome = await this.#send(run, watch, onEvent);
@@ -121,7 +127,7 @@
         );
     }
 
-    async #send(run: DecodeRun, watch: SilenceWatch, onFirstEvent: () => void): Promise<PassOutcome> {
+    async #send(run: DecodeRun, watch: SilenceWatch, onFirstEvent: OnEvent): Promise<PassOutcome> {
         const { request, reservation, extraHeaders, progress } = run;
         const { headers, serverClient, serverLoads, metrics } = this.context;
         const { server } = reservation;
@@ -175,8 +181,17 @@
             response.value.close();
             return { kind: "may-have-run", message: "The engine's answer is not signed or is encoded" };
         }
+        const { connection, body } = response.value;
+        const identified = request.route.resumable
+            ? this.context.engineProcesses.identify({ server, connection, isRunning: () => !body.destroyed })
+            : undefined;
+        const { softwareVersion } = progress;
+        const onEvent = () => onFirstEvent(identified);
+        const isAdmitted = identified && softwareVersion !== undefined
+            ? isVersion(identified, softwareVersion)
+            : undefined;
         return await relayEvents(
-            { request, reservation, progress, watch, onEvent: onFirstEvent },
+            { request, reservation, progress, watch, onEvent, isAdmitted },
             response.value,
             this.context,
         );
@@ -216,3 +231,8 @@
         return { kind: "relayed" };
     }
 }
+
+/** Waits, for a limited time, until the process that writes a stream is known to be of a version. */
+async function isVersion(identified: Promise<string | undefined>, version: string): Promise<boolean> {
+    return await Promise.race([identified, sleep(IDENTIFY_MILLISECONDS)]) === version;
+}
--- a/packages/gateway/engine_client.ts
+++ b/packages/gateway/engine_client.ts
@@ -1,4 +1,4 @@
-import { readResponseBody } from "../backends/mod.ts";
+import { type BackendConnection, readResponseBody } from "../backends/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import { logFailure } from "../logs/mod.ts";
 import type { EngineCall } from "./engine_call.ts";
@@ -7,6 +7,20 @@
 const RELEASE_TIMEOUT_MILLISECONDS = 1_000;
 const MAXIMUM_RESPONSE_BYTES = 1_024 * 1_024;
 
+/** Status of a response by another server than the expected one. */
+const ANOTHER_SERVER_STATUS = 421;
+
+/** What an engine has answered to a call. */
+interface EngineAnswer {
+    /** HTTP status; 0 if there was no complete response. */
+    status: number;
+    body: string;
+    /** The connection that the response came over; undefined if there was none. */
+    connection: BackendConnection | undefined;
+    /** Whether no process of the engine is at its address: the port is closed, or another server answers. */
+    isGone: boolean;
+}
+
 /**
  * Sends control calls to engines.
  *
@@ -20,7 +34,7 @@
     /**
      * @param context Shared objects of the gateway.
      */
-    constructor(private readonly context: GatewayContext) {}
+    constructor(private readonly context: Pick<GatewayContext, "serverClient" | "headers" | "metrics" | "logger">) {}
 
     /**
      * Calls an engine.
@@ -28,13 +42,13 @@
      * @param server The engine.
      * @param call The call.
      * @param timeoutMilliseconds Timeout for the response, and again for its body.
-     * @returns Status and body; status 0 if there was no complete response.
+     * @returns Status and body, and the connection that they came over; status 0 if there was no complete response.
      */
     async call(
         server: RegisteredServer,
         call: EngineCall,
         timeoutMilliseconds: number,
-    ): Promise<{ status: number; body: string; }> {
+    ): Promise<EngineAnswer> {
         const { serverClient, headers, metrics } = this.context;
         const response = await serverClient.send(server, {
             method: call.method,
@@ -53,13 +67,16 @@
         const name = call.path.split("/")[1] ?? "";
         if (response.isErr()) {
             metrics.increment("engine_calls_total", { call: name, result: response.error.kind });
-            return { status: 0, body: response.error.message };
+            const { message, portClosed } = response.error;
+            return { status: 0, body: message, connection: undefined, isGone: portClosed };
         }
         metrics.increment("engine_calls_total", { call: name, result: String(response.value.status) });
         const body = await readResponseBody(response.value, timeoutMilliseconds, MAXIMUM_RESPONSE_BYTES);
+        const { status, connection } = response.value;
+        const isGone = status === ANOTHER_SERVER_STATUS;
         return body
-            ? { status: response.value.status, body: body.toString("utf8") }
-            : { status: 0, body: "The response is incomplete" };
+            ? { status, body: body.toString("utf8"), connection, isGone }
+            : { status: 0, body: "The response is incomplete", connection, isGone };
     }
 
     /**
--- /dev/null
+++ b/packages/gateway/engine_processes.ts
@@ -0,0 +1,184 @@
+import type { BackendConnection } from "../backends/mod.ts";
+import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
+import type { Directory, RegisteredServer } from "../directory/mod.ts";
+import type { Logger } from "../logs/mod.ts";
+import type { Metrics } from "../metrics/mod.ts";
+import type { EngineClient } from "./engine_client.ts";
+import type { EngineProtocol } from "./engine_protocol.ts";
+
+const REPORT_TIMEOUT_MILLISECONDS = 600;
+/** Questions to an engine that does not answer, while it writes a stream, and the pause between two. */
+const MAXIMUM_QUESTIONS = 3;
+const ASK_AGAIN_MILLISECONDS = 200;
+
+/** Dependencies of {@linkcode EngineProcesses}. */
+interface EngineProcessesOptions {
+    directory: Pick<Directory, "servers" | "onBatch">;
+    engineClient: Pick<EngineClient, "call">;
+    engineProtocol: Pick<EngineProtocol, "report" | "parseReport">;
+    metrics: Metrics;
+    logger: Logger;
+}
+
+/** A stream that an engine writes. */
+interface WrittenStream {
+    /** The engine as it was registered when the stream was sent there. */
+    server: RegisteredServer;
+    /** The connection over which the stream comes. */
+    connection: BackendConnection;
+    /** Returns whether the stream is still coming. */
+    isRunning(): boolean;
+}
+
+/** What a process of an engine has said of itself. */
+interface Statement {
+    startedAt: number | undefined;
+    connection: BackendConnection | undefined;
+    /** Monotonic time in milliseconds at which the question was sent. */
+    askedAt: number;
+}
+
+/**
+ * Finds out which process of an engine writes a stream. An engine may start again under its id, with other software, and its
+ * entry follows later; so an entry speaks only for the process whose start it bears.
+ *
+ * @example
+ * ```ts
+ * const processes = new EngineProcesses({ directory, engineClient, engineProtocol, metrics, logger });
+ * await processes.identify({ server, connection, isRunning: () => true }); // "v2"
+ * ```
+ */
+export class EngineProcesses {
+    /** By engine: start of the process that was last seen to be the registered one, and when it was. */
+    readonly #confirmed = new Map<string, { startedAt: number; at: number; }>();
+    /** By engine: start of the process in an entry that another process has outlived. */
+    readonly #outdated = new Map<string, number>();
+    readonly #questions = new Map<string, { askedAt: number; statement: Promise<Statement | undefined>; }>();
+    /** By engine: called once its entry tells of another process. */
+    readonly #waiting = new Map<string, Set<() => void>>();
+
+    /**
+     * @param options Dependencies.
+     */
+    constructor(private readonly options: EngineProcessesOptions) {
+        const { directory } = options;
+        directory.onBatch(() => this.#applyDirectory());
+    }
+
+    /**
+     * Returns whether the process at an engine's address is known to be another one than the registered one.
+     *
+     * @param server The engine.
+     * @returns Whether its entry is outdated.
+     */
+    isOutdated(server: RegisteredServer): boolean {
+        return this.#outdated.get(server.id) === server.startedAt;
+    }
+
+    /**
+     * Finds out the software version of the process that writes a stream.
+     *
+     * @param stream The stream.
+     * @returns The version, once the entry of that process is known; undefined if it can't be told which process it is.
+     */
+    async identify(stream: WrittenStream): Promise<string | undefined> {
+        const { server, connection, isRunning } = stream;
+        const confirmed = this.#confirmed.get(server.id);
+        // The process was there after the connection had been opened, and a connection lives no longer than its process.
+        if (confirmed?.startedAt === server.startedAt && connection.usedSince <= confirmed.at) {
+            return server.softwareVersion;
+        }
+        const statement = await this.#askUntilAnswered(stream);
+        if (statement?.startedAt === undefined) {
+            return undefined;
+        }
+        if (statement.startedAt === server.startedAt) {
+            return server.softwareVersion;
+        }
+        this.options.metrics.increment("engines_restarted_total");
+        this.options.logger.warn("engine is another process than the registered one", {
+            engine: server.id,
+            registeredStart: server.startedAt,
+            start: statement.startedAt,
+            version: server.softwareVersion,
+        });
+        this.#outdated.set(server.id, server.startedAt);
+        // The process that answers may have begun after the one that wrote has ended.
+        return isRunning() ? await this.#awaitEntry(server, statement) : undefined;
+    }
+
+    async #askUntilAnswered({ server, connection, isRunning }: WrittenStream): Promise<Statement | undefined> {
+        for (let question = 0; question < MAXIMUM_QUESTIONS && isRunning(); question++) {
+            const statement = await this.#ask(server, connection.usedSince);
+            if (statement) {
+                return statement;
+            }
+            await sleep(ASK_AGAIN_MILLISECONDS);
+        }
+        return undefined;
+    }
+
+    /** Asks an engine for the start of its process, or shares a question that was sent since a time. */
+    #ask(server: RegisteredServer, since: number): Promise<Statement | undefined> {
+        const shared = this.#questions.get(server.id);
+        if (shared && shared.askedAt >= since) {
+            return shared.statement;
+        }
+        const askedAt = monotonicMilliseconds();
+        const statement = this.#send(server, askedAt).finally(() => {
+            if (this.#questions.get(server.id)?.askedAt === askedAt) {
+                this.#questions.delete(server.id);
+            }
+        });
+        this.#questions.set(server.id, { askedAt, statement });
+        return statement;
+    }
+
+    async #send(server: RegisteredServer, askedAt: number): Promise<Statement | undefined> {
+        const { engineClient, engineProtocol } = this.options;
+        const answer = await engineClient.call(server, engineProtocol.report(), REPORT_TIMEOUT_MILLISECONDS);
+        const report = answer.status === 200 ? engineProtocol.parseReport(answer.body) : undefined;
+        if (report?.startedAt !== undefined && report.startedAt === server.startedAt) {
+            this.#confirmed.set(server.id, { startedAt: server.startedAt, at: askedAt });
+        }
+        return report && { startedAt: report.startedAt, connection: answer.connection, askedAt };
+    }
+
+    /** Waits for the entry of a process; resolves to undefined if the entry that comes is that of yet another one. */
+    async #awaitEntry(former: RegisteredServer, statement: Statement): Promise<string | undefined> {
+        const { directory } = this.options;
+        const registered = () => directory.servers.get(former.id);
+        if (registered()?.startedAt === former.startedAt) {
+            await new Promise<void>(resolve => {
+                const waiting = this.#waiting.get(former.id) ?? new Set();
+                this.#waiting.set(former.id, waiting.add(resolve));
+            });
+        }
+        const entry = registered();
+        if (!entry || entry.startedAt === statement.startedAt) {
+            return entry?.softwareVersion;
+        }
+        // At the other end of a connection there is one process for as long as it lasts, whatever it said first.
+        const later = await this.#ask(entry, monotonicMilliseconds());
+        const isSame = later?.connection !== undefined && later.connection === statement.connection;
+        return isSame && later.startedAt === entry.startedAt ? entry.softwareVersion : undefined;
+    }
+
+    #applyDirectory(): void {
+        const { servers } = this.options.directory;
+        for (const [id, startedAt] of this.#outdated) {
+            if (servers.get(id)?.startedAt !== startedAt) {
+                this.#outdated.delete(id);
+            }
+        }
+        for (const id of [...this.#confirmed.keys()].filter(id => !servers.has(id))) {
+            this.#confirmed.delete(id);
+        }
+        for (const [id, waiting] of this.#waiting) {
+            if (!servers.has(id) || !this.#outdated.has(id)) {
+                this.#waiting.delete(id);
+                waiting.forEach(resolve => resolve());
+            }
+        }
+    }
+}
--- a/packages/gateway/engine_report.ts
+++ b/packages/gateway/engine_report.ts
@@ -14,4 +14,8 @@
     /** KV cache memory in tokens that cannot be evicted. */
     usedTokens: number;
     totalTokens: number;
+    /** Unix time in milliseconds of the start of the process that reports; undefined if it doesn't tell. */
+    startedAt: number | undefined;
+    /** Ids of the requests that it runs. */
+    runs: ReadonlySet<string>;
 }
--- a/packages/gateway/gateway_context.ts
+++ b/packages/gateway/gateway_context.ts
@@ -14,6 +14,7 @@
 import type { AnswerEndCheck } from "./answer_end_check.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { DirectoryUpdater } from "./directory_updater.ts";
+import type { EngineProcesses } from "./engine_processes.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
@@ -34,6 +35,8 @@
     settings: () => GatewaySettings;
     headers: ProtocolHeaders;
     engineProtocol: EngineProtocol;
+    /** Finds out which process of an engine writes a stream. */
+    engineProcesses: EngineProcesses;
     /** Encodes what the operator reads of a roll-out. */
     encodeRolloutStatus: GatewayAdapter["encodeRolloutStatus"];
     directory: Directory;
--- a/packages/gateway/pass_progress.ts
+++ b/packages/gateway/pass_progress.ts
@@ -7,6 +7,11 @@
     lastEventId: number | undefined;
     /** Software version that began the stream, the only one at which it may go on; undefined before its first event. */
     softwareVersion: string | undefined;
+    /**
+     * Version of the process that has written the first events, once it is identified; undefined if no event has come, or if the version
+     * was known before.
+     */
+    identified: Promise<string | undefined> | undefined;
     /** Number of passes that may have run at a decode engine. */
     runs: number;
     /** Whether an earlier pass has computed the prompt or tried to. */
--- a/packages/gateway/relay_events.ts
+++ b/packages/gateway/relay_events.ts
@@ -23,6 +23,8 @@
     watch: SilenceWatch;
     /** Called for each event; the first one shows that the prompt has been computed. */
     onEvent: () => void;
+    /** Resolves to whether events of this engine may follow those that the caller has; undefined if they may. */
+    isAdmitted?: Promise<boolean> | undefined;
 }
 
 /**
@@ -42,7 +44,7 @@
     backendResponse: BackendResponse,
     context: GatewayContext,
 ): Promise<PassOutcome> {
-    const { request, reservation, progress, watch, onEvent } = stream;
+    const { request, reservation, progress, watch, onEvent, isAdmitted } = stream;
     const { response } = request;
     const splitter = new EventSplitter();
     const findEndState = watchAnswerEnd(backendResponse, async () =>
@@ -114,6 +116,21 @@
                 });
             }
         });
+        if (isAdmitted) {
+            backendResponse.body.pause();
+            isAdmitted.then(admitted => {
+                if (admitted) {
+                    backendResponse.body.resume();
+                }
+                else {
+                    finish({
+                        kind: "broken",
+                        message: "Another process than the registered one answers",
+                        isGivenUp: true,
+                    });
+                }
+            }, (error: unknown) => finish({ kind: "broken", message: String(error) }));
+        }
         backendResponse.body.on("close", async () => {
             const isWhole = isResponseComplete(backendResponse) && splitter.pendingBytes === 0 && response.headersSent;
             if (!isWhole) {
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -61,7 +61,7 @@
     ) {
         this.#decodePass = new DecodePass(context);
         this.#versionGuard = new VersionGuard(context);
-        this.#successorSearch = new SuccessorSearch(context, queue, engineClient);
+        this.#successorSearch = new SuccessorSearch(context, queue, engineClient, this.#versionGuard);
     }
 
     /**
@@ -84,6 +84,11 @@
                 refusal = progress.runs > 0 ? refusal : ownRefusal;
                 break;
             }
+            const unidentified = await this.#versionGuard.admitNextPass(progress);
+            if (unidentified) {
+                refusal = unidentified;
+                break;
+            }
             const { successor } = progress;
             progress.successor = undefined;
             progress.mustGoOn ||= successor !== undefined;
@@ -215,9 +220,9 @@
                 this.context.promptParts.recordProbe(request.promptParts);
             }
             const evidence = new CrashEvidence(this.context, request, reservation);
-            const recordEvent = () => {
+            const recordEvent = (identified: Promise<string | undefined> | undefined) => {
                 endLocalPrefill();
-                this.#versionGuard.recordEvent(request, reservation.server, progress);
+                this.#versionGuard.recordEvent(request, identified, progress);
                 evidence.recordEvent();
             };
             const startedAt = monotonicMilliseconds();
--- a/packages/gateway/successor_search.ts
+++ b/packages/gateway/successor_search.ts
@@ -5,6 +5,7 @@
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { PassProgress } from "./pass_progress.ts";
 import { refuseKey } from "./refuse_key.ts";
+import type { VersionGuard } from "./version_guard.ts";
 
 /**
  * Finds another engine for a stream before its silent engine is given up, so that no answer is ended for which there is
@@ -12,7 +13,7 @@
  *
  * @example
  * ```ts
- * const search = new SuccessorSearch(context, queue, engineClient);
+ * const search = new SuccessorSearch(context, queue, engineClient, versionGuard);
  * const found = await search.find(request, progress, reservation, () => true);
  * ```
  */
@@ -21,11 +22,13 @@
      * @param context Shared objects of the gateway.
      * @param queue Reserves memory at decode engines.
      * @param engineClient Calls engines.
+     * @param versionGuard Decides at which version a stream may go on.
      */
     constructor(
         private readonly context: GatewayContext,
         private readonly queue: DecodeQueue,
         private readonly engineClient: EngineClient,
+        private readonly versionGuard: Pick<VersionGuard, "admitNextPass">,
     ) {}
 
     /**
@@ -47,6 +50,9 @@
         if (refuseKey(request.key, this.context) || !this.context.retryBudget.canSpend(service)) {
             return false;
         }
+        if (await this.versionGuard.admitNextPass(progress)) {
+            return false;
+        }
         const excluded = new Set([...progress.excluded, current.server.id]);
         const reservation = await this.queue.acquire(request, excluded, {
             softwareVersion: progress.softwareVersion,
--- a/packages/gateway/version_guard.ts
+++ b/packages/gateway/version_guard.ts
@@ -1,5 +1,5 @@
 import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
-import type { RegisteredServer } from "../directory/mod.ts";
+import { logFailure } from "../logs/mod.ts";
 import { createStreamRefusal } from "./_create_stream_refusal.ts";
 import { EngineClient } from "./engine_client.ts";
 import type { GatewayContext } from "./gateway_context.ts";
@@ -17,6 +17,8 @@
 const MAXIMUM_TESTIMONY_FRACTION = 1 / 2;
 /** Pause in milliseconds before engines are asked again. */
 const ASK_AGAIN_MILLISECONDS = 100;
+/** Longest time in milliseconds for which a stream that goes on waits until the process that wrote its events is identified. */
+const IDENTIFY_MILLISECONDS = 1_000;
 
 /**
  * Lets a stream go on only at the software version that began it.
@@ -62,7 +64,9 @@
             copyInDoubt: directoryUpdater.isCopyInDoubt,
             ...directoryUpdater.logFields(),
         });
-        progress.softwareVersion = finding.kind === "unknown" ? await this.#askEngines(request) : finding.version;
+        progress.softwareVersion = finding.kind === "unknown"
+            ? await this.#askEngines(request)
+            : finding.version;
         if (finding.kind === "unknown" && progress.softwareVersion === undefined) {
             const message = "Which software version began the stream is not known";
             return createStreamRefusal("stream-version-unknown", "not-run", message);
@@ -99,17 +103,47 @@
     }
 
     /**
-     * Notes at the first event of a stream that its caller may take up which version began it.
+     * Notes at the first event of a stream that its caller may take up which version began it, once that is known.
      *
      * @param request The request.
-     * @param server The server whose event came.
+     * @param identified Version of the process that writes the stream, once it is identified.
      * @param progress Progress of its stream.
      */
-    recordEvent(request: GatewayRequest, server: RegisteredServer, progress: PassProgress): void {
-        if (progress.softwareVersion === undefined && request.route.resumable) {
-            const version = server.softwareVersion;
-            progress.softwareVersion = version;
-            this.context.streamVersions.begin(request.id, { service: request.service.name, version });
+    recordEvent(
+        request: GatewayRequest,
+        identified: Promise<string | undefined> | undefined,
+        progress: PassProgress,
+    ): void {
+        if (progress.softwareVersion === undefined && !progress.identified && identified) {
+            progress.identified = identified;
+            const { streamVersions, logger } = this.context;
+            identified.then(version => {
+                if (version !== undefined) {
+                    streamVersions.begin(request.id, { service: request.service.name, version });
+                }
+                else {
+                    logger.warn("process that began a stream not identified", { request: request.id });
+                }
+            }).catch(logFailure(logger, "process of an engine not identified", { request: request.id }));
         }
     }
+
+    /**
+     * Decides at which version a stream whose events have begun may go on at another engine.
+     *
+     * @param progress Progress of the stream.
+     * @returns The refusal if the process that wrote the events can't be identified; undefined if the stream may go on.
+     */
+    async admitNextPass(progress: PassProgress): Promise<GatewayRefusal | undefined> {
+        if (progress.identified) {
+            progress.softwareVersion = await Promise.race([progress.identified, sleep(IDENTIFY_MILLISECONDS)])
+                ?? undefined;
+            if (progress.softwareVersion === undefined) {
+                const message = "Which process of the engine wrote the stream is not known";
+                return createStreamRefusal("stream-version-unknown", "may-have-run", message);
+            }
+            progress.identified = undefined;
+        }
+        return undefined;
+    }
 }
--- a/packages/stream_versions/_format_batch.ts
+++ b/packages/stream_versions/_format_batch.ts
@@ -1,7 +1,7 @@
 import type { OriginBatch } from "./_origin_batch.ts";
 
 /** Formats the value of the store's item. */
-export function formatBatch({ period, origins }: OriginBatch): string {
+export function formatBatch({ period, isIdentified, origins }: OriginBatch): string {
     const groups = new Map<string, [string, string, string[]]>();
     for (const [key, { service, version }] of origins) {
         const name = JSON.stringify([service, version]);
@@ -9,5 +9,5 @@
         group[2].push(key);
         groups.set(name, group);
     }
-    return JSON.stringify({ period, origins: [...groups.values()] });
+    return JSON.stringify({ period, identified: isIdentified, origins: [...groups.values()] });
 }
--- a/packages/stream_versions/_parse_batch.ts
+++ b/packages/stream_versions/_parse_batch.ts
@@ -20,5 +20,6 @@
         const origin = { service, version };
         keys.forEach(key => origins.set(key, origin));
     }
-    return { period: parsed.data.period, origins };
+    const { period, identified: isIdentified = false } = parsed.data;
+    return { period, isIdentified, origins };
 }
--- a/packages/stream_versions/stream_ledger.ts
+++ b/packages/stream_versions/stream_ledger.ts
@@ -53,7 +53,7 @@
             if (change.kind === "written" && change.item.key.startsWith(KEY_PREFIX)) {
                 const batch = parseBatch(change.item.value);
                 if (batch) {
-                    origins.learn(batch.origins, change.item.era);
+                    origins.learn(batch.origins, change.item.era, batch.isIdentified);
                 }
             }
         });
@@ -76,7 +76,11 @@
         }
         const period = Math.floor(unixTime() / PERIOD_MILLISECONDS);
         const key = `${KEY_PREFIX}${self}/${period % ITEMS}`;
-        const batch = { period, origins: new Map([...this.#recorded(key, period), ...added].slice(-MAXIMUM_STREAMS)) };
+        const batch = {
+            period,
+            isIdentified: true,
+            origins: new Map([...this.#recorded(key, period), ...added].slice(-MAXIMUM_STREAMS)),
+        };
         const written = await store.write([{ key, value: formatBatch(batch) }]);
         const outcome = written.isOk() ? written.value.kind : written.error.message;
         metrics.increment("stream_records_total", { result: outcome === "stored" ? "stored" : "failed" });
@@ -93,6 +97,7 @@
     /** Streams of a period that an item holds: those of this process, or of the one before it. */
     #recorded(key: string, period: number): ReadonlyMap<string, StreamOrigin> {
         const last = this.#last ?? parseBatch(this.options.replica.getStored(key)?.value);
-        return last?.period === period ? last.origins : new Map<string, StreamOrigin>();
+        // What a former build has recorded is not vouched for.
+        return last?.period === period && last.isIdentified ? last.origins : new Map<string, StreamOrigin>();
     }
 }
--- a/packages/stream_versions/stream_origins.ts
+++ b/packages/stream_versions/stream_origins.ts
@@ -14,6 +14,8 @@
     at: number;
     /** Era of the store in which it was read; undefined if it began here. */
     era: number | undefined;
+    /** Whether the process that wrote the stream was identified. */
+    isIdentified: boolean;
 }
 
 /**
@@ -54,7 +56,7 @@
      */
     begin(id: string, origin: StreamOrigin): void {
         const key = streamKey(id);
-        this.#add(key, origin, undefined);
+        this.#add(key, { origin, era: undefined, isIdentified: true });
         this.#unrecorded.set(key, origin);
     }
 
@@ -64,12 +66,17 @@
      *
      * @param origins The streams by their keys.
      * @param era Era of the store in which the record was read.
+     * @param isIdentified Whether the record is of processes that were identified.
      */
-    learn(origins: ReadonlyMap<string, StreamOrigin>, era: number): void {
+    learn(origins: ReadonlyMap<string, StreamOrigin>, era: number, isIdentified: boolean): void {
         for (const [key, origin] of origins) {
             const known = this.#streams.get(key);
-            if (!known) {
-                this.#add(key, origin, era);
+            if (!known || isIdentified && !known.isIdentified) {
+                this.#add(key, { origin, era, isIdentified });
+            }
+            else if (known.isIdentified && !isIdentified) {
+                // A former build tells the version by the engine's entry alone.
+                continue;
             }
             else if (known.origin?.service !== origin.service || known.origin.version !== origin.version) {
                 known.origin = undefined;
@@ -87,6 +94,7 @@
         const known = this.#streams.get(streamKey(id));
         return known?.origin && {
             origin: known.origin,
+            isIdentified: known.isIdentified,
             source: known.era === undefined ? "begun-here" : "read",
             era: known.era,
             ageMilliseconds: Math.round(this.clock.now() - known.at),
@@ -134,10 +142,10 @@
         }
     }
 
-    #add(key: string, origin: StreamOrigin, era: number | undefined): void {
+    #add(key: string, stream: Omit<KnownStream, "at">): void {
         // A stream that begins again moves to the end of the order.
         this.#streams.delete(key);
-        this.#streams.set(key, { origin, at: this.clock.now(), era });
+        this.#streams.set(key, { ...stream, at: this.clock.now() });
         const [oldest] = this.#streams.keys();
         if (this.#streams.size > MAXIMUM_STREAMS && oldest !== undefined) {
             this.#remove(oldest);
--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -100,8 +100,10 @@
         while (true) {
             const found = stream === undefined ? undefined : this.#origins.find(stream);
             const evidence = () => ({ ...this.#served.describe(service), record: withoutOrigin(found) });
-            if (found?.origin.service === service) {
-                return { kind: "recorded", version: found.origin.version, evidence: evidence() };
+            const origin = found?.origin.service === service ? found.origin : undefined;
+            const claimed = found?.isIdentified ? undefined : origin;
+            if (origin && found?.isIdentified) {
+                return { kind: "recorded", version: origin.version, evidence: evidence() };
             }
             this.#served.observe();
             const [version, ...others] = this.#served.candidates(service);
@@ -115,7 +117,7 @@
                     ? waited >= READ_WAIT_MILLISECONDS
                     : stream === undefined || waited >= RECORD_WAIT_MILLISECONDS
             ) {
-                return { kind: "unknown", evidence: evidence() };
+                return { kind: "unknown", claimedVersion: claimed?.version, evidence: evidence() };
             }
             await sleep(RECORD_CHECK_MILLISECONDS);
         }
@@ -156,5 +158,9 @@
 
 /** How a stream is known, without what began it. */
 function withoutOrigin(found: FoundOrigin | undefined): Omit<FoundOrigin, "origin"> | undefined {
-    return found && { source: found.source, era: found.era, ageMilliseconds: found.ageMilliseconds };
+    if (!found) {
+        return undefined;
+    }
+    const { isIdentified, source, era, ageMilliseconds } = found;
+    return { isIdentified, source, era, ageMilliseconds };
 }
--- a/packages/stream_versions/version_finding.ts
+++ b/packages/stream_versions/version_finding.ts
@@ -7,6 +7,10 @@
         | { kind: "recorded"; version: string; }
         /** No other version can have begun the stream. */
         | { kind: "only-version"; version: string; }
-        | { kind: "unknown"; }
+        | {
+            kind: "unknown";
+            /** Version that a record of a former build names; undefined if there is none. */
+            claimedVersion: string | undefined;
+        }
     )
     & { evidence: VersionEvidence; };
