Place unknown streams by what engines have run, not by the prompts they keep

What callers saw: after the store's return and the end of all instances, streams whose prompt an earlier request had run at another version went on there, since the engine that began them had evicted the prompt, had no entry or had ended. Cause: that an engine keeps a prompt tells of the prompt, not of the stream. Change: each process is asked for all that it has read since its start and for the requests that it runs, and its answer counts for the process whose start it tells. A stream is placed where it runs, or by elimination: every process that may have written it is of one version. Where a process has ended or can't tell, one version must have generated behind the prompt. Engines that have left lately are asked, too. The silence of an engine and the bound of the wait are tested as before.

--- a/packages/gateway/engine_processes.ts
+++ b/packages/gateway/engine_processes.ts
@@ -3,6 +3,7 @@
 import type { Directory, RegisteredServer } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import { FormerEngines } from "./_former_engines.ts";
 import type { EngineClient } from "./engine_client.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 
@@ -56,15 +57,22 @@
     readonly #questions = new Map<string, { askedAt: number; statement: Promise<Statement | undefined>; }>();
     /** By engine: called once its entry tells of another process. */
     readonly #waiting = new Map<string, Set<() => void>>();
+    readonly #former: FormerEngines;
 
     /**
      * @param options Dependencies.
      */
     constructor(private readonly options: EngineProcessesOptions) {
         const { directory } = options;
+        this.#former = new FormerEngines(directory);
         directory.onBatch(() => this.#applyDirectory());
     }
 
+    /** Engines whose process has ended or been replaced lately, as they were registered. */
+    get former(): RegisteredServer[] {
+        return this.#former.list();
+    }
+
     /**
      * Returns whether the process at an engine's address is known to be another one than the registered one.
      *
@@ -166,6 +174,7 @@
 
     #applyDirectory(): void {
         const { servers } = this.options.directory;
+        this.#former.observe();
         for (const [id, startedAt] of this.#outdated) {
             if (servers.get(id)?.startedAt !== startedAt) {
                 this.#outdated.delete(id);
--- a/packages/gateway/engine_protocol.ts
+++ b/packages/gateway/engine_protocol.ts
@@ -1,6 +1,7 @@
 import type { EngineCall } from "./engine_call.ts";
 import type { EngineReport } from "./engine_report.ts";
 import type { PrefillHandle } from "./prefill_handle.ts";
+import type { PromptHistory } from "./prompt_history.ts";
 
 /** Formats of the calls that control a model engine. */
 export interface EngineProtocol {
@@ -22,10 +23,10 @@
     report(): EngineCall;
     /** Parses an engine's state. */
     parseReport(body: string): EngineReport | undefined;
-    /** Requests the parts of prompts that an engine keeps. */
-    listKeptParts(): EngineCall;
-    /** Parses the parts that an engine keeps; returns their ids, or undefined. */
-    parseKeptParts(body: string): ReadonlySet<string> | undefined;
+    /** Requests what an engine has read of prompts since its start. */
+    promptHistory(): EngineCall;
+    /** Parses what an engine has read of prompts; returns undefined if the response has another form. */
+    parsePromptHistory(body: string): PromptHistory | undefined;
     /** Orders an engine to change its stage; `sequence` is the number of orders that it has accepted before. */
     changeStage(stage: "prefill" | "decode", holder: string, fence: number, sequence: number): EngineCall;
 }
--- a/packages/gateway/mod.ts
+++ b/packages/gateway/mod.ts
@@ -10,4 +10,5 @@
 export { loadGatewaySettings } from "./load_gateway_settings.ts";
 export type { LoadedGatewaySettings } from "./loaded_gateway_settings.ts";
 export type { PrefillHandle } from "./prefill_handle.ts";
+export type { PromptHistory } from "./prompt_history.ts";
 export type { ProtocolHeaders } from "./protocol_headers.ts";
--- a/packages/gateway/version_guard.ts
+++ b/packages/gateway/version_guard.ts
@@ -6,7 +6,7 @@
 import type { GatewayRefusal } from "./gateway_refusal.ts";
 import type { GatewayRequest } from "./gateway_request.ts";
 import type { PassProgress } from "./pass_progress.ts";
-import { PromptWitness } from "./prompt_witness.ts";
+import { RunWitness } from "./run_witness.ts";
 
 /**
  * Longest time in milliseconds for which a stream waits for the engines' word: entries of engines that are gone lapse within
@@ -29,13 +29,13 @@
  * ```
  */
 export class VersionGuard {
-    readonly #promptWitness: PromptWitness;
+    readonly #runWitness: RunWitness;
 
     /**
      * @param context Shared objects of the gateway.
      */
     constructor(private readonly context: GatewayContext) {
-        this.#promptWitness = new PromptWitness({ ...context, engineClient: new EngineClient(context) });
+        this.#runWitness = new RunWitness({ ...context, engineClient: new EngineClient(context) });
     }
 
     /**
@@ -65,7 +65,7 @@
             ...directoryUpdater.logFields(),
         });
         progress.softwareVersion = finding.kind === "unknown"
-            ? await this.#askEngines(request)
+            ? await this.#askEngines(request, finding.claimedVersion)
             : finding.version;
         if (finding.kind === "unknown" && progress.softwareVersion === undefined) {
             const message = "Which software version began the stream is not known";
@@ -75,22 +75,26 @@
     }
 
     /** Asks the engines which of them has run a stream that no instance knows, until each has answered or is gone. */
-    async #askEngines(request: GatewayRequest): Promise<string | undefined> {
+    async #askEngines(
+        request: GatewayRequest,
+        claimedVersion: string | undefined,
+    ): Promise<string | undefined> {
         const { metrics, logger, streamVersions } = this.context;
+        const stream = { request, firstAttempt: request.resumedStream?.firstAttempt, claimedVersion };
         const startedAt = monotonicMilliseconds();
         const longest = (request.deadline - startedAt) * MAXIMUM_TESTIMONY_FRACTION;
         const until = startedAt + Math.min(MAXIMUM_TESTIMONY_MILLISECONDS, longest);
         while (true) {
-            // Before the servers have returned, the engine that keeps the prompt may be one that the directory lacks.
+            // Before the servers have returned, the engine that ran the stream may be one that the directory lacks.
             const haveReturned = streamVersions.haveServersReturned(request.service.name);
-            const testimony = haveReturned ? await this.#promptWitness.ask(request) : undefined;
-            const isFinal = testimony && (testimony.silent === 0 || testimony.keptAt.length > 1);
+            const testimony = haveReturned ? await this.#runWitness.ask(stream) : undefined;
+            const isFinal = testimony && (testimony.silent === 0 || testimony.readAt.length > 1);
             const now = monotonicMilliseconds();
             if (isFinal || now >= until || request.signal.aborted) {
                 const version = testimony?.version;
                 const result = version === undefined ? "open" : "placed";
-                metrics.increment("streams_placed_by_prompt_total", { result });
-                logger.info("engines asked for the prompt of a stream", {
+                metrics.increment("streams_placed_by_engines_total", { result });
+                logger.info("engines asked for the run of a stream", {
                     request: request.id,
                     ...testimony,
                     haveReturned,
--- a/packages/gateway/version_guard_test.ts
+++ b/packages/gateway/version_guard_test.ts
@@ -40,6 +40,7 @@
             haveServersReturned: () => passed() >= row.returnedAfter,
         },
         directory,
+        engineProcesses: { former: [] },
         directoryUpdater: { isCopyInDoubt: false, logFields: () => ({}) },
         metrics: { increment: () => {} },
         logger: { info: () => {} },
