Read the list of versions anew before a stream is taken for one of the only version

Cause: the absence of a version in the replica says nothing of what was written since its last read. Change: a version is listed in the store before streams begin at it, so the list is read once more, after the stream has come to be taken up; calls that come meanwhile share the next read. If the store does not answer, the engines are asked.

--- a/packages/stream_versions/served_versions.ts
+++ b/packages/stream_versions/served_versions.ts
@@ -2,6 +2,7 @@
 import { formatVersionList } from "./_format_version_list.ts";
 import { listRegisteredVersions } from "./_list_registered_versions.ts";
 import { parseVersionList } from "./_parse_version_list.ts";
+import { VersionListReader } from "./_version_list_reader.ts";
 import type { RegisteredVersions } from "./registered_versions.ts";
 import type { ServedVersionsOptions } from "./served_versions_options.ts";
 import { ServiceVersions } from "./service_versions.ts";
@@ -35,6 +36,7 @@
     readonly #lists = new Map<string, { value: string | undefined; list: VersionList; }>();
     /** By service: time in milliseconds from which this instance writes a list that the writers have left undone. */
     readonly #writeAt = new Map<string, number>();
+    readonly #listReader: VersionListReader;
     readonly #lastLogged = new Map<string, string>();
     #isFirstEra = true;
 
@@ -42,6 +44,7 @@
      * @param options Dependencies.
      */
     constructor(private readonly options: ServedVersionsOptions) {
+        this.#listReader = new VersionListReader(options.store);
         options.replica.onEraChange(() => {
             this.#isFirstEra = false;
         });
@@ -97,6 +100,20 @@
         return this.#services.get(service)?.isCertain ?? false;
     }
 
+    /**
+     * Reads the list in the store anew. A stream begins at a version that the store has listed before, so a read that begins once the
+     * stream has begun shows its version, which the replica may yet lack.
+     *
+     * @param service Name of the service.
+     * @param version A version.
+     * @returns Whether the store lists no other version in the era that this instance knows; false if it does not answer.
+     */
+    async isOnlyListed(service: string, version: string): Promise<boolean> {
+        const read = await this.#listReader.read(KEY_PREFIX + service);
+        return read?.era === this.options.replica.position.era
+            && [...read.list.versions].every(listed => listed === version);
+    }
+
     /**
      * Returns whether the servers of a service that are alive have registered since the store may have come back.
      *
--- a/packages/stream_versions/served_versions_options.ts
+++ b/packages/stream_versions/served_versions_options.ts
@@ -11,7 +11,7 @@
         ItemReplica,
         "get" | "getStored" | "isFilled" | "position" | "confirmedAt" | "eraEnteredAt" | "onEraChange"
     >;
-    store: Pick<CoordinationStore, "write">;
+    store: Pick<CoordinationStore, "write" | "list">;
     clock: Pick<SuspensionAwareClock, "now">;
     /** Shortest time in milliseconds after the last server of a version has left, for which its streams may be taken up. */
     minimumLifetimeMilliseconds: number;
--- a/packages/stream_versions/served_versions_test.ts
+++ b/packages/stream_versions/served_versions_test.ts
@@ -24,6 +24,7 @@
         directory: { servers: state.servers, configuration: { routes: [route] } } as never,
         replica,
         store: {
+            list: () => Promise.resolve(ok({ items: [], ...replica.position })),
             write: async ([write]) => {
                 writes.push(write as ConditionalWrite);
                 read(write?.value);
--- a/packages/stream_versions/stepped_clock_test.ts
+++ b/packages/stream_versions/stepped_clock_test.ts
@@ -19,7 +19,10 @@
         self: "instance-1",
         directory: { servers, configuration: { routes: [route] } } as never,
         replica,
-        store: { write: () => Promise.resolve(ok({ kind: "stored", position: replica.position })) },
+        store: {
+            list: () => Promise.resolve(ok({ items: [], ...replica.position })),
+            write: () => Promise.resolve(ok({ kind: "stored", position: replica.position })),
+        },
         clock,
         isFirstStart: false,
         isWriter: () => true,
--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -97,6 +97,7 @@
      */
     async find(stream: string | undefined, service: string): Promise<VersionFinding> {
         const startedAt = monotonicMilliseconds();
+        let isOnlyListed: boolean | undefined;
         while (true) {
             const found = stream === undefined ? undefined : this.#origins.find(stream);
             const evidence = () => ({ ...this.#served.describe(service), record: withoutOrigin(found) });
@@ -109,11 +110,14 @@
             const [version, ...others] = this.#served.candidates(service);
             const isOnly = version !== undefined && others.length === 0 && this.#served.isCertain(service);
             if (isOnly && this.options.directoryAge() < MAXIMUM_DIRECTORY_AGE_MILLISECONDS) {
-                return { kind: "only-version", version, evidence: evidence() };
+                isOnlyListed ??= await this.#served.isOnlyListed(service, version);
+                if (isOnlyListed) {
+                    return { kind: "only-version", version, evidence: evidence() };
+                }
             }
             const waited = monotonicMilliseconds() - startedAt;
             if (
-                isOnly
+                isOnly && isOnlyListed === undefined
                     ? waited >= READ_WAIT_MILLISECONDS
                     : stream === undefined || waited >= RECORD_WAIT_MILLISECONDS
             ) {
--- a/packages/stream_versions/stream_versions_options.ts
+++ b/packages/stream_versions/stream_versions_options.ts
@@ -11,7 +11,7 @@
     self: string;
     directory: Pick<Directory, "servers" | "configuration">;
     replica: ItemReplica;
-    store: Pick<CoordinationStore, "write">;
+    store: Pick<CoordinationStore, "write" | "list">;
     clock: SuspensionAwareClock;
     /** Whether this instance and all others start for the first time. */
     isFirstStart: boolean;
--- a/packages/stream_versions/stream_versions_test.ts
+++ b/packages/stream_versions/stream_versions_test.ts
@@ -1,15 +1,28 @@
-import { ok } from "neverthrow";
+import { err, ok } from "neverthrow";
 import { expect, test } from "vitest";
+import type { CoordinationStore } from "../coordination/mod.ts";
 import { Metrics } from "../metrics/mod.ts";
 import { ItemReplica } from "../replica/mod.ts";
+import { StoreFailure } from "../store/mod.ts";
 import { StreamVersions } from "./stream_versions.ts";
 
+const KEY = "laburnumslip/versions/models";
+
+function item(value: string) {
+    return { key: KEY, value, era: 2, revision: 2 };
+}
+
 /** An instance that reads servers of the version v1, and a list that is complete for an era of the store. */
-function create(listEra: number, isFirstStart = false, confirmedAt = 0) {
+function create(
+    listEra: number,
+    isFirstStart = false,
+    confirmedAt = 0,
+    stored?: ReturnType<CoordinationStore["list"]>,
+) {
     const replica = new ItemReplica();
     const value = JSON.stringify(["v1", { era: listEra }]);
     replica.replace({
-        items: [{ key: "laburnumslip/versions/models", value, era: 2, revision: 1 }],
+        items: [{ key: KEY, value, era: 2, revision: 1 }],
         era: 2,
         revision: 1,
     }, 0);
@@ -21,6 +34,9 @@
         directory: { servers: new Map([[server.id, server]]), configuration: { routes: [route] } } as never,
         replica,
         store: {
+            list: () =>
+                stored
+                    ?? Promise.resolve(ok({ items: [{ key: KEY, value, era: 2, revision: 1 }], era: 2, revision: 1 })),
             write: () => Promise.resolve(ok({ kind: "stored", position: replica.position })),
         },
         clock: { now: () => 0 } as never,
@@ -50,6 +66,16 @@
     expect(finding).toMatchObject({ kind, evidence: { registered: ["v1"], listed: ["v1"], listEra } });
 });
 
+// Guards against a stream of a version that has been listed since the last read of the instance that takes it up.
+test.each([
+    ["lists another version, too", ok({ items: [item('["v1","v2",{"era":2}]')], era: 2, revision: 2 }), "unknown"],
+    ["has come back since", ok({ items: [item('["v1",{"era":2}]')], era: 3, revision: 1 }), "unknown"],
+    ["does not answer", err(new StoreFailure("not-run", "down")), "unknown"],
+    ["has no list", ok({ items: [], era: 2, revision: 2 }), "only-version"],
+])("a stream of the only version, where the store %s", async (_name, stored, kind) => {
+    expect(await create(2, false, 0, Promise.resolve(stored)).find("s1", "models")).toMatchObject({ kind });
+});
+
 // Guards against testimony of engines while the one that began a stream has yet to register after the store's return.
 test.each([
     ["at once after a start", 1, 0, false],
