Tell other instances of processes that begin streams before their entry has come

Cause: a process without an entry is of no version that anybody knows, but nobody but the instance that met it could tell. Change: the process is added to the service's list in the store before its first event is passed on, and counts as a version of its own until its entry comes, or for a lifetime. The first event waits up to 100 ms for the engine's word, and up to 1 s for the list if it is another process; if the list can't be written, the stream runs elsewhere. Former builds pass the new objects of the list over.

--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -1,5 +1,5 @@
 import { type BackendResponse, readResponseBody } from "../backends/mod.ts";
-import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
+import { monotonicMilliseconds, within } from "../clocks/mod.ts";
 import type { RegisteredServer } from "../directory/mod.ts";
 import { filterRawHeaders } from "../headers/mod.ts";
 import { logFailure } from "../logs/mod.ts";
@@ -182,14 +182,15 @@
             return { kind: "may-have-run", message: "The engine's answer is not signed or is encoded" };
         }
         const { connection, body } = response.value;
-        const identified = request.route.resumable
-            ? this.context.engineProcesses.identify({ server, connection, isRunning: () => !body.destroyed })
-            : undefined;
+        const { engineProcesses, streamVersions } = this.context;
+        const stream = { server, connection, isRunning: () => !body.destroyed };
+        const identified = request.route.resumable ? engineProcesses.identify(stream) : undefined;
         const { softwareVersion } = progress;
         const onEvent = () => onFirstEvent(identified);
-        const isAdmitted = identified && softwareVersion !== undefined
-            ? isVersion(identified, softwareVersion)
-            : undefined;
+        const isAdmitted = identified
+            && (softwareVersion === undefined
+                ? engineProcesses.admit(stream, streamVersions)
+                : isVersion(identified, softwareVersion));
         return await relayEvents(
             { request, reservation, progress, watch, onEvent, isAdmitted },
             response.value,
@@ -234,5 +235,5 @@
 
 /** Waits, for a limited time, until the process that writes a stream is known to be of a version. */
 async function isVersion(identified: Promise<string | undefined>, version: string): Promise<boolean> {
-    return await Promise.race([identified, sleep(IDENTIFY_MILLISECONDS)]) === version;
+    return await within(identified, IDENTIFY_MILLISECONDS) === version;
 }
--- a/packages/gateway/engine_processes.ts
+++ b/packages/gateway/engine_processes.ts
@@ -1,8 +1,9 @@
 import type { BackendConnection } from "../backends/mod.ts";
-import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
+import { monotonicMilliseconds, sleep, within } from "../clocks/mod.ts";
 import type { Directory, RegisteredServer } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import type { StreamVersions } from "../stream_versions/mod.ts";
 import { FormerEngines } from "./_former_engines.ts";
 import type { EngineClient } from "./engine_client.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
@@ -11,6 +12,10 @@
 /** Questions to an engine that does not answer, while it writes a stream, and the pause between two. */
 const MAXIMUM_QUESTIONS = 3;
 const ASK_AGAIN_MILLISECONDS = 200;
+/** Longest time in milliseconds for which the first event of a new stream waits for the engine's word. */
+const ADMIT_MILLISECONDS = 100;
+/** Longest time in milliseconds for which it waits until other instances know of a process without an entry. */
+const RECORD_MILLISECONDS = 1_000;
 
 /** Dependencies of {@linkcode EngineProcesses}. */
 interface EngineProcessesOptions {
@@ -21,6 +26,9 @@
     logger: Logger;
 }
 
+/** Tells the other instances of a process that begins streams before its entry has come. */
+type UnregisteredRecorder = Pick<StreamVersions, "addUnregistered">;
+
 /** A stream that an engine writes. */
 interface WrittenStream {
     /** The engine as it was registered when the stream was sent there. */
@@ -55,6 +63,8 @@
     /** By engine: start of the process in an entry that another process has outlived. */
     readonly #outdated = new Map<string, number>();
     readonly #questions = new Map<string, { askedAt: number; statement: Promise<Statement | undefined>; }>();
+    /** By engine and start of its process: whether other instances know that it begins streams without an entry. */
+    readonly #recorded = new Map<string, Promise<boolean>>();
     /** By engine: called once its entry tells of another process. */
     readonly #waiting = new Map<string, Set<() => void>>();
     readonly #former: FormerEngines;
@@ -90,10 +100,8 @@
      * @returns The version, once the entry of that process is known; undefined if it can't be told which process it is.
      */
     async identify(stream: WrittenStream): Promise<string | undefined> {
-        const { server, connection, isRunning } = stream;
-        const confirmed = this.#confirmed.get(server.id);
-        // The process was there after the connection had been opened, and a connection lives no longer than its process.
-        if (confirmed?.startedAt === server.startedAt && connection.usedSince <= confirmed.at) {
+        const { server, isRunning } = stream;
+        if (this.#isConfirmed(stream)) {
             return server.softwareVersion;
         }
         const statement = await this.#askUntilAnswered(stream);
@@ -115,6 +123,45 @@
         return isRunning() ? await this.#awaitEntry(server, statement) : undefined;
     }
 
+    /**
+     * Waits until the events of a new stream may be passed on: at once unless another process than the registered one writes it, of which the
+     * other instances have to know first.
+     *
+     * @param stream The stream.
+     * @param streamVersions Tells the other instances.
+     * @returns Whether they may be; undefined if there is nothing to wait for.
+     */
+    admit(stream: WrittenStream, streamVersions: UnregisteredRecorder): Promise<boolean> | undefined {
+        return this.#isConfirmed(stream) ? undefined : this.#admitUnconfirmed(stream, streamVersions);
+    }
+
+    async #admitUnconfirmed(
+        { server, connection }: WrittenStream,
+        streamVersions: UnregisteredRecorder,
+    ): Promise<boolean> {
+        const statement = await within(this.#ask(server, connection.usedSince), ADMIT_MILLISECONDS);
+        if (statement?.startedAt === undefined || statement.startedAt === server.startedAt) {
+            return true;
+        }
+        const { service, id } = server;
+        const key = `${id} ${statement.startedAt}`;
+        const recorded = this.#recorded.get(key)
+            ?? streamVersions.addUnregistered(service, id, statement.startedAt);
+        this.#recorded.set(key, recorded);
+        const isRecorded = await within(recorded, RECORD_MILLISECONDS) ?? false;
+        if (!isRecorded) {
+            this.#recorded.delete(key);
+        }
+        return isRecorded;
+    }
+
+    /** Whether the process at the other end of a stream's connection is known to be the registered one. */
+    #isConfirmed({ server, connection }: WrittenStream): boolean {
+        const confirmed = this.#confirmed.get(server.id);
+        // The process was there after the connection had been opened, and a connection lives no longer than its process.
+        return confirmed?.startedAt === server.startedAt && connection.usedSince <= confirmed.at;
+    }
+
     async #askUntilAnswered({ server, connection, isRunning }: WrittenStream): Promise<Statement | undefined> {
         for (let question = 0; question < MAXIMUM_QUESTIONS && isRunning(); question++) {
             const statement = await this.#ask(server, connection.usedSince);
@@ -180,6 +227,11 @@
                 this.#outdated.delete(id);
             }
         }
+        for (const key of [...this.#recorded.keys()]) {
+            if (!this.#outdated.has(key.split(" ")[0] ?? "")) {
+                this.#recorded.delete(key);
+            }
+        }
         for (const id of [...this.#confirmed.keys()].filter(id => !servers.has(id))) {
             this.#confirmed.delete(id);
         }
--- a/packages/gateway/version_guard.ts
+++ b/packages/gateway/version_guard.ts
@@ -1,4 +1,4 @@
-import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
+import { monotonicMilliseconds, sleep, within } from "../clocks/mod.ts";
 import { logFailure } from "../logs/mod.ts";
 import { createStreamRefusal } from "./_create_stream_refusal.ts";
 import { EngineClient } from "./engine_client.ts";
@@ -140,8 +140,7 @@
      */
     async admitNextPass(progress: PassProgress): Promise<GatewayRefusal | undefined> {
         if (progress.identified) {
-            progress.softwareVersion = await Promise.race([progress.identified, sleep(IDENTIFY_MILLISECONDS)])
-                ?? undefined;
+            progress.softwareVersion = await within(progress.identified, IDENTIFY_MILLISECONDS);
             if (progress.softwareVersion === undefined) {
                 const message = "Which process of the engine wrote the stream is not known";
                 return createStreamRefusal("stream-version-unknown", "may-have-run", message);
--- a/packages/stream_versions/_format_version_list.ts
+++ b/packages/stream_versions/_format_version_list.ts
@@ -1,10 +1,16 @@
+import type { VersionList } from "./version_list.ts";
+
 /**
- * Formats the value of the store's item. The era stands among the versions, where programs that do not know it pass over it.
+ * Formats the value of the store's item. What is no version stands as an object among the versions, where programs that do not
+ * know it pass over it.
  *
- * @param versions The versions.
- * @param era Era of the store in which they are complete; undefined if they may not be.
+ * @param list The list.
  * @returns The value.
  */
-export function formatVersionList(versions: Iterable<string>, era: number | undefined): string {
-    return JSON.stringify([...[...versions].sort(), ...era === undefined ? [] : [{ era }]]);
+export function formatVersionList({ versions, era, unregistered }: VersionList): string {
+    return JSON.stringify([
+        ...[...versions].sort(),
+        ...era === undefined ? [] : [{ era }],
+        ...[...unregistered].map(([server, startedAt]) => ({ server, startedAt })),
+    ]);
 }
--- a/packages/stream_versions/_version_list_reader.ts
+++ b/packages/stream_versions/_version_list_reader.ts
@@ -1,5 +1,6 @@
-import { sleep } from "../clocks/mod.ts";
+import { within } from "../clocks/mod.ts";
 import type { CoordinationStore } from "../coordination/mod.ts";
+import type { StoredItem } from "../replica/mod.ts";
 import { parseVersionList } from "./_parse_version_list.ts";
 import type { VersionList } from "./version_list.ts";
 
@@ -11,6 +12,8 @@
     list: VersionList;
     /** Era of the store in which it was read. */
     era: number;
+    /** The item that holds it; undefined if there is none. */
+    item: StoredItem | undefined;
 }
 
 /** Reads the list of a service's versions in the store anew; calls that come during a read share the next one. */
@@ -23,7 +26,7 @@
     /** Reads the list of a key; undefined if the store does not answer in time. */
     async read(key: string): Promise<ReadList | undefined> {
         const next = this.#next.get(key) ?? this.#startAfter(key, this.#reading.get(key));
-        return await Promise.race([next, sleep(READ_MILLISECONDS).then(() => undefined)]);
+        return await within(next, READ_MILLISECONDS);
     }
 
     #startAfter(key: string, former: Promise<unknown> | undefined): Promise<ReadList | undefined> {
@@ -47,6 +50,7 @@
             return undefined;
         }
         const { items, era } = snapshot.value;
-        return { list: parseVersionList(items.find(item => item.key === key)?.value), era };
+        const item = items.find(candidate => candidate.key === key);
+        return { list: parseVersionList(item?.value), era, item };
     }
 }
--- a/packages/stream_versions/served_versions.ts
+++ b/packages/stream_versions/served_versions.ts
@@ -16,6 +16,8 @@
 const WRITER_MILLISECONDS = 1_000;
 /** Time in milliseconds after the store's return within which servers that are alive have registered again. */
 const RETURN_MILLISECONDS = 2_000;
+/** Largest number of writes of one change, since others may write the list at the same time. */
+const MAXIMUM_WRITES = 3;
 /** Time in milliseconds, for each instance, over which these spread their writes. */
 const SPREAD_MILLISECONDS = 10;
 
@@ -111,7 +113,42 @@
     async isOnlyListed(service: string, version: string): Promise<boolean> {
         const read = await this.#listReader.read(KEY_PREFIX + service);
         return read?.era === this.options.replica.position.era
-            && [...read.list.versions].every(listed => listed === version);
+            && [...read.list.versions].every(listed => listed === version) && read.list.unregistered.size === 0;
+    }
+
+    /**
+     * Adds a process to the list that begins streams before its entry has come, so that nobody takes them for those of a registered version.
+     *
+     * @param service Name of the service.
+     * @param server Id of the server.
+     * @param startedAt Unix time in milliseconds of the process's start.
+     * @returns Whether the list holds the process.
+     */
+    async addUnregistered(service: string, server: string, startedAt: number): Promise<boolean> {
+        const { store, logger } = this.options;
+        const key = KEY_PREFIX + service;
+        for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt++) {
+            const read = await this.#listReader.read(key);
+            if (!read) {
+                break;
+            }
+            const { list, item } = read;
+            if (list.unregistered.get(server) === startedAt) {
+                return true;
+            }
+            const value = formatVersionList({
+                ...list,
+                unregistered: new Map([...list.unregistered, [server, startedAt]]),
+            });
+            const condition = item ? { unchangedSince: { era: item.era, revision: item.revision } } : { isNew: true };
+            const written = await store.write([{ key, value, ...condition }]);
+            if (written.isOk() && written.value.kind === "stored") {
+                logger.info("process without an entry recorded", { service, server, startedAt });
+                return true;
+            }
+        }
+        logger.warn("process without an entry not recorded", { service, server, startedAt });
+        return false;
     }
 
     /**
@@ -196,13 +233,13 @@
         return isWriter() || clock.now() >= at;
     }
 
-    async #write(service: string, { versions, era }: VersionList): Promise<boolean> {
+    async #write(service: string, list: VersionList): Promise<boolean> {
         const { replica, store, logger } = this.options;
         const key = KEY_PREFIX + service;
         const item = replica.getStored(key);
         const condition = item ? { unchangedSince: { era: item.era, revision: item.revision } } : { isNew: true };
-        const fields = { service, versions: [...versions].sort(), listEra: era };
-        const written = await store.write([{ key, value: formatVersionList(versions, era), ...condition }]);
+        const fields = { service, versions: [...list.versions].sort(), listEra: list.era };
+        const written = await store.write([{ key, value: formatVersionList(list), ...condition }]);
         const outcome = written.isOk() ? written.value.kind : written.error.message;
         if (outcome === "conflict") {
             // Another instance has written it, which the next look shows.
--- a/packages/stream_versions/service_versions.ts
+++ b/packages/stream_versions/service_versions.ts
@@ -1,3 +1,4 @@
+import { UnregisteredProcesses } from "./_unregistered_processes.ts";
 import type { VersionList } from "./version_list.ts";
 import type { VersionObservation } from "./version_observation.ts";
 
@@ -22,6 +23,7 @@
     readonly #knownAt = new Map<string, number>();
     /** Versions with the time in milliseconds at which a server of them was last registered. */
     readonly #registeredAt = new Map<string, number>();
+    readonly #unregistered = new UnregisteredProcesses();
     /** Versions of the servers that are registered now. */
     #registered: ReadonlySet<string> = new Set();
     /** Time in milliseconds since which the present era has been observed, and on the monotonic clock. */
@@ -50,7 +52,7 @@
 
     /** Versions that may have begun a stream that can still be taken up. */
     get candidates(): string[] {
-        return [...this.#knownAt.keys()];
+        return [...this.#knownAt.keys(), ...this.#unregistered.names];
     }
 
     /** Whether no version but the candidates can have begun such a stream. */
@@ -80,6 +82,7 @@
                 this.#registeredAt.delete(version);
             }
         }
+        this.#unregistered.observe(observation);
         this.#follow(observation);
     }
 
@@ -92,8 +95,9 @@
      */
     correct(list: VersionList, now: number): VersionList | undefined {
         const isVouching = list.era === this.#era;
+        const unregistered = this.#unregistered.kept();
         if (this.#isCertain && !isVouching) {
-            return { versions: new Set(this.candidates), era: this.#era };
+            return { versions: new Set(this.#knownAt.keys()), era: this.#era, unregistered };
         }
         const left = [...this.#registeredAt].filter(([, at]) => this.#mustOutliveReturn(at, now));
         const wanted = new Set([...this.#registered, ...left.map(([version]) => version)]);
@@ -103,8 +107,9 @@
         // An instance that may lack knowledge removes nothing.
         const kept = [...list.versions].filter(version => !this.#isCertain || isKept(version));
         return lacking.length === 0 && kept.length === list.versions.size
+                && unregistered.size === list.unregistered.size
             ? undefined
-            : { versions: new Set([...kept, ...lacking]), era: list.era };
+            : { versions: new Set([...kept, ...lacking]), era: list.era, unregistered };
     }
 
     /** Whether a version that has left must be listed, since the list may be that of an instance which never saw it. */
--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -148,6 +148,18 @@
         return this.#served.isListed(service, version);
     }
 
+    /**
+     * Records that a process begins streams before its entry has come.
+     *
+     * @param service Name of the service.
+     * @param server Id of the server.
+     * @param startedAt Unix time in milliseconds of the process's start.
+     * @returns Whether all instances will know of it.
+     */
+    addUnregistered(service: string, server: string, startedAt: number): Promise<boolean> {
+        return this.#served.addUnregistered(service, server, startedAt);
+    }
+
     async #step(): Promise<void> {
         this.#origins.removeExpired();
         this.#served.observe();
