Let streams go on where a process can't be told from another one

What callers saw: found by review. An entry without a start would have made each of its engine's streams one of an unknown process. Cause: a process that is not identified counted as one of another version; the wait for it counted as silence of its engine. Change: if nothing says that it is another process than the registered one, its version is the only one in service, by the rule for streams without a record. An entry without a start speaks for every process under its id. The silence watch rests while events wait. A stream waits for the entry of its process no longer than it may be taken up.

--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -187,10 +187,9 @@
         const identified = request.route.resumable ? engineProcesses.identify(stream) : undefined;
         const { softwareVersion } = progress;
         const onEvent = () => onFirstEvent(identified);
-        const isAdmitted = identified
-            && (softwareVersion === undefined
-                ? engineProcesses.admit(stream, streamVersions)
-                : isVersion(identified, softwareVersion));
+        const isAdmitted = identified && (softwareVersion === undefined
+            ? engineProcesses.admit(stream, streamVersions)
+            : this.#isOfVersion(run, softwareVersion, identified));
         return await relayEvents(
             { request, reservation, progress, watch, onEvent, isAdmitted },
             response.value,
@@ -198,6 +197,19 @@
         );
     }
 
+    /** Waits, for a limited time, until the process that answers is known to be of a version, or that there is no other one. */
+    async #isOfVersion(
+        { request, reservation }: DecodeRun,
+        version: string,
+        identified: Promise<string | undefined>,
+    ): Promise<boolean> {
+        const { engineProcesses, streamVersions } = this.context;
+        const identifiedVersion = await within(identified, IDENTIFY_MILLISECONDS);
+        return identifiedVersion === undefined && !engineProcesses.isOutdated(reservation.server)
+            ? await streamVersions.findOnlyVersion(request.service.name) === version
+            : identifiedVersion === version;
+    }
+
     async #relayErrorResponse(
         request: GatewayRequest,
         server: RegisteredServer,
@@ -232,8 +244,3 @@
         return { kind: "relayed" };
     }
 }
-
-/** Waits, for a limited time, until the process that writes a stream is known to be of a version. */
-async function isVersion(identified: Promise<string | undefined>, version: string): Promise<boolean> {
-    return await within(identified, IDENTIFY_MILLISECONDS) === version;
-}
--- a/packages/gateway/engine_processes.ts
+++ b/packages/gateway/engine_processes.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { StreamVersions } from "../stream_versions/mod.ts";
 import { FormerEngines } from "./_former_engines.ts";
+import { isProcessOf } from "./_is_process_of.ts";
 import type { EngineClient } from "./engine_client.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 
@@ -12,6 +13,8 @@
 /** Questions to an engine that does not answer, while it writes a stream, and the pause between two. */
 const MAXIMUM_QUESTIONS = 3;
 const ASK_AGAIN_MILLISECONDS = 200;
+/** Time in milliseconds for which a stream waits for the entry of its process; it can't be taken up later. */
+const LIFETIME_MILLISECONDS = 64_000;
 /** Longest time in milliseconds for which the first event of a new stream waits for the engine's word. */
 const ADMIT_MILLISECONDS = 100;
 /** Longest time in milliseconds for which it waits until other instances know of a process without an entry. */
@@ -105,12 +108,12 @@
             return server.softwareVersion;
         }
         const statement = await this.#askUntilAnswered(stream);
+        if (statement && isProcessOf(server, statement.startedAt)) {
+            return server.softwareVersion;
+        }
         if (statement?.startedAt === undefined) {
             return undefined;
         }
-        if (statement.startedAt === server.startedAt) {
-            return server.softwareVersion;
-        }
         this.options.metrics.increment("engines_restarted_total");
         this.options.logger.warn("engine is another process than the registered one", {
             engine: server.id,
@@ -140,7 +143,7 @@
         streamVersions: UnregisteredRecorder,
     ): Promise<boolean> {
         const statement = await within(this.#ask(server, connection.usedSince), ADMIT_MILLISECONDS);
-        if (statement?.startedAt === undefined || statement.startedAt === server.startedAt) {
+        if (statement?.startedAt === undefined || isProcessOf(server, statement.startedAt)) {
             return true;
         }
         const { service, id } = server;
@@ -193,7 +196,7 @@
         const { engineClient, engineProtocol } = this.options;
         const answer = await engineClient.call(server, engineProtocol.report(), REPORT_TIMEOUT_MILLISECONDS);
         const report = answer.status === 200 ? engineProtocol.parseReport(answer.body) : undefined;
-        if (report?.startedAt !== undefined && report.startedAt === server.startedAt) {
+        if (report && isProcessOf(server, report.startedAt)) {
             this.#confirmed.set(server.id, { startedAt: server.startedAt, at: askedAt });
         }
         return report && { startedAt: report.startedAt, connection: answer.connection, askedAt };
@@ -204,10 +207,7 @@
         const { directory } = this.options;
         const registered = () => directory.servers.get(former.id);
         if (registered()?.startedAt === former.startedAt) {
-            await new Promise<void>(resolve => {
-                const waiting = this.#waiting.get(former.id) ?? new Set();
-                this.#waiting.set(former.id, waiting.add(resolve));
-            });
+            await within(this.#whenEntryChanges(former.id), LIFETIME_MILLISECONDS);
         }
         const entry = registered();
         if (!entry || entry.startedAt === statement.startedAt) {
@@ -219,6 +219,13 @@
         return isSame && later.startedAt === entry.startedAt ? entry.softwareVersion : undefined;
     }
 
+    #whenEntryChanges(id: string): Promise<void> {
+        return new Promise(resolve => {
+            const waiting = this.#waiting.get(id) ?? new Set();
+            this.#waiting.set(id, waiting.add(resolve));
+        });
+    }
+
     #applyDirectory(): void {
         const { servers } = this.options.directory;
         this.#former.observe();
--- a/packages/gateway/relay_events.ts
+++ b/packages/gateway/relay_events.ts
@@ -118,8 +118,11 @@
         });
         if (isAdmitted) {
             backendResponse.body.pause();
+            // The engine may have written; what is waited for has a limit of its own.
+            watch.pause();
             isAdmitted.then(admitted => {
                 if (admitted) {
+                    watch.touch();
                     backendResponse.body.resume();
                 }
                 else {
--- a/packages/gateway/run_witness.ts
+++ b/packages/gateway/run_witness.ts
@@ -1,6 +1,7 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { Directory, RegisteredServer } from "../directory/mod.ts";
 import { decideVersion } from "./_decide_version.ts";
+import { isProcessOf } from "./_is_process_of.ts";
 import type { EngineClient } from "./engine_client.ts";
 import type { EngineProcesses } from "./engine_processes.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
@@ -109,7 +110,7 @@
             // Another process may have been there under this id before nobody was, unless the one that followed is known.
             return [{ kind: "untold", version: isRegistered || !entry ? undefined : engine.softwareVersion }];
         }
-        if (account.startedAt === engine.startedAt) {
+        if (isProcessOf(engine, account.startedAt)) {
             return [{ kind: findTrace(account, stream), version: engine.softwareVersion }];
         }
         const ended: RunTrace = { kind: "untold", version: engine.softwareVersion };
--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -84,7 +84,7 @@
                 refusal = progress.runs > 0 ? refusal : ownRefusal;
                 break;
             }
-            const unidentified = await this.#versionGuard.admitNextPass(progress);
+            const unidentified = await this.#versionGuard.admitNextPass(request, progress);
             if (unidentified) {
                 refusal = unidentified;
                 break;
--- a/packages/gateway/successor_search.ts
+++ b/packages/gateway/successor_search.ts
@@ -50,7 +50,7 @@
         if (refuseKey(request.key, this.context) || !this.context.retryBudget.canSpend(service)) {
             return false;
         }
-        if (await this.versionGuard.admitNextPass(progress)) {
+        if (await this.versionGuard.admitNextPass(request, progress)) {
             return false;
         }
         const excluded = new Set([...progress.excluded, current.server.id]);
--- a/packages/gateway/version_guard.ts
+++ b/packages/gateway/version_guard.ts
@@ -135,12 +135,14 @@
     /**
      * Decides at which version a stream whose events have begun may go on at another engine.
      *
+     * @param request The request.
      * @param progress Progress of the stream.
-     * @returns The refusal if the process that wrote the events can't be identified; undefined if the stream may go on.
+     * @returns The refusal if it is not known which process wrote the events; undefined if the stream may go on.
      */
-    async admitNextPass(progress: PassProgress): Promise<GatewayRefusal | undefined> {
+    async admitNextPass(request: GatewayRequest, progress: PassProgress): Promise<GatewayRefusal | undefined> {
         if (progress.identified) {
-            progress.softwareVersion = await within(progress.identified, IDENTIFY_MILLISECONDS);
+            progress.softwareVersion = await within(progress.identified, IDENTIFY_MILLISECONDS)
+                ?? await this.context.streamVersions.findOnlyVersion(request.service.name);
             if (progress.softwareVersion === undefined) {
                 const message = "Which process of the engine wrote the stream is not known";
                 return createStreamRefusal("stream-version-unknown", "may-have-run", message);
--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -127,6 +127,17 @@
         }
     }
 
+    /**
+     * Finds the only version that can have begun a stream of a service.
+     *
+     * @param service Name of the service.
+     * @returns The version; undefined if there may be others.
+     */
+    async findOnlyVersion(service: string): Promise<string | undefined> {
+        const finding = await this.find(undefined, service);
+        return finding.kind === "only-version" ? finding.version : undefined;
+    }
+
     /**
      * Returns whether the servers of a service that are alive have registered since the store may have come back.
      *
