Share no engine's answer of before a stream was taken up

What callers saw: nothing yet; found by review. A stream could be joined from two versions at an instance that asks the engines. Cause: requests share an answer for 500 ms, also those whose stream began after it was given. Its engine then counts as one that has never read the prompt, and another version that has read it earlier is the only one left. Change: a question is shared by requests that had arrived before it was sent. Measured: the new test fails on (v1 where v1 and v2 have read the prompt) and passes.

--- a/packages/gateway/run_witness.ts
+++ b/packages/gateway/run_witness.ts
@@ -10,7 +10,7 @@
 import type { RunTrace } from "./run_trace.ts";
 
 const TIMEOUT_MILLISECONDS = 600;
-/** Time in milliseconds for which requests share one question to an engine. */
+/** Time in milliseconds for which requests that had arrived before share one question to an engine. */
 const SHARED_MILLISECONDS = 500;
 
 /** Dependencies of {@linkcode RunWitness}. */
@@ -23,7 +23,7 @@
 
 /** A stream of which nobody but the engines can tell what began it. */
 interface UnknownStream {
-    request: Pick<GatewayRequest, "promptSections" | "service">;
+    request: Pick<GatewayRequest, "promptSections" | "service" | "receivedAt">;
     /** Id of the caller's attempt that got its first event. */
     firstAttempt: string | undefined;
     /** Version that a record names without saying which process wrote the stream. */
@@ -100,7 +100,7 @@
     /** Traces of the process that is registered, or was, and of another one that answers in its place. */
     async #trace(engine: RegisteredServer, stream: UnknownStream): Promise<RunTrace[]> {
         const { directory } = this.options;
-        const account = await this.#account(engine);
+        const account = await this.#account(engine, stream.request.receivedAt);
         const entry = directory.servers.get(engine.id);
         const isRegistered = entry?.startedAt === engine.startedAt;
         if (account === "silent" && isRegistered) {
@@ -118,11 +118,12 @@
         return isAskedByEntry ? [ended] : [ended, { kind: findTrace(account, stream), version: undefined }];
     }
 
-    #account(engine: RegisteredServer): Promise<Account | "silent" | "gone"> {
+    #account(engine: RegisteredServer, since: number): Promise<Account | "silent" | "gone"> {
         const now = monotonicMilliseconds();
         const key = `${engine.id} ${engine.address}`;
         const shared = this.#questions.get(key);
-        if (shared && now - shared.startedAt < SHARED_MILLISECONDS) {
+        // The stream may have begun after an earlier question, but not after its caller took it up.
+        if (shared && shared.startedAt >= since && now - shared.startedAt < SHARED_MILLISECONDS) {
             return shared.answer;
         }
         const question = { startedAt: now, answer: this.#ask(engine) };
--- /dev/null
+++ b/packages/gateway/run_witness_test.ts
@@ -0,0 +1,62 @@
+import { expect, test } from "vitest";
+import { monotonicMilliseconds } from "../clocks/mod.ts";
+import type { RegisteredServer } from "../directory/mod.ts";
+import { RunWitness } from "./run_witness.ts";
+
+const SERVICE = { name: "models" };
+const PROMPT_SECTIONS = [{ key: "models/last", tokens: 50 }];
+
+type Options = ConstructorParameters<typeof RunWitness>[0];
+type Stream = Parameters<RunWitness["ask"]>[0];
+
+/** Answers of an engine: its stage, its orders, and the tokens that it has kept of the prompt's last part. */
+interface Engine {
+    version: string;
+    stage: "prefill" | "decode";
+    orders: number;
+    tokens?: number;
+}
+
+function createWitness(engines: Engine[]): RunWitness {
+    const servers = new Map(engines.map(({ version, stage }) => [
+        version,
+        { id: version, service: SERVICE.name, stage, softwareVersion: version, startedAt: 1 } as RegisteredServer,
+    ]));
+    const answerOf = ({ id }: RegisteredServer) => JSON.stringify(engines.find(({ version }) => version === id));
+    const options = {
+        directory: { servers },
+        engineProcesses: { former: [] },
+        engineClient: { call: async (server: RegisteredServer) => ({ status: 200, body: answerOf(server) }) },
+        engineProtocol: {
+            report: () => ({}),
+            promptHistory: () => ({}),
+            parseReport: (body: string) => {
+                const { stage, orders } = JSON.parse(body) as Engine;
+                return { stage, sequence: orders, startedAt: 1, runs: new Set() };
+            },
+            parsePromptHistory: (body: string) => {
+                const { tokens } = JSON.parse(body) as Engine;
+                return { isComplete: true, tokens: new Map(tokens === undefined ? [] : [["last", tokens]]) };
+            },
+        },
+    };
+    return new RunWitness(options as unknown as Options);
+}
+
+function createStream(): Stream {
+    const request = { service: SERVICE, promptSections: PROMPT_SECTIONS, receivedAt: monotonicMilliseconds() };
+    return { request, firstAttempt: "s1", claimedVersion: undefined } as unknown as Stream;
+}
+
+// Guards against streams joined since an answer of before their first event was shared with the request that takes them up.
+test("an engine is asked again for a stream that may have begun since", async () => {
+    const engines: Engine[] = [
+        { version: "v1", stage: "decode", orders: 0, tokens: 50 },
+        { version: "v2", stage: "decode", orders: 0 },
+    ];
+    const witness = createWitness(engines);
+    expect((await witness.ask(createStream())).version).toBe("v1");
+    engines[1]!.tokens = 60;
+    await new Promise(resolve => setTimeout(resolve, 5));
+    expect(await witness.ask(createStream())).toMatchObject({ version: undefined, readAt: ["v1", "v2"] });
+});
