Ask engines that have changed their stage what they have run

What callers saw: nothing yet; found by review. A stream could be joined from two versions after the store's return and the end of all instances. Cause: only engines of the decode stage were asked. One that began a stream and was then ordered to the prefill stage counted as one that cannot have written it. Change: engines of the prefill stage are asked too. Without an order since its start, one has never decoded; else what it has generated counts, and a prompt that it has only read leaves open whether it wrote. One that does not answer is passed over as before.

--- a/packages/gateway/run_witness.ts
+++ b/packages/gateway/run_witness.ts
@@ -45,6 +45,8 @@
 /** What one process says of all that it has run. */
 interface Account {
     startedAt: number | undefined;
+    /** Whether it runs requests now, or may have done so before an order changed its stage. */
+    decodes: "now" | "before" | "never";
     runs: ReadonlySet<string>;
     history: PromptHistory | undefined;
 }
@@ -76,7 +78,7 @@
     constructor(private readonly options: RunWitnessOptions) {}
 
     /**
-     * Asks all decode engines of a request's service, and those that have left lately, what they have run.
+     * Asks all engines of a request's service, and decode engines that have left lately, what they have run.
      *
      * @param stream The stream.
      * @returns What they say.
@@ -84,9 +86,9 @@
     async ask(stream: UnknownStream): Promise<Testimony> {
         const { directory, engineProcesses } = this.options;
         const { service } = stream.request;
-        const isWitness = (server: RegisteredServer) => server.service === service.name && server.stage === "decode";
+        const isWitness = (server: RegisteredServer) => server.service === service.name && server.stage !== undefined;
         const registered = [...directory.servers.values()].filter(isWitness);
-        const former = engineProcesses.former.filter(isWitness);
+        const former = engineProcesses.former.filter(server => isWitness(server) && server.stage === "decode");
         const traces = (await Promise.all([...registered, ...former].map(engine => this.#trace(engine, stream))))
             .flat();
         return {
@@ -101,6 +103,9 @@
     async #trace(engine: RegisteredServer, stream: UnknownStream): Promise<RunTrace[]> {
         const { directory } = this.options;
         const account = await this.#account(engine, stream.request.receivedAt);
+        if (engine.stage === "prefill" && (account === "silent" || account === "gone")) {
+            return [];
+        }
         const entry = directory.servers.get(engine.id);
         const isRegistered = entry?.startedAt === engine.startedAt;
         if (account === "silent" && isRegistered) {
@@ -148,15 +153,21 @@
             return "silent";
         }
         const history = told.status === 200 ? engineProtocol.parsePromptHistory(told.body) : undefined;
-        return { startedAt: report.startedAt, runs: report.runs, history };
+        const { startedAt, runs, stage, sequence } = report;
+        // One that has not accepted an order has been at its stage since its start.
+        const decodes = stage !== "prefill" ? "now" : sequence > 0 ? "before" : "never";
+        return { startedAt, decodes, runs, history };
     }
 }
 
 /** What a process shows of a stream, by its account. */
 function findTrace(
-    { runs, history }: Account,
+    { decodes, runs, history }: Account,
     { request: { promptSections, service }, firstAttempt }: UnknownStream,
 ): RunTrace["kind"] {
+    if (decodes === "never") {
+        return "none";
+    }
     if (firstAttempt !== undefined && runs.has(firstAttempt)) {
         return "runs";
     }
@@ -169,7 +180,11 @@
         return history.isComplete ? "none" : "untold";
     }
     // What is generated is kept with the last part of its prompt.
-    return kept > section.tokens ? "generated" : "read";
+    if (kept > section.tokens) {
+        return "generated";
+    }
+    // It may have read the prompt for a prefill result.
+    return decodes === "now" ? "read" : "untold";
 }
 
 function isRead({ kind }: RunTrace): boolean {
--- a/packages/gateway/run_witness_test.ts
+++ b/packages/gateway/run_witness_test.ts
@@ -60,3 +60,23 @@
     await new Promise(resolve => setTimeout(resolve, 5));
     expect(await witness.ask(createStream())).toMatchObject({ version: undefined, readAt: ["v1", "v2"] });
 });
+
+// Guards against streams joined since the engine that began them has changed its stage.
+test.each(
+    [
+        ["decoded before, read", { stage: "prefill", orders: 1, tokens: 50 }, 50, undefined],
+        ["decoded before, generated", { stage: "prefill", orders: 1, tokens: 60 }, 50, undefined],
+        [
+            "decoded before, generated, nobody else has read",
+            { stage: "prefill", orders: 1, tokens: 60 },
+            undefined,
+            "v2",
+        ],
+        ["decoded before, never read", { stage: "prefill", orders: 1 }, 50, "v1"],
+        ["has only computed prompts", { stage: "prefill", orders: 0, tokens: 50 }, 50, "v1"],
+    ] as const,
+)("an engine of the prefill stage is asked: %s", async (_name, newer, tokens, expected) => {
+    const older: Engine = { version: "v1", stage: "decode", orders: 0, ...tokens === undefined ? {} : { tokens } };
+    const witness = createWitness([older, { version: "v2", ...newer }]);
+    expect((await witness.ask(createStream())).version).toBe(expected);
+});
