Place streams by the whole prompt that an engine has read, and pass ended engines over

An ended engine was asked again by each take-up, for 1.2 s. Cause: generation behind a prompt was taken for a sign of the stream, but an interrupted run leaves none and an earlier request's does; an ended engine can't be accounted for at all. Change: a process counts if it has read the stream's whole prompt; one that has ended, or has forgotten, is passed over once its entry has lapsed, as on, and is asked once. A record of a former build must not contradict the engines.

--- a/packages/gateway/run_witness.ts
+++ b/packages/gateway/run_witness.ts
@@ -12,6 +12,8 @@
 const TIMEOUT_MILLISECONDS = 600;
 /** Time in milliseconds for which requests that had arrived before share one question to an engine. */
 const SHARED_MILLISECONDS = 500;
+/** Tokens by which what is kept of a part that has been read may fall short of it, since engines keep whole blocks of tokens. */
+const UNREAD_TOKENS = 32;
 
 /** Dependencies of {@linkcode RunWitness}. */
 interface RunWitnessOptions {
@@ -36,7 +38,7 @@
     version: string | undefined;
     /** Versions of the processes that have read the prompt. */
     readAt: string[];
-    /** Number of engines that did not answer, but may yet. */
+    /** Number of registered engines that did not answer. */
     silent: number;
     /** Number of processes that have ended or can't tell all that they have read. */
     untold: number;
@@ -54,12 +56,12 @@
 /** The last question to an engine. */
 interface Question {
     startedAt: number;
-    answer: Promise<Account | "silent" | "gone">;
+    answer: Promise<Account | "none">;
 }
 
 /**
  * Finds out from the engines which software version began a stream of which no instance knows any more. A process that has never
- * read a prompt has not written its stream, and one that runs the stream, or has generated behind the last part of its prompt, has.
+ * read the whole prompt has not written its stream, and one that runs the stream has.
  * That an engine keeps a prompt tells of the prompt alone: an earlier request may have left it, and what began the stream may have
  * ended or evicted it.
  *
@@ -71,6 +73,8 @@
  */
 export class RunWitness {
     readonly #questions = new Map<string, Question>();
+    /** Engines that have left and did not answer any more. */
+    readonly #ended = new WeakSet<RegisteredServer>();
 
     /**
      * @param options Dependencies.
@@ -88,7 +92,9 @@
         const { service } = stream.request;
         const isWitness = (server: RegisteredServer) => server.service === service.name && server.stage !== undefined;
         const registered = [...directory.servers.values()].filter(isWitness);
-        const former = engineProcesses.former.filter(server => isWitness(server) && server.stage === "decode");
+        const former = engineProcesses.former.filter(server =>
+            isWitness(server) && server.stage === "decode" && !this.#ended.has(server)
+        );
         const traces = (await Promise.all([...registered, ...former].map(engine => this.#trace(engine, stream))))
             .flat();
         return {
@@ -103,17 +109,14 @@
     async #trace(engine: RegisteredServer, stream: UnknownStream): Promise<RunTrace[]> {
         const { directory } = this.options;
         const account = await this.#account(engine, stream.request.receivedAt);
-        if (engine.stage === "prefill" && (account === "silent" || account === "gone")) {
-            return [];
-        }
         const entry = directory.servers.get(engine.id);
         const isRegistered = entry?.startedAt === engine.startedAt;
-        if (account === "silent" && isRegistered) {
-            return [{ kind: "silent", version: undefined }];
-        }
-        if (account === "silent" || account === "gone") {
-            // Another process may have been there under this id before nobody was, unless the one that followed is known.
-            return [{ kind: "untold", version: isRegistered || !entry ? undefined : engine.softwareVersion }];
+        if (account === "none") {
+            const isAwaited = isRegistered && engine.stage === "decode";
+            if (!isRegistered) {
+                this.#ended.add(engine);
+            }
+            return [{ kind: isAwaited ? "silent" : "untold", version: undefined }];
         }
         if (isProcessOf(engine, account.startedAt)) {
             return [{ kind: findTrace(account, stream), version: engine.softwareVersion }];
@@ -123,7 +126,7 @@
         return isAskedByEntry ? [ended] : [ended, { kind: findTrace(account, stream), version: undefined }];
     }
 
-    #account(engine: RegisteredServer, since: number): Promise<Account | "silent" | "gone"> {
+    #account(engine: RegisteredServer, since: number): Promise<Account | "none"> {
         const now = monotonicMilliseconds();
         const key = `${engine.id} ${engine.address}`;
         const shared = this.#questions.get(key);
@@ -138,19 +141,16 @@
         return question.answer;
     }
 
-    async #ask(engine: RegisteredServer): Promise<Account | "silent" | "gone"> {
+    async #ask(engine: RegisteredServer): Promise<Account | "none"> {
         const { engineClient, engineProtocol } = this.options;
         const told = await engineClient.call(engine, engineProtocol.promptHistory(), TIMEOUT_MILLISECONDS);
         // Asked last: a process that tells its start has also given the history, since it began before that.
-        const state = told.isGone
+        const state = told.status === 0
             ? told
             : await engineClient.call(engine, engineProtocol.report(), TIMEOUT_MILLISECONDS);
-        if (state.isGone) {
-            return "gone";
-        }
         const report = state.status === 200 ? engineProtocol.parseReport(state.body) : undefined;
-        if (!report || told.status === 0) {
-            return "silent";
+        if (!report) {
+            return "none";
         }
         const history = told.status === 200 ? engineProtocol.parsePromptHistory(told.body) : undefined;
         const { startedAt, runs, stage, sequence } = report;
@@ -176,17 +176,13 @@
         return "untold";
     }
     const kept = history.tokens.get(section.key.slice(`${service.name}/`.length));
-    if (kept === undefined) {
+    if (kept === undefined || kept <= section.tokens - UNREAD_TOKENS) {
         return history.isComplete ? "none" : "untold";
     }
     // What is generated is kept with the last part of its prompt.
-    if (kept > section.tokens) {
-        return "generated";
-    }
-    // It may have read the prompt for a prefill result.
-    return decodes === "now" ? "read" : "untold";
+    return decodes === "now" || kept > section.tokens ? "read" : "prefilled";
 }
 
 function isRead({ kind }: RunTrace): boolean {
-    return kind === "read" || kind === "generated" || kind === "runs";
+    return kind === "read" || kind === "runs";
 }
