Mark the start of a server as terminated that was called

Cause: a 421 or a closed port at the address of a server's former process marked the registration of that moment. Where the server had started again under its id meanwhile, its new process was marked, which no later entry takes back: this instance gave it nothing for 6 s, and reported it as gone for as long as it ran, so that peers left it out for 700 ms after each report.

Change: the start that was called is marked, and nothing if another one is registered. decode_pass.ts still passes the id alone, whose start is then taken from the present registration as before.

Failed before: server_load_tracker_test.ts, "has started again at another address": gone() was ["a"], also after further entries of the new process. Passes after.

--- a/packages/gateway/decode_reserver.ts
+++ b/packages/gateway/decode_reserver.ts
@@ -108,7 +108,7 @@
                 load.recordFailure();
             }
             if (status === 421) {
-                serverLoads.markTerminated(server.id);
+                serverLoads.markTerminated(server.id, server.startedAt);
                 crashRegistry.recordServerEnd(server.id);
             }
             load.avoidedUntil = monotonicMilliseconds()
--- a/packages/gateway/plain_send.ts
+++ b/packages/gateway/plain_send.ts
@@ -104,7 +104,7 @@
             const responseTime = monotonicMilliseconds() - startedAt - response.value.endWaitMilliseconds;
             if (status === 421 || response.value.headers[headers.notRun] !== undefined) {
                 if (status === 421) {
-                    serverLoads.markTerminated(server.id);
+                    serverLoads.markTerminated(server.id, server.startedAt);
                     this.context.crashRegistry.recordServerEnd(server.id);
                 }
                 else {
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -207,7 +207,7 @@
                 load.recordFailure();
                 load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
                 if (response.value.status === 421) {
-                    serverLoads.markTerminated(server.id);
+                    serverLoads.markTerminated(server.id, server.startedAt);
                     this.context.crashRegistry.recordServerEnd(server.id);
                 }
                 return err(`The prefill engine answered with status ${response.value.status}`);
--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -97,7 +97,7 @@
         logger.info("server probed after a broken connection", { server: server.id, outcome });
         // An instance that is isolated may be refused as by a closed port.
         if (outcome === "ended" && await reachability.confirmLinks(server.id)) {
-            serverLoads.markTerminated(server.id);
+            serverLoads.markTerminated(server.id, server.startedAt);
             crashRegistry.recordServerEnd(server.id);
         }
     }
--- a/packages/gateway/server_load_tracker.ts
+++ b/packages/gateway/server_load_tracker.ts
@@ -65,12 +65,18 @@
 
     /**
      * Marks a server as terminated, since another server responds at its address. It gets no requests until it
-     * registers again.
+     * registers again. Has no effect if another start of the server is registered meanwhile.
      *
      * @param id Id of the server.
+     * @param startedAt Unix time in milliseconds of the server's start, as it was registered when it was called. Default:
+     *     that of its present registration.
      */
-    markTerminated(id: string): void {
-        this.#terminated.set(id, this.directory.servers.get(id)?.startedAt ?? 0);
+    markTerminated(id: string, startedAt?: number): void {
+        const registeredAt = this.directory.servers.get(id)?.startedAt;
+        if (startedAt !== undefined && registeredAt !== undefined && registeredAt !== startedAt) {
+            return;
+        }
+        this.#terminated.set(id, startedAt ?? registeredAt ?? 0);
         this.avoid(id, TERMINATED_AVOID_MILLISECONDS);
     }
 
