Take the end of a server's start as evidence on that start alone

Cause: a 421 or a refused connection at the address of a server's former process confirmed every suspicion on the server's id, also those on runs at its present process, which had only reset a connection (as engines do beyond their connections). It counted as a proved crash: towards blocking the request, and against the parts of its prompt at all peers.

Change: the start that was called is named, and only suspicions on it are confirmed. decode_pass.ts still names the id alone.

Failed before: crash_registry_test.ts, "the end of a former start of a server ...", both cases (the second with the former parameter, the id).

--- a/packages/gateway/crash_registry.ts
+++ b/packages/gateway/crash_registry.ts
@@ -99,23 +99,27 @@
      * Records that a server has ended: its port refuses connections, or another server responds there.
      *
      * @param server Id of the server.
+     * @param startedAt Unix time in milliseconds of the start that has ended. Default: all starts.
      */
-    recordServerEnd(server: string): void {
-        this.#confirm(suspicion => suspicion.server === server, true);
+    recordServerEnd(server: string, startedAt?: number): void {
+        this.#confirm(
+            suspicion => suspicion.server === server && (startedAt ?? suspicion.startedAt) === suspicion.startedAt,
+            true,
+        );
     }
 
     /**
      * Records that a server could not be reached, which shows its end if another server can be.
      *
-     * @param server Id of the server.
+     * @param server The server, as it was registered when it was called.
      * @returns A promise that resolves once the end is recorded, or found to be none.
      */
-    async recordUnreachable(server: string): Promise<void> {
-        if (!this.#suspicions.some(suspicion => suspicion.server === server)) {
+    async recordUnreachable({ id, startedAt }: ServerStart): Promise<void> {
+        if (!this.#suspicions.some(suspicion => suspicion.server === id && suspicion.startedAt === startedAt)) {
             return;
         }
-        if (!this.links || await this.links.confirmLinks(server)) {
-            this.recordServerEnd(server);
+        if (!this.links || await this.links.confirmLinks(id)) {
+            this.recordServerEnd(id, startedAt);
         }
     }
 
--- a/packages/gateway/crash_registry_test.ts
+++ b/packages/gateway/crash_registry_test.ts
@@ -113,7 +113,7 @@
 // Guards against crashes that an isolated instance records and reports, since it cannot reach servers that run.
 test.each<[string, (registry: CrashRegistry, directory: Directory) => unknown]>([
     ["registers again", (_registry, directory) => register(directory, 2)],
-    ["refuses connections", registry => registry.recordUnreachable("a")],
+    ["refuses connections", registry => registry.recordUnreachable({ id: "a", startedAt: 1 })],
 ])("the end of a server that %s counts once the links are known to stand", async (_name, end) => {
     for (const areStanding of [true, false]) {
         const directory = new Directory();
@@ -132,6 +132,26 @@
     }
 });
 
+// Guards against parts that are blocked as deadly since a call to the former process of a server is refused, whose present process
+// runs elsewhere and has only reset a connection.
+test.each<[string, (registry: CrashRegistry) => unknown]>([
+    ["another server answers at its address", registry => registry.recordServerEnd("a", 1)],
+    ["its port is closed", registry => registry.recordUnreachable({ id: "a", startedAt: 1 })],
+])(
+    "the end of a former start of a server, where %s, is no evidence against runs of the present one",
+    async (_name, end) => {
+        const directory = new Directory();
+        const crashes: CrashedRun[] = [];
+        const registry = new CrashRegistry(directory, logger, crashedRun => crashes.push(crashedRun));
+        register(directory, 2);
+        registry.recordBrokenConnection(request, { id: "a", startedAt: 2 }, run("models/sound"));
+        await end(registry);
+        expect([crashes, registry.recent()]).toEqual([[], []]);
+        registry.recordServerEnd("a", 2);
+        expect([crashes.length, registry.recent().length]).toEqual([1, 1]);
+    },
+);
+
 // Guards against crashes that count since connections broke in a partition and their servers end for another reason.
 test("connections that broke around isolation are no evidence later", () => {
     let change = (): void => {};
--- a/packages/gateway/decode_reserver.ts
+++ b/packages/gateway/decode_reserver.ts
@@ -109,7 +109,7 @@
             }
             if (status === 421) {
                 serverLoads.markTerminated(server.id, server.startedAt);
-                crashRegistry.recordServerEnd(server.id);
+                crashRegistry.recordServerEnd(server.id, server.startedAt);
             }
             load.avoidedUntil = monotonicMilliseconds()
                 + (unresponsive ? UNRESPONSIVE_AVOID_MILLISECONDS : REFUSED_AVOID_MILLISECONDS);
--- a/packages/gateway/plain_send.ts
+++ b/packages/gateway/plain_send.ts
@@ -80,7 +80,7 @@
                     this.context.crashRegistry.recordBrokenConnection(request, server);
                 }
                 if (response.error.kind === "unreachable") {
-                    this.context.crashRegistry.recordUnreachable(server.id)
+                    this.context.crashRegistry.recordUnreachable(server)
                         .catch(logFailure(this.context.logger, "end of a server not recorded", { server: server.id }));
                 }
                 const outcome = this.#recordFault(load, response.error, recordFailure);
@@ -105,7 +105,7 @@
             if (status === 421 || response.value.headers[headers.notRun] !== undefined) {
                 if (status === 421) {
                     serverLoads.markTerminated(server.id, server.startedAt);
-                    this.context.crashRegistry.recordServerEnd(server.id);
+                    this.context.crashRegistry.recordServerEnd(server.id, server.startedAt);
                 }
                 else {
                     serverLoads.avoid(server.id, REFUSED_AVOID_MILLISECONDS);
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -208,7 +208,7 @@
                 load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
                 if (response.value.status === 421) {
                     serverLoads.markTerminated(server.id, server.startedAt);
-                    this.context.crashRegistry.recordServerEnd(server.id);
+                    this.context.crashRegistry.recordServerEnd(server.id, server.startedAt);
                 }
                 return err(`The prefill engine answered with status ${response.value.status}`);
             }
--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -98,7 +98,7 @@
         // An instance that is isolated may be refused as by a closed port.
         if (outcome === "ended" && await reachability.confirmLinks(server.id)) {
             serverLoads.markTerminated(server.id, server.startedAt);
-            crashRegistry.recordServerEnd(server.id);
+            crashRegistry.recordServerEnd(server.id, server.startedAt);
         }
     }
 }
