Probe each start of an engine for its own end

Cause: the probe was keyed by the engine's id.

Change: probes are keyed by id and start.

Failed before: server_end_probe_test.ts, "an engine that has started again at another address while it is probed is probed there": the former address was asked twice, the other one never. Passes after.

--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -41,7 +41,10 @@
  * ```
  */
 export class ServerEndProbe {
-    /** Engines that are probed or were just before, with whether another connection to them has broken since. */
+    /**
+     * Starts of engines that are probed or were just before, with whether another connection to them has broken since. An
+     * engine may start again under its id at another address.
+     */
     readonly #recent = new Map<string, boolean>();
 
     /**
@@ -55,8 +58,9 @@
      * @param server The engine.
      */
     start(server: RegisteredServer): void {
-        if (this.#recent.has(server.id)) {
-            this.#recent.set(server.id, true);
+        const start = startOf(server);
+        if (this.#recent.has(start)) {
+            this.#recent.set(start, true);
         }
         else {
             const { logger } = this.options;
@@ -65,14 +69,15 @@
     }
 
     async #probe(server: RegisteredServer): Promise<void> {
-        this.#recent.set(server.id, false);
+        const start = startOf(server);
+        this.#recent.set(start, false);
         try {
             await this.#recordEnd(server);
             await sleep(PAUSE_MILLISECONDS);
         }
         finally {
-            const hasBrokenAgain = this.#recent.get(server.id) === true;
-            this.#recent.delete(server.id);
+            const hasBrokenAgain = this.#recent.get(start) === true;
+            this.#recent.delete(start);
             if (hasBrokenAgain) {
                 this.start(server);
             }
@@ -102,3 +107,7 @@
         }
     }
 }
+
+function startOf({ id, startedAt }: RegisteredServer): string {
+    return `${id} ${startedAt}`;
+}
--- a/packages/gateway/server_end_probe_test.ts
+++ b/packages/gateway/server_end_probe_test.ts
@@ -23,7 +23,7 @@
 
 interface ProbeParts {
     send: (server: RegisteredServer, request: object) => unknown;
-    recordServerEnd?: () => void;
+    recordServerEnd?: (id: string, startedAt: number | undefined) => void;
     areLinksSound?: boolean;
     onLine?: (message: string, fields: Record<string, unknown> | undefined) => void;
 }
@@ -153,3 +153,25 @@
     expect(errors).toEqual(["probe failed a", "probe failed a"]);
     expect(asked).toBe(2);
 });
+
+// Guards against a new process whose end nobody looks for, and whose requests are held against it, since it started under the id and
+// its connection broke while the former one was probed: that one's address was probed again instead.
+test("an engine that has started again at another address while it is probed is probed there", async () => {
+    vi.useFakeTimers();
+    const asked: string[] = [];
+    const ended: [string, number | undefined][] = [];
+    const probe = createProbe({
+        send: async ({ address }) => {
+            asked.push(address);
+            return err({ kind: "unreachable", portClosed: true });
+        },
+        recordServerEnd: (id, startedAt) => ended.push([id, startedAt]),
+    });
+    probe.start({ id: "a", address: "127.0.0.1:9", startedAt: 1 } as RegisteredServer);
+    await vi.advanceTimersByTimeAsync(100);
+    probe.start({ id: "a", address: "127.0.0.1:8", startedAt: 2 } as RegisteredServer);
+    await vi.advanceTimersByTimeAsync(2_000);
+    vi.useRealTimers();
+    expect(asked).toEqual(["127.0.0.1:9", "127.0.0.1:8"]);
+    expect(ended).toEqual([["a", 1], ["a", 2]]);
+});
