Don't let a server's next process vouch for the end of an answer

Cause: an answer without framing counts as whole if its server still runs after its end. Questions were also shared by id, whatever the address.

Change: a server that is registered with another start by the time of its answer has ended; questions are shared by id and start. Left: an entry that is still the former one then. An engine's report tells its start (born), health answers don't. A whole answer that the new process wrote while the entry was the former one, and whose end comes after the entry's, counts as broken off.

Failed before: answer_end_check_test.ts, "a server that answers ... has ended if it is registered with another start", three cases: "running".

--- a/packages/gateway/answer_end_check.ts
+++ b/packages/gateway/answer_end_check.ts
@@ -1,5 +1,5 @@
 import { monotonicMilliseconds, sleep } from "../clocks/mod.ts";
-import type { RegisteredServer, ServiceProfile } from "../directory/mod.ts";
+import type { Directory, RegisteredServer, ServiceProfile } from "../directory/mod.ts";
 import { logFailure, type Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import { askServer } from "./_ask_server.ts";
@@ -20,6 +20,8 @@
 
 /** Dependencies of {@linkcode AnswerEndCheck}. */
 interface AnswerEndCheckOptions {
+    /** Registered servers; one that has registered with another start has ended. */
+    directory: Pick<Directory, "servers">;
     serverClient: ServerClient;
     serverLoads: ServerLoadTracker;
     headers: ProtocolHeaders;
@@ -73,24 +75,26 @@
     }
 
     #askAfterNow(server: RegisteredServer, service: ServiceProfile): Promise<AnswerEndState> {
-        const waiting = this.#waiting.get(server.id);
+        // Another start of the server may have another address, and says nothing of an answer of this one.
+        const start = `${server.id} ${server.startedAt}`;
+        const waiting = this.#waiting.get(start);
         if (waiting) {
             return waiting;
         }
-        const before = this.#asked.get(server.id) ?? Promise.resolve();
+        const before = this.#asked.get(start) ?? Promise.resolve();
         const next = before.then(async () => {
-            this.#waiting.delete(server.id);
-            this.#asked.set(server.id, next);
+            this.#waiting.delete(start);
+            this.#asked.set(start, next);
             return await this.#ask(server, service);
         }).catch((error: unknown): AnswerEndState => {
             logFailure(this.options.logger, "end of an answer not checked", { server: server.id })(error);
             return "unknown";
         }).finally(() => {
-            if (this.#asked.get(server.id) === next) {
-                this.#asked.delete(server.id);
+            if (this.#asked.get(start) === next) {
+                this.#asked.delete(start);
             }
         });
-        this.#waiting.set(server.id, next);
+        this.#waiting.set(start, next);
         return next;
     }
 
@@ -110,16 +114,23 @@
             await sleep(pause);
             outcome = await askServer(server, call, this.options, remaining());
         }
-        const state = outcome === "running" || outcome === "ended" ? outcome : "unknown";
+        const answered = outcome === "running" || outcome === "ended" ? outcome : "unknown";
+        const hasStartedAgain = this.#hasStartedAgain(server);
+        const state = hasStartedAgain ? "ended" : answered;
         metrics.increment("answer_ends_checked_total", { result: state });
         logger.info("server asked after the end of an answer without framing", {
             server: server.id,
             outcome,
+            hasStartedAgain,
             milliseconds: Math.round(elapsed()),
         });
-        if (state === "ended") {
+        if (state === "ended" && !hasStartedAgain) {
             serverLoads.avoid(server.id, ENDED_AVOID_MILLISECONDS);
         }
         return state;
     }
+
+    #hasStartedAgain({ id, startedAt }: RegisteredServer): boolean {
+        return (this.options.directory.servers.get(id)?.startedAt ?? startedAt) !== startedAt;
+    }
 }
--- a/packages/gateway/answer_end_check_test.ts
+++ b/packages/gateway/answer_end_check_test.ts
@@ -5,7 +5,7 @@
 import { Metrics } from "../metrics/mod.ts";
 import { AnswerEndCheck } from "./answer_end_check.ts";
 
-const server = { id: "a", address: "127.0.0.1:1" } as RegisteredServer;
+const server = { id: "a", address: "127.0.0.1:1", startedAt: 1 } as RegisteredServer;
 const engines = { name: "models", engine: {}, healthPath: "/health" } as ServiceProfile;
 const plain = { name: "orders", engine: undefined, healthPath: "/health" } as ServiceProfile;
 
@@ -35,7 +35,9 @@
         const outcome = outcomes[Math.min(paths.length, outcomes.length) - 1];
         return new Promise(resolve => setTimeout(() => resolve(outcome), milliseconds));
     };
+    const servers = new Map([[server.id, server]]);
     const check = new AnswerEndCheck({
+        directory: { servers },
         serverClient: { send } as never,
         serverLoads: { avoid: (id: string) => avoided.push(id) } as never,
         headers: { expectedServer: "expect" } as never,
@@ -43,7 +45,7 @@
         metrics: new Metrics(),
         logger: { info: () => {}, warn: () => {}, error: () => {} },
     });
-    return { check, paths, avoided };
+    return { check, paths, avoided, servers };
 }
 
 test.each([
@@ -105,3 +107,21 @@
     expect(await state).toBe("unknown");
     expect(await check.confirm(server, engines, abort.signal)).toBe("unknown");
 });
+
+// Guards against half an answer that is passed on as a whole one since the process that broke it off has started again under its id
+// before it was reached, and has answered for its predecessor.
+test.each([
+    ["after a silence", [fault("timeout"), answer(200), answer(200)]],
+    ["after resets of an ending process", [fault("reset"), fault("reset"), answer(200), answer(200)]],
+    ["at once", [answer(200), answer(200)]],
+])("a server that answers %s has ended if it is registered with another start", async (_name, outcomes) => {
+    const { check, avoided, servers } = createCheck(outcomes);
+    const { signal } = new AbortController();
+    const state = check.confirm(server, plain, signal);
+    const next = { ...server, startedAt: 2 };
+    servers.set(next.id, next);
+    const nextState = check.confirm(next, plain, signal);
+    await vi.advanceTimersByTimeAsync(5_000);
+    expect(await Promise.all([state, nextState])).toEqual(["ended", "running"]);
+    expect(avoided).toEqual([]);
+});
