Count each start of a server that a request has crashed

Change: crashes are told apart by id and start, as those of prompt parts are. Reports keep their form; the second text of a pair names id and start. An instance of an earlier program takes that for another server than its own record of the same crash, so that while both programs run, it may block a request one crash early if it ran there at both.

Failed before: crash_registry_test.ts, "each start of a server under one id that a request has crashed counts": not blocked after three. Passes after.

--- a/packages/gateway/crash_registry.ts
+++ b/packages/gateway/crash_registry.ts
@@ -32,7 +32,8 @@
 /** A crash of a server, confirmed or suspected, while a request ran on it. */
 interface Crash {
     fingerprint: string;
-    server: string;
+    /** Name of the server's start. */
+    start: string;
     /** Monotonic time in milliseconds. */
     at: number;
 }
@@ -42,12 +43,13 @@
 
 /** A crash that is not confirmed yet. */
 interface Suspicion extends Crash {
+    server: string;
     startedAt: number;
     run: SuspectedRun | undefined;
 }
 
 /**
- * Counts, for each request, the servers that crashed while it ran on them. Every request on a crashed server is a
+ * Counts, for each request, the starts of servers that crashed while it ran on them. Every request on a crashed server is a
  * suspect; one that ran on several of them is taken for the cause and blocked.
  *
  * @example
@@ -89,7 +91,8 @@
     recordBrokenConnection(request: IdentifiableRequest, server: ServerStart, run?: SuspectedRun): void {
         const { id, startedAt } = server;
         const fingerprint = computeFingerprint(request);
-        this.#suspicions.push({ fingerprint, server: id, startedAt, at: monotonicMilliseconds(), run });
+        const at = monotonicMilliseconds();
+        this.#suspicions.push({ fingerprint, start: nameStart(server), server: id, startedAt, at, run });
         if (this.#suspicions.length > MAXIMUM_ENTRIES) {
             this.#suspicions.shift();
         }
@@ -127,22 +130,22 @@
      * Records a crash that a peer has reported.
      *
      * @param fingerprint Fingerprint of the request.
-     * @param server Id of the server.
+     * @param start Name of the start of the server.
      */
-    recordPeerCrash(fingerprint: string, server: string): void {
-        this.#record({ fingerprint, server, at: monotonicMilliseconds() });
+    recordPeerCrash(fingerprint: string, start: string): void {
+        this.#record({ fingerprint, start, at: monotonicMilliseconds() });
     }
 
     /**
      * Lists the crashes to report to peers.
      *
-     * @returns Fingerprints and server ids.
+     * @returns Fingerprints and names of the servers' starts.
      */
     recent(): [string, string][] {
         const oldest = monotonicMilliseconds() - REPORT_MILLISECONDS;
         return [...this.#crashes.values()].flat()
             .filter(({ at }) => at > oldest)
-            .map(({ fingerprint, server }) => [fingerprint, server]);
+            .map(({ fingerprint, start }) => [fingerprint, start]);
     }
 
     /**
@@ -162,19 +165,19 @@
 
     #record(crash: Crash): void {
         const crashes = this.#crashes.get(crash.fingerprint) ?? [];
-        const known = crashes.find(({ server }) => server === crash.server);
+        const known = crashes.find(({ start }) => start === crash.start);
         if (known && crash.at - known.at < CRASH_LIFETIME_MILLISECONDS) {
             return;
         }
         if (known) {
-            // The server has crashed once more after the first crash has ceased to count.
+            // A server whose starts cannot be told apart has crashed once more after the first crash has ceased to count.
             crashes.splice(crashes.indexOf(known), 1);
         }
         crashes.push(crash);
         this.#crashes.delete(crash.fingerprint);
         this.#crashes.set(crash.fingerprint, crashes);
         if (crashes.length === MAXIMUM_CRASHED_SERVERS) {
-            const servers = crashes.map(({ server }) => server);
+            const servers = crashes.map(({ start }) => start);
             this.logger.warn("request crashes servers", { fingerprint: crash.fingerprint, servers });
         }
         const oldest = [...this.#crashes.keys()][0];
@@ -211,8 +214,8 @@
         const oldest = monotonicMilliseconds() - CONFIRMATION_MILLISECONDS;
         const recent = this.#suspicions.filter(({ at }) => at >= oldest);
         this.#suspicions = recent.filter(suspicion => !matches(suspicion));
-        for (const { fingerprint, server, startedAt, at, run } of recent.filter(matches)) {
-            this.#record({ fingerprint, server, at });
+        for (const { fingerprint, start, server, startedAt, at, run } of recent.filter(matches)) {
+            this.#record({ fingerprint, start, at });
             if (run && isProved) {
                 this.onCrash({ server, startedAt, endedAt: at, ...run });
             }
@@ -220,6 +223,11 @@
     }
 }
 
+/** Names a start of a server, which crashes once. */
+function nameStart({ id, startedAt }: ServerStart): string {
+    return `${id} ${startedAt}`;
+}
+
 function computeFingerprint({ path, body, organisation }: IdentifiableRequest): string {
     return createHash("sha1")
         .update(`${path}\n${organisation?.name ?? ""}\n`)
--- a/packages/gateway/crash_registry_test.ts
+++ b/packages/gateway/crash_registry_test.ts
@@ -20,8 +20,8 @@
     return new CrashRegistry(new Directory(), logger);
 }
 
-function crash(registry: CrashRegistry, server: string): void {
-    registry.recordBrokenConnection(request, { id: server, startedAt: 1 });
+function crash(registry: CrashRegistry, server: string, startedAt = 1): void {
+    registry.recordBrokenConnection(request, { id: server, startedAt });
     registry.recordServerEnd(server);
 }
 
@@ -43,12 +43,27 @@
     expect(registry.isBlocked(request)).toBe(true);
 });
 
-test("several crashes of one server count once", () => {
+test("several crashes of one start of a server count once", () => {
     const registry = createRegistry();
     ["a", "a", "a"].forEach(server => crash(registry, server));
     expect(registry.isBlocked(request)).toBe(false);
 });
 
+// Guards against a request that crashes the few servers of a service again and again, since they start again under their ids and
+// each counted once. What peers report, again and again, counts once.
+test("each start of a server under one id that a request has crashed counts", () => {
+    const registries = [createRegistry(), createRegistry()] as const;
+    [1, 2, 3].forEach(startedAt => {
+        expect(registries.map(registry => registry.isBlocked(request))).toEqual([false, false]);
+        crash(registries[0], "a", startedAt);
+        [0, 1, 1].forEach(() =>
+            registries[0].recent().forEach(([fingerprint, start]) => registries[1].recordPeerCrash(fingerprint, start))
+        );
+        registries[1].recent().forEach(([fingerprint, start]) => registries[0].recordPeerCrash(fingerprint, start));
+    });
+    expect(registries.map(registry => registry.isBlocked(request))).toEqual([true, true]);
+});
+
 function run(part: string): Pick<CrashedRun, "aliveAt" | "parts"> {
     return { aliveAt: performance.now(), parts: [part] };
 }
--- a/packages/peers/cell_state_schema.ts
+++ b/packages/peers/cell_state_schema.ts
@@ -24,7 +24,7 @@
     gone: z.array(z.string()).max(MAXIMUM_ENTRIES),
     /** Servers that have said that they leave, with the Unix time in milliseconds of their start. */
     leaving: z.array(z.tuple([z.string(), z.number()])).max(MAXIMUM_ENTRIES).default([]),
-    /** Pairs of a request's fingerprint and a server that crashed while the request ran on it. */
+    /** Pairs of a request's fingerprint and a start of a server that crashed while the request ran on it. */
     crashes: z.array(z.tuple([z.string(), z.string()])).max(MAXIMUM_ENTRIES),
     /** Parts of prompts that crash servers. */
     promptParts: promptPartReportSchema.default(createEmptyReport),
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -27,7 +27,7 @@
     gone: z.array(z.string()).max(1_024),
     /** Servers that have said to the instance that they leave, with the Unix time in milliseconds of their start. */
     leaving: z.array(z.tuple([z.string(), z.number()])).max(1_024).default([]),
-    /** Pairs of a request's fingerprint and a server that crashed while the request ran on it. */
+    /** Pairs of a request's fingerprint and a start of a server that crashed while the request ran on it. */
     crashes: z.array(z.tuple([z.string(), z.string()])).max(1_024),
     /** Parts of prompts that crash servers. */
     promptParts: promptPartReportSchema.default(createEmptyReport),
