Tell peers which start of a server is gone

Cause: reports named servers that are gone by their ids.

Change: reports also name the starts (goneStarts); a peer passes over one that is not the registered start. The list of ids stays for earlier programs, whose own lists are taken as before.

--- a/packages/gateway/cell_usage_test.ts
+++ b/packages/gateway/cell_usage_test.ts
@@ -104,6 +104,7 @@
                 stageLoads: {},
                 changing: [],
                 gone: [],
+                goneStarts: [],
                 leaving: [],
                 crashes: [],
                 promptParts: createEmptyReport(),
--- a/packages/gateway/fleet_reporter.ts
+++ b/packages/gateway/fleet_reporter.ts
@@ -91,7 +91,7 @@
             serversReachable: reachability.report(),
             loads,
             changing: stageBalancer()?.changing() ?? [],
-            gone: serverLoads.gone(),
+            ...reportGone(serverLoads),
             leaving: this.options.leavingServers.firsthand(),
             crashes: crashRegistry.recent(),
             // Left out of the message where it is undefined.
@@ -168,7 +168,7 @@
             serverLimits: serverLimits.notices(),
             stageLoads: stageBalancer()?.cellLoads() ?? {},
             changing: stageBalancer()?.changing() ?? [],
-            gone: serverLoads.gone(),
+            ...reportGone(serverLoads),
             leaving: this.options.leavingServers.firsthand(),
             crashes: crashRegistry.recent(),
             promptParts: promptParts.createReport(),
@@ -204,16 +204,26 @@
     #applyServerStates(
         state: Omit<CellState, "usage" | "serverUsage" | "stageLoads" | "demand" | "versionOutcomes">,
     ): void {
-        const { changing, gone, leaving, crashes } = state;
+        const { changing, gone, goneStarts, leaving, crashes } = state;
+        const named = new Set(goneStarts.map(([id]) => id));
         const { serverLoads, crashRegistry, promptParts, leavingServers } = this.options;
         this.options.serverLimits.recordPeerNotices(state.serverLimits);
         leaving.forEach(([id, startedAt]) => leavingServers.record({ id, startedAt }, "peer"));
-        [...changing, ...gone].forEach(id => serverLoads.avoid(id, AVOIDED_MILLISECONDS));
+        // Earlier programs name no starts.
+        const unnamed = gone.filter(id => !named.has(id));
+        [...changing, ...unnamed].forEach(id => serverLoads.avoid(id, AVOIDED_MILLISECONDS));
+        serverLoads.avoidGone(goneStarts, AVOIDED_MILLISECONDS);
         crashes.forEach(([fingerprint, server]) => crashRegistry.recordPeerCrash(fingerprint, server));
         promptParts.applyReport(state.promptParts);
     }
 }
 
+/** Servers that are gone, for earlier programs without their starts. */
+function reportGone(serverLoads: ServerLoadTracker): Pick<CellState, "gone" | "goneStarts"> {
+    const goneStarts = serverLoads.gone();
+    return { gone: goneStarts.map(([id]) => id), goneStarts };
+}
+
 /** Whether requests were counted by a process that reports or by one that it remembers. */
 function hasOutcomes({ spending, ended }: SpendingReport): boolean {
     return [spending, ...Object.values(ended).map(([, units]) => units)].some(units => Object.keys(units).length > 0);
--- a/packages/gateway/server_load_tracker.ts
+++ b/packages/gateway/server_load_tracker.ts
@@ -92,10 +92,25 @@
     /**
      * Lists the servers at whose addresses other servers respond.
      *
-     * @returns Their ids.
+     * @returns Their ids and the Unix times in milliseconds of the starts that have ended.
      */
-    gone(): string[] {
-        return [...this.#terminated.keys()];
+    gone(): [string, number][] {
+        return [...this.#terminated];
+    }
+
+    /**
+     * Excludes servers from new requests for a time after peers have reported that their starts have ended. One that is
+     * registered with another start runs; the peer may have read the store before that.
+     *
+     * @param gone Ids and Unix times in milliseconds of the starts.
+     * @param milliseconds The time.
+     */
+    avoidGone(gone: readonly [string, number][], milliseconds: number): void {
+        for (const [id, startedAt] of gone) {
+            if ((this.directory.servers.get(id)?.startedAt ?? startedAt) === startedAt) {
+                this.avoid(id, milliseconds);
+            }
+        }
     }
 
     /**
--- a/packages/peers/cell_state_schema.ts
+++ b/packages/peers/cell_state_schema.ts
@@ -22,6 +22,8 @@
     changing: z.array(z.string()).max(MAXIMUM_ENTRIES),
     /** Servers at whose addresses other servers respond. */
     gone: z.array(z.string()).max(MAXIMUM_ENTRIES),
+    /** The same with the Unix times in milliseconds of the starts that have ended; empty from an earlier program. */
+    goneStarts: z.array(z.tuple([z.string(), z.number()])).max(MAXIMUM_ENTRIES).default([]),
     /** Servers that have said that they leave, with the Unix time in milliseconds of their start. */
     leaving: z.array(z.tuple([z.string(), z.number()])).max(MAXIMUM_ENTRIES).default([]),
     /** Pairs of a request's fingerprint and a start of a server that crashed while the request ran on it. */
--- a/packages/peers/cell_summaries.ts
+++ b/packages/peers/cell_summaries.ts
@@ -122,6 +122,7 @@
             stageLoads: {},
             changing: [],
             gone: [],
+            goneStarts: [],
             leaving: [],
             crashes: [],
             promptParts: createEmptyReport(),
@@ -177,6 +178,7 @@
     }
     merged.changing.push(...state.changing);
     merged.gone.push(...state.gone);
+    merged.goneStarts = mergeLeaving(merged.goneStarts, state.goneStarts);
     merged.leaving = mergeLeaving(merged.leaving, state.leaving);
     merged.crashes.push(...state.crashes);
     merged.demand = mergeDemand([merged.demand, state.demand]);
--- a/packages/peers/peer_mesh.ts
+++ b/packages/peers/peer_mesh.ts
@@ -226,6 +226,7 @@
             }
             state.changing.push(...report.changing);
             state.gone.push(...report.gone);
+            state.goneStarts = mergeLeaving(state.goneStarts, report.goneStarts);
             state.leaving = mergeLeaving(state.leaving, report.leaving);
             state.serverLimits = mergeLimits(state.serverLimits, report.serverLimits, monotonicMilliseconds() - at);
         }
--- a/packages/peers/peer_report_schema.ts
+++ b/packages/peers/peer_report_schema.ts
@@ -25,6 +25,8 @@
     changing: z.array(z.string()).max(1_024),
     /** Servers at whose addresses other servers respond. */
     gone: z.array(z.string()).max(1_024),
+    /** The same with the Unix times in milliseconds of the starts that have ended; empty from an earlier program. */
+    goneStarts: z.array(z.tuple([z.string(), z.number()])).max(1_024).default([]),
     /** Servers that have said to the instance that they leave, with the Unix time in milliseconds of their start. */
     leaving: z.array(z.tuple([z.string(), z.number()])).max(1_024).default([]),
     /** Pairs of a request's fingerprint and a start of a server that crashed while the request ran on it. */
