End the change of an engine's stage when it starts again

Cause: a change that this instance has ordered was kept by the engine's id for the time of a change and 3 s. An engine that crashed meanwhile and started again under its id knew of no order, but got nothing from any instance for that time, and counted as one of its future stage.

Change: the change names the start of the engine; another start that is registered ends it, and the avoidance with it. Left: an order that reaches the new process before its entry does is taken for one to the former process.

--- a/packages/gateway/stage_balancer.ts
+++ b/packages/gateway/stage_balancer.ts
@@ -1,6 +1,7 @@
 import { monotonicMilliseconds, PeriodicTask } from "../clocks/mod.ts";
 import type { Leadership } from "../coordination/mod.ts";
 import type { EngineStage, RegisteredServer } from "../directory/mod.ts";
+import type { StageChange } from "./_stage_change.ts";
 import { EngineClient } from "./engine_client.ts";
 import type { GatewayContext } from "./gateway_context.ts";
 import { StagePlanner } from "./stage_planner.ts";
@@ -41,7 +42,7 @@
     readonly #engineClient: EngineClient;
     readonly #task: PeriodicTask;
     readonly #loads = new Map<string, ServiceLoad>();
-    readonly #changing = new Map<string, { stage: EngineStage; until: number; }>();
+    readonly #changing = new Map<string, StageChange>();
     /** Unfinished prompt tokens and reserved tokens that instances of other cells cause, by service. */
     #otherCells: Record<string, [number, number]> = {};
     #otherCellsAt = Number.NEGATIVE_INFINITY;
@@ -69,8 +70,14 @@
      */
     changing(): string[] {
         const now = this.context.clock.now();
-        for (const [id, { stage, until }] of this.#changing) {
-            if (now > until || this.context.directory.servers.get(id)?.stage === stage) {
+        const { directory, serverLoads } = this.context;
+        for (const [id, { stage, startedAt, until }] of this.#changing) {
+            const registered = directory.servers.get(id);
+            const hasStartedAgain = registered !== undefined && registered.startedAt !== startedAt;
+            if (hasStartedAgain) {
+                serverLoads.get(id).reset();
+            }
+            if (now > until || hasStartedAgain || registered?.stage === stage) {
                 this.#changing.delete(id);
             }
         }
@@ -265,7 +272,11 @@
         const unavailableMilliseconds =
             (this.context.directory.findService(server.service)?.engine?.stageChangeMilliseconds ?? 0)
             + REGISTRATION_MILLISECONDS;
-        this.#changing.set(server.id, { stage, until: this.context.clock.now() + unavailableMilliseconds });
+        this.#changing.set(server.id, {
+            stage,
+            startedAt: server.startedAt,
+            until: this.context.clock.now() + unavailableMilliseconds,
+        });
         this.context.serverLoads.avoid(server.id, unavailableMilliseconds);
         const call = engineProtocol.changeStage(stage, this.holder, fence, report.sequence);
         const response = await this.#engineClient.call(server, call, CALL_TIMEOUT_MILLISECONDS);
