Keep the leaving notices of a server's starts apart

Cause: one notice was kept for each id. A notice of another start replaced it: from a peer that had read an older entry, while the server was not registered here; or from an answer while an older copy of the store brought its former entry back.

Change: notices are kept by id and start. Left: an answer of a new process that comes while only the former entry is known is ascribed to the former start.

Failed before: leaving_servers_test.ts, "a leaving server stays so when ...", both cases.

--- a/packages/gateway/leaving_servers.ts
+++ b/packages/gateway/leaving_servers.ts
@@ -14,8 +14,7 @@
 type ServerStart = Pick<RegisteredServer, "id" | "startedAt">;
 
 /** What is known of a leaving server. */
-interface LeavingServer {
-    startedAt: number;
+interface LeavingServer extends ServerStart {
     /** Time in milliseconds of the first notice. */
     since: number;
     /** Whether the server itself said so to this instance. */
@@ -44,6 +43,7 @@
  * ```
  */
 export class LeavingServers {
+    /** By id and start, since an older entry of a server, or a peer that has read one, may come after a newer one. */
     readonly #servers = new Map<string, LeavingServer>();
 
     /**
@@ -69,7 +69,7 @@
         if (known?.firsthand === firsthand) {
             return;
         }
-        this.#servers.set(id, { startedAt, since: known?.since ?? clock.now(), firsthand });
+        this.#servers.set(keyOf(server), { id, startedAt, since: known?.since ?? clock.now(), firsthand });
         this.#forgetOldest();
         if (!known) {
             metrics.increment("servers_leaving_total", { source });
@@ -106,7 +106,7 @@
      */
     firsthand(): [string, number][] {
         const pairs: [string, number][] = [];
-        for (const [id, { startedAt, firsthand }] of this.#servers) {
+        for (const { id, startedAt, firsthand } of this.#servers.values()) {
             if (firsthand && this.options.directory.servers.get(id)?.startedAt === startedAt) {
                 pairs.push([id, startedAt]);
             }
@@ -114,9 +114,8 @@
         return pairs.slice(-MAXIMUM_REPORTED_SERVERS);
     }
 
-    #find({ id, startedAt }: ServerStart): LeavingServer | undefined {
-        const known = this.#servers.get(id);
-        return known?.startedAt === startedAt ? known : undefined;
+    #find(server: ServerStart): LeavingServer | undefined {
+        return this.#servers.get(keyOf(server));
     }
 
     #forgetOldest(): void {
@@ -126,3 +125,7 @@
         }
     }
 }
+
+function keyOf({ id, startedAt }: ServerStart): string {
+    return `${id} ${startedAt}`;
+}
--- a/packages/gateway/leaving_servers_test.ts
+++ b/packages/gateway/leaving_servers_test.ts
@@ -92,6 +92,34 @@
     expect(leavingServers.isLeaving(server("first", { startedAt: 2 }))).toBe(false);
 });
 
+// Guards against requests to a server after its drain time, whose notice was replaced by one of its former start, or timed anew.
+test.each<[string, (leavingServers: LeavingServers, directory: Directory) => void]>([
+    [
+        "a peer that has read an older entry names the former start while none is registered",
+        (leavingServers, directory) => {
+            directory.apply({ kind: "server-removed", id: "first" });
+            leavingServers.record(server("first"), "peer");
+        },
+    ],
+    [
+        "an older copy of the store brings the former entry back and it answers once more",
+        (leavingServers, directory) => {
+            directory.apply({ kind: "server", server: server("first") });
+            leavingServers.record(server("first"), "answer");
+        },
+    ],
+])("a leaving server stays so when %s", (_name, disturb) => {
+    const first = server("first", { startedAt: 2 });
+    const { directory, clock, leavingServers, availability } = create(first);
+    leavingServers.record(first, "answer");
+    clock.time = DRAIN_MILLISECONDS / 2;
+    disturb(leavingServers, directory);
+    directory.apply({ kind: "server", server: first });
+    leavingServers.record(first, "answer");
+    clock.time = DRAIN_MILLISECONDS;
+    expect(availability.usableServers("orders")).toEqual([]);
+});
+
 // Guards against reports that instances repeat to each other for ever.
 test("only what a server itself has said is reported to peers, until its entry is removed", () => {
     const [first, second] = [server("first"), server("second")];
