Keep the pauses of a server's starts apart

Cause: one pause was kept for each id.

Change: pauses are kept by id and start. Left: the pause of a new process that answers while only its former entry is known ends with that entry.

Failed before: paused_servers_test.ts, "an answer under the entry of a former start leaves the pause of the present one": 0 ms. Passes after.

--- a/packages/gateway/paused_servers.ts
+++ b/packages/gateway/paused_servers.ts
@@ -7,12 +7,8 @@
 /** Characters of a header's value that are logged. */
 const LOGGED_CHARACTERS = 64;
 
-/** A pause of a server. */
-interface Pause {
-    startedAt: number;
-    /** Monotonic time in milliseconds. */
-    endsAt: number;
-}
+/** A start of a server: its id and the Unix time in milliseconds at which it started. */
+type ServerStart = Pick<RegisteredServer, "id" | "startedAt">;
 
 /** Dependencies of {@linkcode PausedServers}. */
 interface PausedServersOptions {
@@ -36,7 +32,8 @@
  * ```
  */
 export class PausedServers {
-    readonly #pauses = new Map<string, Pause>();
+    /** Monotonic times in milliseconds of the ends, by id and start, since an older entry of a server may come back for a while. */
+    readonly #pauses = new Map<string, number>();
     readonly #now: () => number;
 
     /**
@@ -53,7 +50,7 @@
      * @param retryAfter Value of the Retry-After header.
      * @param date Value of the Date header, if there is one.
      */
-    record(server: Pick<RegisteredServer, "id" | "startedAt">, retryAfter: string, date: string | undefined): void {
+    record(server: ServerStart, retryAfter: string, date: string | undefined): void {
         const { metrics, logger, maximumMilliseconds } = this.options;
         const { id, startedAt } = server;
         const sentAt = Date.parse(date ?? "");
@@ -69,12 +66,11 @@
         const result = milliseconds < asked ? "capped" : "kept";
         metrics.increment("server_pauses_total", { result });
         const endsAt = this.#now() + milliseconds;
-        const known = this.#pauses.get(id);
-        if (known?.startedAt === startedAt && known.endsAt >= endsAt) {
+        if ((this.#pauses.get(keyOf(server)) ?? 0) >= endsAt) {
             return;
         }
         this.#removeEnded();
-        this.#pauses.set(id, { startedAt, endsAt });
+        this.#pauses.set(keyOf(server), endsAt);
         logger.info("server asks for a pause", { server: id, startedAt, value, milliseconds, result });
     }
 
@@ -84,17 +80,21 @@
      * @param server The server.
      * @returns The time in milliseconds; 0 if it has not asked for a pause, or if that has ended.
      */
-    remainingMilliseconds(server: Pick<RegisteredServer, "id" | "startedAt">): number {
-        const pause = this.#pauses.get(server.id);
-        return pause?.startedAt === server.startedAt ? Math.max(0, pause.endsAt - this.#now()) : 0;
+    remainingMilliseconds(server: ServerStart): number {
+        const endsAt = this.#pauses.get(keyOf(server));
+        return endsAt === undefined ? 0 : Math.max(0, endsAt - this.#now());
     }
 
     #removeEnded(): void {
         const now = this.#now();
-        for (const [id, { endsAt }] of this.#pauses) {
+        for (const [key, endsAt] of this.#pauses) {
             if (endsAt <= now) {
-                this.#pauses.delete(id);
+                this.#pauses.delete(key);
             }
         }
     }
 }
+
+function keyOf({ id, startedAt }: ServerStart): string {
+    return `${id} ${startedAt}`;
+}
--- a/packages/gateway/paused_servers_test.ts
+++ b/packages/gateway/paused_servers_test.ts
@@ -31,6 +31,17 @@
     expect(paused.remainingMilliseconds(server)).toBe(0);
 });
 
+// Guards against more than two requests to a server within its pause, which was replaced by one of its former start while an older
+// copy of the store had brought that one's entry back.
+test("an answer under the entry of a former start leaves the pause of the present one", () => {
+    const { clock, paused } = create();
+    const former = { ...server, startedAt: 0 };
+    paused.record(server, "2", undefined);
+    paused.record(former, "1", undefined);
+    clock.time = 500;
+    expect([server, former].map(start => paused.remainingMilliseconds(start))).toEqual([1_500, 500]);
+});
+
 test("a date refers to the clock of the server", () => {
     const { paused } = create();
     paused.record(server, "Sun, 06 Nov 1994 08:49:40 GMT", "Sun, 06 Nov 1994 08:49:37 GMT");
