--- a/packages/gateway/answer_end_check.ts
+++ b/packages/gateway/answer_end_check.ts
@@ -3,6 +3,7 @@
 import { logFailure, type Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
 import { askServer } from "./_ask_server.ts";
+import { nameServerStart } from "./_name_server_start.ts";
 import type { AnswerEndState } from "./answer_end_state.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
@@ -76,7 +77,7 @@
 
     #askAfterNow(server: RegisteredServer, service: ServiceProfile): Promise<AnswerEndState> {
         // Another start of the server may have another address, and says nothing of an answer of this one.
-        const start = `${server.id} ${server.startedAt}`;
+        const start = nameServerStart(server);
         const waiting = this.#waiting.get(start);
         if (waiting) {
             return waiting;
--- a/packages/gateway/crash_registry.ts
+++ b/packages/gateway/crash_registry.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { CrashedRun } from "../prompt_parts/mod.ts";
 import type { ReachabilityMonitor } from "../reachability/mod.ts";
+import { nameServerStart } from "./_name_server_start.ts";
 
 /** Number of crashed servers at which a request is blocked. */
 const MAXIMUM_CRASHED_SERVERS = 3;
@@ -92,7 +93,7 @@
         const { id, startedAt } = server;
         const fingerprint = computeFingerprint(request);
         const at = monotonicMilliseconds();
-        this.#suspicions.push({ fingerprint, start: nameStart(server), server: id, startedAt, at, run });
+        this.#suspicions.push({ fingerprint, start: nameServerStart(server), server: id, startedAt, at, run });
         if (this.#suspicions.length > MAXIMUM_ENTRIES) {
             this.#suspicions.shift();
         }
@@ -117,7 +118,8 @@
      * @param server The server, as it was registered when it was called.
      * @returns A promise that resolves once the end is recorded, or found to be none.
      */
-    async recordUnreachable({ id, startedAt }: ServerStart): Promise<void> {
+    async recordUnreachable(server: ServerStart): Promise<void> {
+        const { id, startedAt } = server;
         if (!this.#suspicions.some(suspicion => suspicion.server === id && suspicion.startedAt === startedAt)) {
             return;
         }
@@ -223,11 +225,6 @@
     }
 }
 
-/** Names a start of a server, which crashes once. */
-function nameStart({ id, startedAt }: ServerStart): string {
-    return `${id} ${startedAt}`;
-}
-
 function computeFingerprint({ path, body, organisation }: IdentifiableRequest): string {
     return createHash("sha1")
         .update(`${path}\n${organisation?.name ?? ""}\n`)
--- a/packages/gateway/leaving_servers.ts
+++ b/packages/gateway/leaving_servers.ts
@@ -2,6 +2,7 @@
 import type { Directory, RegisteredServer } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import { nameServerStart } from "./_name_server_start.ts";
 
 /** Fraction of the drain time after which a leaving server gets nothing more; a request takes a while to arrive. */
 const USED_DRAIN_FRACTION = 0.8;
@@ -69,7 +70,7 @@
         if (known?.firsthand === firsthand) {
             return;
         }
-        this.#servers.set(keyOf(server), { id, startedAt, since: known?.since ?? clock.now(), firsthand });
+        this.#servers.set(nameServerStart(server), { id, startedAt, since: known?.since ?? clock.now(), firsthand });
         this.#forgetOldest();
         if (!known) {
             metrics.increment("servers_leaving_total", { source });
@@ -115,7 +116,7 @@
     }
 
     #find(server: ServerStart): LeavingServer | undefined {
-        return this.#servers.get(keyOf(server));
+        return this.#servers.get(nameServerStart(server));
     }
 
     #forgetOldest(): void {
@@ -125,7 +126,3 @@
         }
     }
 }
-
-function keyOf({ id, startedAt }: ServerStart): string {
-    return `${id} ${startedAt}`;
-}
--- a/packages/gateway/paused_servers.ts
+++ b/packages/gateway/paused_servers.ts
@@ -2,6 +2,7 @@
 import type { RegisteredServer } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import { nameServerStart } from "./_name_server_start.ts";
 import { parseRetryAfter } from "./parse_retry_after.ts";
 
 /** Characters of a header's value that are logged. */
@@ -66,11 +67,11 @@
         const result = milliseconds < asked ? "capped" : "kept";
         metrics.increment("server_pauses_total", { result });
         const endsAt = this.#now() + milliseconds;
-        if ((this.#pauses.get(keyOf(server)) ?? 0) >= endsAt) {
+        if ((this.#pauses.get(nameServerStart(server)) ?? 0) >= endsAt) {
             return;
         }
         this.#removeEnded();
-        this.#pauses.set(keyOf(server), endsAt);
+        this.#pauses.set(nameServerStart(server), endsAt);
         logger.info("server asks for a pause", { server: id, startedAt, value, milliseconds, result });
     }
 
@@ -81,7 +82,7 @@
      * @returns The time in milliseconds; 0 if it has not asked for a pause, or if that has ended.
      */
     remainingMilliseconds(server: ServerStart): number {
-        const endsAt = this.#pauses.get(keyOf(server));
+        const endsAt = this.#pauses.get(nameServerStart(server));
         return endsAt === undefined ? 0 : Math.max(0, endsAt - this.#now());
     }
 
@@ -94,7 +95,3 @@
         }
     }
 }
-
-function keyOf({ id, startedAt }: ServerStart): string {
-    return `${id} ${startedAt}`;
-}
--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -3,6 +3,7 @@
 import { logFailure, type Logger } from "../logs/mod.ts";
 import type { ReachabilityMonitor } from "../reachability/mod.ts";
 import { askServer } from "./_ask_server.ts";
+import { nameServerStart } from "./_name_server_start.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
@@ -58,7 +59,7 @@
      * @param server The engine.
      */
     start(server: RegisteredServer): void {
-        const start = startOf(server);
+        const start = nameServerStart(server);
         if (this.#recent.has(start)) {
             this.#recent.set(start, true);
         }
@@ -69,7 +70,7 @@
     }
 
     async #probe(server: RegisteredServer): Promise<void> {
-        const start = startOf(server);
+        const start = nameServerStart(server);
         this.#recent.set(start, false);
         try {
             await this.#recordEnd(server);
@@ -107,7 +108,3 @@
         }
     }
 }
-
-function startOf({ id, startedAt }: RegisteredServer): string {
-    return `${id} ${startedAt}`;
-}
