Don't release at an engine's next process what the former one held

Cause: holds and prefill results are released by their names at the engine's address, with its id. An engine that has started again under its id holds nothing of before, but where its names begin anew, the same name may be that of another request's hold or result, which was freed.

Change: nothing is released if another start of the engine is registered. If none is, the release is sent as before.

--- a/packages/gateway/engine_client.ts
+++ b/packages/gateway/engine_client.ts
@@ -63,13 +63,18 @@
     }
 
     /**
-     * Sends a release to an engine without waiting for the response. If it fails, the engine lets the resource expire.
+     * Sends a release to an engine without waiting for the response. If it fails, the engine lets the resource expire. An
+     * engine that has started again holds nothing of before, and may have given the same name to what others hold.
      *
      * @param server The engine.
      * @param call The call.
      */
     release(server: RegisteredServer, call: EngineCall): void {
-        const { logger } = this.context;
+        const { logger, directory } = this.context;
+        const registered = directory.servers.get(server.id);
+        if (registered && registered.startedAt !== server.startedAt) {
+            return;
+        }
         const fields = { server: server.id, path: call.path };
         this.call(server, call, RELEASE_TIMEOUT_MILLISECONDS).catch(logFailure(logger, "release failed", fields));
     }
