--- a/packages/gateway/crash_registry.ts
+++ b/packages/gateway/crash_registry.ts
@@ -4,6 +4,7 @@
 import type { Logger } from "../logs/mod.ts";
 import type { CrashedRun } from "../prompt_parts/mod.ts";
 import type { ReachabilityMonitor } from "../reachability/mod.ts";
+import { nameServerStart } from "./_name_server_start.ts";
 
 /** Number of crashed servers at which a request is blocked. */
 const MAXIMUM_CRASHED_SERVERS = 3;
@@ -32,7 +33,8 @@
 /** A crash of a server, confirmed or suspected, while a request ran on it. */
 interface Crash {
     fingerprint: string;
-    server: string;
+    /** Name of the server's start. */
+    start: string;
     /** Monotonic time in milliseconds. */
     at: number;
 }
@@ -42,12 +44,13 @@
 
 /** A crash that is not confirmed yet. */
 interface Suspicion extends Crash {
+    server: string;
     startedAt: number;
     run: SuspectedRun | undefined;
 }
 
 /**
- * Counts, for each request, the servers that crashed while it ran on them. Every request on a crashed server is a
+ * Counts, for each request, the starts of servers that crashed while it ran on them. Every request on a crashed server is a
  * suspect; one that ran on several of them is taken for the cause and blocked.
  *
  * @example
@@ -89,7 +92,8 @@
     recordBrokenConnection(request: IdentifiableRequest, server: ServerStart, run?: SuspectedRun): void {
         const { id, startedAt } = server;
         const fingerprint = computeFingerprint(request);
-        this.#suspicions.push({ fingerprint, server: id, startedAt, at: monotonicMilliseconds(), run });
+        const at = monotonicMilliseconds();
+        this.#suspicions.push({ fingerprint, start: nameServerStart(server), server: id, startedAt, at, run });
         if (this.#suspicions.length > MAXIMUM_ENTRIES) {
             this.#suspicions.shift();
         }
@@ -99,23 +103,28 @@
      * Records that a server has ended: its port refuses connections, or another server responds there.
      *
      * @param server Id of the server.
+     * @param startedAt Unix time in milliseconds of the start that has ended. Default: all starts.
      */
-    recordServerEnd(server: string): void {
-        this.#confirm(suspicion => suspicion.server === server, true);
+    recordServerEnd(server: string, startedAt?: number): void {
+        this.#confirm(
+            suspicion => suspicion.server === server && (startedAt ?? suspicion.startedAt) === suspicion.startedAt,
+            true,
+        );
     }
 
     /**
      * Records that a server could not be reached, which shows its end if another server can be.
      *
-     * @param server Id of the server.
+     * @param server The server, as it was registered when it was called.
      * @returns A promise that resolves once the end is recorded, or found to be none.
      */
-    async recordUnreachable(server: string): Promise<void> {
-        if (!this.#suspicions.some(suspicion => suspicion.server === server)) {
+    async recordUnreachable(server: ServerStart): Promise<void> {
+        const { id, startedAt } = server;
+        if (!this.#suspicions.some(suspicion => suspicion.server === id && suspicion.startedAt === startedAt)) {
             return;
         }
-        if (!this.links || await this.links.confirmLinks(server)) {
-            this.recordServerEnd(server);
+        if (!this.links || await this.links.confirmLinks(id)) {
+            this.recordServerEnd(id, startedAt);
         }
     }
 
@@ -123,22 +132,22 @@
      * Records a crash that a peer has reported.
      *
      * @param fingerprint Fingerprint of the request.
-     * @param server Id of the server.
+     * @param start Name of the start of the server.
      */
-    recordPeerCrash(fingerprint: string, server: string): void {
-        this.#record({ fingerprint, server, at: monotonicMilliseconds() });
+    recordPeerCrash(fingerprint: string, start: string): void {
+        this.#record({ fingerprint, start, at: monotonicMilliseconds() });
     }
 
     /**
      * Lists the crashes to report to peers.
      *
-     * @returns Fingerprints and server ids.
+     * @returns Fingerprints and names of the servers' starts.
      */
     recent(): [string, string][] {
         const oldest = monotonicMilliseconds() - REPORT_MILLISECONDS;
         return [...this.#crashes.values()].flat()
             .filter(({ at }) => at > oldest)
-            .map(({ fingerprint, server }) => [fingerprint, server]);
+            .map(({ fingerprint, start }) => [fingerprint, start]);
     }
 
     /**
@@ -158,19 +167,19 @@
 
     #record(crash: Crash): void {
         const crashes = this.#crashes.get(crash.fingerprint) ?? [];
-        const known = crashes.find(({ server }) => server === crash.server);
+        const known = crashes.find(({ start }) => start === crash.start);
         if (known && crash.at - known.at < CRASH_LIFETIME_MILLISECONDS) {
             return;
         }
         if (known) {
-            // The server has crashed once more after the first crash has ceased to count.
+            // A server whose starts cannot be told apart has crashed once more after the first crash has ceased to count.
             crashes.splice(crashes.indexOf(known), 1);
         }
         crashes.push(crash);
         this.#crashes.delete(crash.fingerprint);
         this.#crashes.set(crash.fingerprint, crashes);
         if (crashes.length === MAXIMUM_CRASHED_SERVERS) {
-            const servers = crashes.map(({ server }) => server);
+            const servers = crashes.map(({ start }) => start);
             this.logger.warn("request crashes servers", { fingerprint: crash.fingerprint, servers });
         }
         const oldest = [...this.#crashes.keys()][0];
@@ -207,8 +216,8 @@
         const oldest = monotonicMilliseconds() - CONFIRMATION_MILLISECONDS;
         const recent = this.#suspicions.filter(({ at }) => at >= oldest);
         this.#suspicions = recent.filter(suspicion => !matches(suspicion));
-        for (const { fingerprint, server, startedAt, at, run } of recent.filter(matches)) {
-            this.#record({ fingerprint, server, at });
+        for (const { fingerprint, start, server, startedAt, at, run } of recent.filter(matches)) {
+            this.#record({ fingerprint, start, at });
             if (run && isProved) {
                 this.onCrash({ server, startedAt, endedAt: at, ...run });
             }
--- a/packages/gateway/crash_registry_test.ts
+++ b/packages/gateway/crash_registry_test.ts
@@ -20,8 +20,8 @@
     return new CrashRegistry(new Directory(), logger);
 }
 
-function crash(registry: CrashRegistry, server: string): void {
-    registry.recordBrokenConnection(request, { id: server, startedAt: 1 });
+function crash(registry: CrashRegistry, server: string, startedAt = 1): void {
+    registry.recordBrokenConnection(request, { id: server, startedAt });
     registry.recordServerEnd(server);
 }
 
@@ -43,12 +43,27 @@
     expect(registry.isBlocked(request)).toBe(true);
 });
 
-test("several crashes of one server count once", () => {
+test("several crashes of one start of a server count once", () => {
     const registry = createRegistry();
     ["a", "a", "a"].forEach(server => crash(registry, server));
     expect(registry.isBlocked(request)).toBe(false);
 });
 
+// Guards against a request that crashes the few servers of a service again and again, since they start again under their ids and
+// each counted once. What peers report, again and again, counts once.
+test("each start of a server under one id that a request has crashed counts", () => {
+    const registries = [createRegistry(), createRegistry()] as const;
+    [1, 2, 3].forEach(startedAt => {
+        expect(registries.map(registry => registry.isBlocked(request))).toEqual([false, false]);
+        crash(registries[0], "a", startedAt);
+        [0, 1, 1].forEach(() =>
+            registries[0].recent().forEach(([fingerprint, start]) => registries[1].recordPeerCrash(fingerprint, start))
+        );
+        registries[1].recent().forEach(([fingerprint, start]) => registries[0].recordPeerCrash(fingerprint, start));
+    });
+    expect(registries.map(registry => registry.isBlocked(request))).toEqual([true, true]);
+});
+
 function run(part: string): Pick<CrashedRun, "aliveAt" | "parts"> {
     return { aliveAt: performance.now(), parts: [part] };
 }
@@ -113,7 +128,7 @@
 // Guards against crashes that an isolated instance records and reports, since it cannot reach servers that run.
 test.each<[string, (registry: CrashRegistry, directory: Directory) => unknown]>([
     ["registers again", (_registry, directory) => register(directory, 2)],
-    ["refuses connections", registry => registry.recordUnreachable("a")],
+    ["refuses connections", registry => registry.recordUnreachable({ id: "a", startedAt: 1 })],
 ])("the end of a server that %s counts once the links are known to stand", async (_name, end) => {
     for (const areStanding of [true, false]) {
         const directory = new Directory();
@@ -132,6 +147,26 @@
     }
 });
 
+// Guards against parts that are blocked as deadly since a call to the former process of a server is refused, whose present process
+// runs elsewhere and has only reset a connection.
+test.each<[string, (registry: CrashRegistry) => unknown]>([
+    ["another server answers at its address", registry => registry.recordServerEnd("a", 1)],
+    ["its port is closed", registry => registry.recordUnreachable({ id: "a", startedAt: 1 })],
+])(
+    "the end of a former start of a server, where %s, is no evidence against runs of the present one",
+    async (_name, end) => {
+        const directory = new Directory();
+        const crashes: CrashedRun[] = [];
+        const registry = new CrashRegistry(directory, logger, crashedRun => crashes.push(crashedRun));
+        register(directory, 2);
+        registry.recordBrokenConnection(request, { id: "a", startedAt: 2 }, run("models/sound"));
+        await end(registry);
+        expect([crashes, registry.recent()]).toEqual([[], []]);
+        registry.recordServerEnd("a", 2);
+        expect([crashes.length, registry.recent().length]).toEqual([1, 1]);
+    },
+);
+
 // Guards against crashes that count since connections broke in a partition and their servers end for another reason.
 test("connections that broke around isolation are no evidence later", () => {
     let change = (): void => {};
--- a/packages/gateway/server_end_probe.ts
+++ b/packages/gateway/server_end_probe.ts
@@ -3,6 +3,7 @@
 import { logFailure, type Logger } from "../logs/mod.ts";
 import type { ReachabilityMonitor } from "../reachability/mod.ts";
 import { askServer } from "./_ask_server.ts";
+import { nameServerStart } from "./_name_server_start.ts";
 import type { CrashRegistry } from "./crash_registry.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
 import type { ProtocolHeaders } from "./protocol_headers.ts";
@@ -41,7 +42,10 @@
  * ```
  */
 export class ServerEndProbe {
-    /** Engines that are probed or were just before, with whether another connection to them has broken since. */
+    /**
+     * Starts of engines that are probed or were just before, with whether another connection to them has broken since. An
+     * engine may start again under its id at another address.
+     */
     readonly #recent = new Map<string, boolean>();
 
     /**
@@ -55,8 +59,9 @@
      * @param server The engine.
      */
     start(server: RegisteredServer): void {
-        if (this.#recent.has(server.id)) {
-            this.#recent.set(server.id, true);
+        const start = nameServerStart(server);
+        if (this.#recent.has(start)) {
+            this.#recent.set(start, true);
         }
         else {
             const { logger } = this.options;
@@ -65,14 +70,15 @@
     }
 
     async #probe(server: RegisteredServer): Promise<void> {
-        this.#recent.set(server.id, false);
+        const start = nameServerStart(server);
+        this.#recent.set(start, false);
         try {
             await this.#recordEnd(server);
             await sleep(PAUSE_MILLISECONDS);
         }
         finally {
-            const hasBrokenAgain = this.#recent.get(server.id) === true;
-            this.#recent.delete(server.id);
+            const hasBrokenAgain = this.#recent.get(start) === true;
+            this.#recent.delete(start);
             if (hasBrokenAgain) {
                 this.start(server);
             }
@@ -97,8 +103,8 @@
         logger.info("server probed after a broken connection", { server: server.id, outcome });
         // An instance that is isolated may be refused as by a closed port.
         if (outcome === "ended" && await reachability.confirmLinks(server.id)) {
-            serverLoads.markTerminated(server.id);
-            crashRegistry.recordServerEnd(server.id);
+            serverLoads.markTerminated(server.id, server.startedAt);
+            crashRegistry.recordServerEnd(server.id, server.startedAt);
         }
     }
 }
