--- a/packages/gateway/engine_client.ts
+++ b/packages/gateway/engine_client.ts
@@ -34,7 +34,9 @@
     /**
      * @param context Shared objects of the gateway.
      */
-    constructor(private readonly context: Pick<GatewayContext, "serverClient" | "headers" | "metrics" | "logger">) {}
+    constructor(
+        private readonly context: Pick<GatewayContext, "serverClient" | "headers" | "metrics" | "logger" | "directory">,
+    ) {}
 
     /**
      * Calls an engine.
