Offer no prefill result of a process that has ended to another engine

What callers saw: nothing yet; found by review. Cause: a kept prefill result was keyed by the engine's address and handle, and outlived its process. Change: it is offered only while its process is the registered one. The log line of a pass moves to a file of its own.

--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -4,6 +4,8 @@
 import { createPassProgress } from "./_create_pass_progress.ts";
 import { createStreamRefusal } from "./_create_stream_refusal.ts";
 import { findObstacle } from "./_find_obstacle.ts";
+import { isPresentStart } from "./_is_present_start.ts";
+import { logPass } from "./_log_pass.ts";
 import { recordPass } from "./_record_pass.ts";
 import { spendRetry } from "./_spend_retry.ts";
 import { CrashEvidence } from "./crash_evidence.ts";
@@ -111,18 +113,7 @@
                 break;
             }
             const outcome = await this.#runPass(request, reservation.value, progress, pass + 1 < MAXIMUM_PASSES);
-            this.context.logger.info("generation pass ended", {
-                request: request.id,
-                pass: pass + 1,
-                engine: reservation.value.server.id,
-                engineVersion: reservation.value.server.softwareVersion,
-                engineStart: reservation.value.server.startedAt,
-                outcome: outcome.kind,
-                cause: "message" in outcome ? outcome.message : undefined,
-                lastEvent: progress.lastEventId,
-                afterMilliseconds: Math.round(monotonicMilliseconds() - request.receivedAt),
-                ...this.context.directoryUpdater.logFields(),
-            });
+            logPass({ request, pass: pass + 1, engine: reservation.value.server, outcome, progress }, this.context);
             if (outcome.kind === "completed" || outcome.kind === "relayed") {
                 return undefined;
             }
@@ -249,9 +240,11 @@
         progress: PassProgress,
         resumeHeaders: string[],
     ): Promise<Result<PrefillResult, PrefillFailure>> {
-        if (progress.refused) {
+        if (progress.refused && isPresentStart(progress.refused.prefillResult.server, this.context.directory)) {
             return ok(progress.refused.prefillResult);
         }
+        // A process ends with its results; whichever has its address then may give others the same names.
+        progress.refused = undefined;
         if (progress.localPrefill || this.prefillDispatcher.isLocalPrefillFaster(request, reservation.server)) {
             return err({ message: "The prompt is computed by the decode engine", sent: false });
         }
