Name the start of the decode engine that another server answers for

Cause: on 421 the decode pass named only the id, so that a new process of the engine could be taken for ended, as elsewhere before. Change: it names the start that it called. Measured: by reading at this place; the two callees have tests (server_load_tracker_test.ts, crash_registry_test.ts).

--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -165,8 +165,8 @@
         if (status === 421 || response.value.headers[headers.notRun] !== undefined) {
             await readResponseBody(response.value, ERROR_BODY_MILLISECONDS, MAXIMUM_RESPONSE_BYTES);
             if (status === 421) {
-                serverLoads.markTerminated(server.id);
-                this.context.crashRegistry.recordServerEnd(server.id);
+                serverLoads.markTerminated(server.id, server.startedAt);
+                this.context.crashRegistry.recordServerEnd(server.id, server.startedAt);
                 return { kind: "moved", message: "Another server answers at the engine's address" };
             }
             const kind = this.context.availability.isUsable(server) ? "not-run" : "withheld";
