Believe a roll-out's phase of a former build only if it is of this era

What operators saw: nothing yet; found by reading what builds write for one another. Cause: states of roll-outs that name no era, as builds up to write them, were always believed. If the store returned from a copy and all instances ended while a fleet was upgraded, the copy's move of a version that had been rolled back since was gone on with. Change: such a state counts if it was written later than the item that names the trusted era (`laburnumslip/era`, which writes too), if there is no such item, or if the instance knows a phase of the order; final phases count as before. The store item's own check is stricter than before: nothing may write it, in place of its phase and era.

--- a/packages/gateway/rollout_decider.ts
+++ b/packages/gateway/rollout_decider.ts
@@ -100,10 +100,11 @@
 
     /** Whether the store has just come back from a copy, so that instances may know more than it and this one. */
     #mayBeKnown(rollout: ServiceRollout): boolean {
+        const item = this.replica.getStored(this.context.rollouts.stateKey(rollout.order.service));
         const stored = this.#storedState(rollout);
-        const { position, eraEnteredAt } = this.replica;
-        return stored !== undefined && !isProvedState(stored, position.era)
-            && this.context.clock.now() - eraEnteredAt < RETURN_MILLISECONDS;
+        return item !== undefined && stored !== undefined
+            && !isProvedState(stored, item, this.replica, rollout.phase)
+            && this.context.clock.now() - this.replica.eraEnteredAt < RETURN_MILLISECONDS;
     }
 
     #storedState({ order }: ServiceRollout): RolloutState | undefined {
--- a/packages/gateway/rollout_decider_test.ts
+++ b/packages/gateway/rollout_decider_test.ts
@@ -17,13 +17,14 @@
 const SERVICE = "orders";
 const ROUTE = "status";
 const STATE_KEY = "laburnumslip/rollouts/orders";
+const ERA_ITEM: StoredItem = { key: "laburnumslip/era", value: "1", era: 1, revision: 1 };
 const ORDER: RolloutOrder = { id: "7", service: SERVICE, version: "v2", durationMilliseconds: 12_000 };
 const STEP_MILLISECONDS = 50;
 const ANSWER_MILLISECONDS = 20;
 
 /** Items that several instances read and write. */
 class TestStore {
-    items = new Map<string, StoredItem>();
+    items = new Map<string, StoredItem>([[ERA_ITEM.key, ERA_ITEM]]);
     era = 1;
     revision = 1;
     mode: "open" | "away" | "late" = "open";
@@ -169,6 +170,11 @@
     return JSON.parse(store.items.get(STATE_KEY)?.value ?? "{}") as RolloutState;
 }
 
+/** Builds with what they make of a state; former ones name no era. */
+const BUILDS: [string, () => void][] = [["this build", () => {}], ["a former build", () => {
+    store.items.get(STATE_KEY)!.value = JSON.stringify({ ...storedState(), era: undefined });
+}]];
+
 test("a good version is completed, with a bounded share until it moves", async () => {
     const { exposed, requests } = await pass(6_000);
     expect(exposed).toBeGreaterThan(0);
@@ -209,8 +215,10 @@
     },
 );
 
-test("an instance that starts during a roll-out takes it up", async () => {
+// Guards against a roll-out that begins anew at each instance of a newer build while a former one decides.
+test.each(BUILDS)("an instance that starts during a roll-out takes it up from %s", async (_build, alterState) => {
     await pass(9_500);
+    alterState();
     instances.push(new Instance());
     instances[2]!.read();
     expect(instances[2]!.phase).toBe("move");
@@ -263,16 +271,17 @@
 );
 
 // Guards against the copy's phase taken for the last one: a roll-back may have followed a move, and an end a trial.
-test("an instance that was not there does not go on from the phase of a copy", async () => {
+test.each(BUILDS)("a new instance does not go on from a copy's phase of %s", async (_build, alterState) => {
     await pass(9_500);
     expect(storedState().phase).toBe("move");
+    alterState();
+    const copied = store.items.get(STATE_KEY);
     store.era++;
     await Promise.all(instances.map(({ decider }) => decider.close()));
-    instances = [];
-    instances.push(new Instance());
+    instances = [new Instance()];
     instances[0]!.isLeader = true;
     expect((await pass(1_900)).exposed).toBe(0);
-    expect(storedState()).toMatchObject({ phase: "move", era: 1 });
+    expect(store.items.get(STATE_KEY)).toBe(copied);
     await pass(600);
     expect(storedState()).toMatchObject({ phase: "trial", era: 2 });
     await pass(12_000);
--- a/packages/gateway/service_rollouts.ts
+++ b/packages/gateway/service_rollouts.ts
@@ -293,7 +293,7 @@
             this.options.metrics.increment("unreadable_items_total");
             this.options.logger.warn("state of a roll-out cannot be read", { service, key: item.key });
         }
-        else if (state.order === rollout.order.id && isProvedState(state, item.era)) {
+        else if (state.order === rollout.order.id && isProvedState(state, item, this.options.replica, rollout.phase)) {
             rollout.apply(state, isBeforeOrder ? Date.now() : undefined, this.options.clock.now(), item.era);
         }
     }
--- a/packages/gateway/store_reading.ts
+++ b/packages/gateway/store_reading.ts
@@ -5,13 +5,11 @@
 import type { Metrics } from "../metrics/mod.ts";
 import type { ItemReplica } from "../replica/mod.ts";
 import { StreamVersions } from "../stream_versions/mod.ts";
+import { ERA_WITNESS_KEY } from "./_era_witness_key.ts";
 import { DirectoryUpdater } from "./directory_updater.ts";
 import type { GatewayAdapter } from "./gateway_adapter.ts";
 import type { GatewaySettings } from "./gateway_settings.ts";
 
-/** Store key of the item that names the last era of the store that instances have trusted. */
-const ERA_WITNESS_KEY = "laburnumslip/era";
-
 /** Dependencies of what is read from the store. */
 interface StoreReadingOptions {
     decodeItem: GatewayAdapter["decodeItem"];
