Give a former build time to read its own list before it is written again

Cause: the former build takes such a version off the list; a newer instance that learned of it later puts it back within 200 ms, before the former one has read its own list, so that it doesn't forget the version and takes it off again. Change: a list that names no era, all that are registered and all processes without an entry is written again only a second after the list was last right. A row of served_versions_test.ts failed before and passes.

--- a/packages/stream_versions/served_versions.ts
+++ b/packages/stream_versions/served_versions.ts
@@ -38,6 +38,7 @@
     readonly #lists = new Map<string, { value: string | undefined; list: VersionList; }>();
     /** By service: time in milliseconds from which this instance writes a list that the writers have left undone. */
     readonly #writeAt = new Map<string, number>();
+    readonly #lastRightAt = new Map<string, number>();
     readonly #listReader: VersionListReader;
     readonly #lastLogged = new Map<string, string>();
     #isFirstEra = true;
@@ -216,14 +217,27 @@
             const wanted = known.correct(this.#stored(service), this.options.clock.now());
             if (!wanted) {
                 this.#writeAt.delete(service);
+                this.#lastRightAt.set(service, this.options.clock.now());
             }
-            else if (this.#mayWrite(service) && !await this.#write(service, wanted)) {
+            else if (
+                !this.#isFormerWriters(service, wanted) && this.#mayWrite(service)
+                && !await this.#write(service, wanted)
+            ) {
                 return false;
             }
         }
         return true;
     }
 
+    /** Whether a former build, which names no era, has just written a list of all that are registered; it needs time to read it. */
+    #isFormerWriters(service: string, wanted: VersionList): boolean {
+        const { versions, era, unregistered } = this.#stored(service);
+        const servers = this.#registered().get(service)?.servers ?? [];
+        const isRecent = this.options.clock.now() - (this.#lastRightAt.get(service) ?? -Infinity) < WRITER_MILLISECONDS;
+        return isRecent && era === undefined && wanted.unregistered.size <= unregistered.size
+            && servers.every(({ softwareVersion }) => versions.has(softwareVersion));
+    }
+
     /** Whether this instance writes a list: at once if it writes for all, else after some time if it still must be. */
     #mayWrite(service: string): boolean {
         const { isWriter, clock, instanceCount, draw = Math.random } = this.options;
--- a/packages/stream_versions/served_versions_test.ts
+++ b/packages/stream_versions/served_versions_test.ts
@@ -107,3 +107,20 @@
     expect(writes.map(({ value }) => value)).toEqual(['["v1","v2",{"era":1}]']);
     expect(versions.candidates("models").sort()).toEqual(["v1", "v2"]);
 });
+
+// Guards against a list that a former build and this one write over and over, since one remembers a version for longer.
+test.each([
+    ["names all that are registered, once that build has read it", '["v2"]', 1_000],
+    ["lacks a version that is registered, at once", '["v1"]', 0],
+])("a list without an era that %s", async (_name, list, milliseconds) => {
+    const { versions, writes, read, register, pass } = create('["v1","v2",{"era":1}]');
+    register("v2");
+    await versions.record();
+    read(list);
+    pass(milliseconds - 1);
+    await versions.record();
+    expect(writes).toHaveLength(milliseconds === 0 ? 1 : 0);
+    pass(1);
+    await versions.record();
+    expect(writes.map(({ value }) => value)).toEqual(['["v1","v2",{"era":1}]']);
+});
