--- a/packages/gateway/stream_forwarder.ts
+++ b/packages/gateway/stream_forwarder.ts
@@ -61,7 +61,7 @@
     ) {
         this.#decodePass = new DecodePass(context);
         this.#versionGuard = new VersionGuard(context);
-        this.#successorSearch = new SuccessorSearch(context, queue, engineClient);
+        this.#successorSearch = new SuccessorSearch(context, queue, engineClient, this.#versionGuard);
     }
 
     /**
@@ -84,6 +84,11 @@
                 refusal = progress.runs > 0 ? refusal : ownRefusal;
                 break;
             }
+            const unidentified = await this.#versionGuard.admitNextPass(request, progress);
+            if (unidentified) {
+                refusal = unidentified;
+                break;
+            }
             const { successor } = progress;
             progress.successor = undefined;
             progress.mustGoOn ||= successor !== undefined;
@@ -110,6 +115,8 @@
                 request: request.id,
                 pass: pass + 1,
                 engine: reservation.value.server.id,
+                engineVersion: reservation.value.server.softwareVersion,
+                engineStart: reservation.value.server.startedAt,
                 outcome: outcome.kind,
                 cause: "message" in outcome ? outcome.message : undefined,
                 lastEvent: progress.lastEventId,
@@ -213,9 +220,9 @@
                 this.context.promptParts.recordProbe(request.promptParts);
             }
             const evidence = new CrashEvidence(this.context, request, reservation);
-            const recordEvent = () => {
+            const recordEvent = (identified: Promise<string | undefined> | undefined) => {
                 endLocalPrefill();
-                this.#versionGuard.recordEvent(request, reservation.server, progress);
+                this.#versionGuard.recordEvent(request, identified, progress);
                 evidence.recordEvent();
             };
             const startedAt = monotonicMilliseconds();
--- a/packages/stream_versions/served_versions.ts
+++ b/packages/stream_versions/served_versions.ts
@@ -2,6 +2,7 @@
 import { formatVersionList } from "./_format_version_list.ts";
 import { listRegisteredVersions } from "./_list_registered_versions.ts";
 import { parseVersionList } from "./_parse_version_list.ts";
+import { VersionListReader } from "./_version_list_reader.ts";
 import type { RegisteredVersions } from "./registered_versions.ts";
 import type { ServedVersionsOptions } from "./served_versions_options.ts";
 import { ServiceVersions } from "./service_versions.ts";
@@ -15,6 +16,8 @@
 const WRITER_MILLISECONDS = 1_000;
 /** Time in milliseconds after the store's return within which servers that are alive have registered again. */
 const RETURN_MILLISECONDS = 2_000;
+/** Largest number of writes of one change, since others may write the list at the same time. */
+const MAXIMUM_WRITES = 3;
 /** Time in milliseconds, for each instance, over which these spread their writes. */
 const SPREAD_MILLISECONDS = 10;
 
@@ -35,6 +38,7 @@
     readonly #lists = new Map<string, { value: string | undefined; list: VersionList; }>();
     /** By service: time in milliseconds from which this instance writes a list that the writers have left undone. */
     readonly #writeAt = new Map<string, number>();
+    readonly #listReader: VersionListReader;
     readonly #lastLogged = new Map<string, string>();
     #isFirstEra = true;
 
@@ -42,6 +46,7 @@
      * @param options Dependencies.
      */
     constructor(private readonly options: ServedVersionsOptions) {
+        this.#listReader = new VersionListReader(options.store);
         options.replica.onEraChange(() => {
             this.#isFirstEra = false;
         });
@@ -97,6 +102,55 @@
         return this.#services.get(service)?.isCertain ?? false;
     }
 
+    /**
+     * Reads the list in the store anew. A stream begins at a version that the store has listed before, so a read that begins once the
+     * stream has begun shows its version, which the replica may yet lack.
+     *
+     * @param service Name of the service.
+     * @param version A version.
+     * @returns Whether the store lists no other version in the era that this instance knows; false if it does not answer.
+     */
+    async isOnlyListed(service: string, version: string): Promise<boolean> {
+        const read = await this.#listReader.read(KEY_PREFIX + service);
+        return read?.era === this.options.replica.position.era
+            && [...read.list.versions].every(listed => listed === version) && read.list.unregistered.size === 0;
+    }
+
+    /**
+     * Adds a process to the list that begins streams before its entry has come, so that nobody takes them for those of a registered version.
+     *
+     * @param service Name of the service.
+     * @param server Id of the server.
+     * @param startedAt Unix time in milliseconds of the process's start.
+     * @returns Whether the list holds the process.
+     */
+    async addUnregistered(service: string, server: string, startedAt: number): Promise<boolean> {
+        const { store, logger } = this.options;
+        const key = KEY_PREFIX + service;
+        for (let attempt = 0; attempt < MAXIMUM_WRITES; attempt++) {
+            const read = await this.#listReader.read(key);
+            if (!read) {
+                break;
+            }
+            const { list, item } = read;
+            if (list.unregistered.get(server) === startedAt) {
+                return true;
+            }
+            const value = formatVersionList({
+                ...list,
+                unregistered: new Map([...list.unregistered, [server, startedAt]]),
+            });
+            const condition = item ? { unchangedSince: { era: item.era, revision: item.revision } } : { isNew: true };
+            const written = await store.write([{ key, value, ...condition }]);
+            if (written.isOk() && written.value.kind === "stored") {
+                logger.info("process without an entry recorded", { service, server, startedAt });
+                return true;
+            }
+        }
+        logger.warn("process without an entry not recorded", { service, server, startedAt });
+        return false;
+    }
+
     /**
      * Returns whether the servers of a service that are alive have registered since the store may have come back.
      *
@@ -179,13 +233,13 @@
         return isWriter() || clock.now() >= at;
     }
 
-    async #write(service: string, { versions, era }: VersionList): Promise<boolean> {
+    async #write(service: string, list: VersionList): Promise<boolean> {
         const { replica, store, logger } = this.options;
         const key = KEY_PREFIX + service;
         const item = replica.getStored(key);
         const condition = item ? { unchangedSince: { era: item.era, revision: item.revision } } : { isNew: true };
-        const fields = { service, versions: [...versions].sort(), listEra: era };
-        const written = await store.write([{ key, value: formatVersionList(versions, era), ...condition }]);
+        const fields = { service, versions: [...list.versions].sort(), listEra: list.era };
+        const written = await store.write([{ key, value: formatVersionList(list), ...condition }]);
         const outcome = written.isOk() ? written.value.kind : written.error.message;
         if (outcome === "conflict") {
             // Another instance has written it, which the next look shows.
--- a/packages/stream_versions/stream_versions.ts
+++ b/packages/stream_versions/stream_versions.ts
@@ -97,30 +97,47 @@
      */
     async find(stream: string | undefined, service: string): Promise<VersionFinding> {
         const startedAt = monotonicMilliseconds();
+        let isOnlyListed: boolean | undefined;
         while (true) {
             const found = stream === undefined ? undefined : this.#origins.find(stream);
             const evidence = () => ({ ...this.#served.describe(service), record: withoutOrigin(found) });
-            if (found?.origin.service === service) {
-                return { kind: "recorded", version: found.origin.version, evidence: evidence() };
+            const origin = found?.origin.service === service ? found.origin : undefined;
+            const claimed = found?.isIdentified ? undefined : origin;
+            if (origin && found?.isIdentified) {
+                return { kind: "recorded", version: origin.version, evidence: evidence() };
             }
             this.#served.observe();
             const [version, ...others] = this.#served.candidates(service);
             const isOnly = version !== undefined && others.length === 0 && this.#served.isCertain(service);
             if (isOnly && this.options.directoryAge() < MAXIMUM_DIRECTORY_AGE_MILLISECONDS) {
-                return { kind: "only-version", version, evidence: evidence() };
+                isOnlyListed ??= await this.#served.isOnlyListed(service, version);
+                if (isOnlyListed) {
+                    return { kind: "only-version", version, evidence: evidence() };
+                }
             }
             const waited = monotonicMilliseconds() - startedAt;
             if (
-                isOnly
+                isOnly && isOnlyListed === undefined
                     ? waited >= READ_WAIT_MILLISECONDS
                     : stream === undefined || waited >= RECORD_WAIT_MILLISECONDS
             ) {
-                return { kind: "unknown", evidence: evidence() };
+                return { kind: "unknown", claimedVersion: claimed?.version, evidence: evidence() };
             }
             await sleep(RECORD_CHECK_MILLISECONDS);
         }
     }
 
+    /**
+     * Finds the only version that can have begun a stream of a service.
+     *
+     * @param service Name of the service.
+     * @returns The version; undefined if there may be others.
+     */
+    async findOnlyVersion(service: string): Promise<string | undefined> {
+        const finding = await this.find(undefined, service);
+        return finding.kind === "only-version" ? finding.version : undefined;
+    }
+
     /**
      * Returns whether the servers of a service that are alive have registered since the store may have come back.
      *
@@ -142,6 +159,18 @@
         return this.#served.isListed(service, version);
     }
 
+    /**
+     * Records that a process begins streams before its entry has come.
+     *
+     * @param service Name of the service.
+     * @param server Id of the server.
+     * @param startedAt Unix time in milliseconds of the process's start.
+     * @returns Whether all instances will know of it.
+     */
+    addUnregistered(service: string, server: string, startedAt: number): Promise<boolean> {
+        return this.#served.addUnregistered(service, server, startedAt);
+    }
+
     async #step(): Promise<void> {
         this.#origins.removeExpired();
         this.#served.observe();
@@ -156,5 +185,9 @@
 
 /** How a stream is known, without what began it. */
 function withoutOrigin(found: FoundOrigin | undefined): Omit<FoundOrigin, "origin"> | undefined {
-    return found && { source: found.source, era: found.era, ageMilliseconds: found.ageMilliseconds };
+    if (!found) {
+        return undefined;
+    }
+    const { isIdentified, source, era, ageMilliseconds } = found;
+    return { isIdentified, source, era, ageMilliseconds };
 }
