Compare engines with those of the last look without copying the directory

What callers saw: nothing; found by review. Cause: for each batch of changes the directory was copied to find the processes that have ended. Change: entries are compared in place; the pass over what has left runs only if something has.

--- a/packages/gateway/_former_engines.ts
+++ b/packages/gateway/_former_engines.ts
@@ -8,7 +8,7 @@
 
 /** Remembers the engines whose process has ended or been replaced lately, as far as the directory has shown them. */
 export class FormerEngines {
-    #registered: ReadonlyMap<string, RegisteredServer> = new Map();
+    readonly #registered = new Map<string, RegisteredServer>();
     /** Oldest first. */
     readonly #left: { server: RegisteredServer; at: number; }[] = [];
 
@@ -16,13 +16,30 @@
 
     /** Compares the directory with what it was at the last call. */
     observe(): void {
-        const engines = new Map([...this.directory.servers].filter(([, { stage }]) => stage !== undefined));
-        for (const [id, server] of this.#registered) {
-            if (engines.get(id)?.startedAt !== server.startedAt) {
-                this.#left.push({ server, at: monotonicMilliseconds() });
+        const { servers } = this.directory;
+        const at = monotonicMilliseconds();
+        let engines = 0;
+        for (const server of servers.values()) {
+            if (server.stage === undefined) {
+                continue;
+            }
+            engines++;
+            const known = this.#registered.get(server.id);
+            if (known !== server) {
+                this.#registered.set(server.id, server);
+                if (known && known.startedAt !== server.startedAt) {
+                    this.#left.push({ server: known, at });
+                }
+            }
+        }
+        if (engines < this.#registered.size) {
+            for (const [id, server] of this.#registered) {
+                if (servers.get(id)?.stage === undefined) {
+                    this.#registered.delete(id);
+                    this.#left.push({ server, at });
+                }
             }
         }
-        this.#registered = engines;
         this.#left.splice(0, Math.max(0, this.#left.length - MAXIMUM_PROCESSES));
         this.#removeExpired();
     }
--- a/packages/gateway/engine_processes.ts
+++ b/packages/gateway/engine_processes.ts
@@ -234,13 +234,15 @@
                 this.#outdated.delete(id);
             }
         }
-        for (const key of [...this.#recorded.keys()]) {
+        for (const key of this.#recorded.keys()) {
             if (!this.#outdated.has(key.split(" ")[0] ?? "")) {
                 this.#recorded.delete(key);
             }
         }
-        for (const id of [...this.#confirmed.keys()].filter(id => !servers.has(id))) {
-            this.#confirmed.delete(id);
+        for (const id of this.#confirmed.keys()) {
+            if (!servers.has(id)) {
+                this.#confirmed.delete(id);
+            }
         }
         for (const [id, waiting] of this.#waiting) {
             if (!servers.has(id) || !this.#outdated.has(id)) {
