Count an ended engine unless it was leaving or its successor is known

Cause: which process was last at the address of an engine that is gone isn't known; passing it over takes its entry for that process. Change: it leaves streams open, unless it was leaving, so that no other one was started under its id, or the process after it is known.

--- a/packages/gateway/_decide_version.ts
+++ b/packages/gateway/_decide_version.ts
@@ -2,7 +2,7 @@
 
 /**
  * Decides which software version began a stream from what the processes of a service's engines show of it: all that have read its whole
- * prompt must be of one version. What processes that can't tell may have run is passed over.
+ * prompt must be of one version, and none may be left of which nobody knows what it was.
  *
  * @param traces What each process shows of the stream.
  * @param claimedVersion Version that a record names without saying which process wrote the stream; another one must not contradict it.
@@ -15,7 +15,22 @@
     }
     const readers = traces.filter(({ kind }) => kind === "read");
     const [version, ...others] = new Set(readers.map(reader => reader.version));
-    const isOpen = others.length > 0
-        || traces.some(trace => trace.kind === "silent" || trace.kind === "prefilled" && trace.version !== version);
-    return isOpen || claimedVersion !== undefined && claimedVersion !== version ? undefined : version;
+    if (others.length > 0 || traces.some(trace => isOpen(trace, version, claimedVersion))) {
+        return undefined;
+    }
+    return claimedVersion === undefined || claimedVersion === version ? version : undefined;
+}
+
+/** Whether a process may have begun the stream at another version than the one that all readers are of. */
+function isOpen(trace: RunTrace, version: string | undefined, claimedVersion: string | undefined): boolean {
+    switch (trace.kind) {
+        case "silent":
+            return true;
+        case "prefilled":
+            return trace.version !== version;
+        case "untold":
+            return trace.version === undefined && claimedVersion === undefined;
+        default:
+            return false;
+    }
 }
--- a/packages/gateway/run_witness.ts
+++ b/packages/gateway/run_witness.ts
@@ -92,9 +92,7 @@
         const { service } = stream.request;
         const isWitness = (server: RegisteredServer) => server.service === service.name && server.stage !== undefined;
         const registered = [...directory.servers.values()].filter(isWitness);
-        const former = engineProcesses.former.filter(server =>
-            isWitness(server) && server.stage === "decode" && !this.#ended.has(server)
-        );
+        const former = engineProcesses.former.filter(server => isWitness(server) && server.stage === "decode");
         const traces = (await Promise.all([...registered, ...former].map(engine => this.#trace(engine, stream))))
             .flat();
         return {
@@ -108,15 +106,20 @@
     /** Traces of the process that is registered, or was, and of another one that answers in its place. */
     async #trace(engine: RegisteredServer, stream: UnknownStream): Promise<RunTrace[]> {
         const { directory } = this.options;
-        const account = await this.#account(engine, stream.request.receivedAt);
+        const account = this.#ended.has(engine) ? "none" : await this.#account(engine, stream.request.receivedAt);
         const entry = directory.servers.get(engine.id);
         const isRegistered = entry?.startedAt === engine.startedAt;
+        if (account === "none" && isRegistered && !engine.leaving) {
+            // It may yet answer, or be removed.
+            return engine.stage === "decode" ? [{ kind: "silent", version: undefined }] : [];
+        }
         if (account === "none") {
-            const isAwaited = isRegistered && engine.stage === "decode";
             if (!isRegistered) {
                 this.#ended.add(engine);
             }
-            return [{ kind: isAwaited ? "silent" : "untold", version: undefined }];
+            // Unless it was leaving, or the process after it is known, another one may have been there under its id.
+            const isKnown = entry !== undefined || engine.leaving;
+            return [{ kind: "untold", version: isKnown ? engine.softwareVersion : undefined }];
         }
         if (isProcessOf(engine, account.startedAt)) {
             return [{ kind: findTrace(account, stream), version: engine.softwareVersion }];
