Believe no engine that runs an attempt where one of another version runs it too

What callers saw: nothing yet; found by review. Cause: an engine that was given up before its first event may go on with the request; of two engines that run an attempt the first one asked was believed. Change: engines that run it must be of one version. Measured: the new case of two versions fails before and passes.

--- a/packages/gateway/_decide_version.ts
+++ b/packages/gateway/_decide_version.ts
@@ -9,9 +9,10 @@
  * @returns The version, or undefined if it remains open.
  */
 export function decideVersion(traces: RunTrace[], claimedVersion: string | undefined): string | undefined {
-    const running = traces.find(({ kind }) => kind === "runs");
-    if (running) {
-        return running.version;
+    const running = new Set(traces.filter(({ kind }) => kind === "runs").map(trace => trace.version));
+    if (running.size > 0) {
+        // An engine that was given up before its first event may still run it.
+        return running.size === 1 ? [...running][0] : undefined;
     }
     const readers = traces.filter(({ kind }) => kind === "read");
     const [version, ...others] = new Set(readers.map(reader => reader.version));
--- a/packages/gateway/run_witness_test.ts
+++ b/packages/gateway/run_witness_test.ts
@@ -15,6 +15,7 @@
     stage: "prefill" | "decode";
     orders: number;
     tokens?: number;
+    runs?: string[];
 }
 
 function createWitness(engines: Engine[]): RunWitness {
@@ -31,8 +32,8 @@
             report: () => ({}),
             promptHistory: () => ({}),
             parseReport: (body: string) => {
-                const { stage, orders } = JSON.parse(body) as Engine;
-                return { stage, sequence: orders, startedAt: 1, runs: new Set() };
+                const { stage, orders, runs } = JSON.parse(body) as Engine;
+                return { stage, sequence: orders, startedAt: 1, runs: new Set(runs) };
             },
             parsePromptHistory: (body: string) => {
                 const { tokens } = JSON.parse(body) as Engine;
@@ -80,3 +81,15 @@
     const witness = createWitness([older, { version: "v2", ...newer }]);
     expect((await witness.ask(createStream())).version).toBe(expected);
 });
+
+// Guards against streams joined since an engine that was given up before its first event still runs the attempt.
+test.each([
+    ["one engine", ["s1"], [], "v1"],
+    ["engines of two versions", ["s1"], ["s1"], undefined],
+])("an attempt that still runs at %s", async (_name, older, newer, expected) => {
+    const witness = createWitness([
+        { version: "v1", stage: "decode", orders: 0, tokens: 50, runs: older },
+        { version: "v2", stage: "decode", orders: 0, tokens: 50, runs: newer },
+    ]);
+    expect((await witness.ask(createStream())).version).toBe(expected);
+});
