Count a crash once that a former build reports by the server's id

What callers would see: during an upgrade, a request that ran at two servers as these crashed would be blocked as if it had crashed four. Cause: crashes are named by the start of their server now; peers that run a former build name the id, which counted as another server. Change: a name without a start may be of any start of that id.

--- a/packages/gateway/crash_registry.ts
+++ b/packages/gateway/crash_registry.ts
@@ -167,7 +167,7 @@
 
     #record(crash: Crash): void {
         const crashes = this.#crashes.get(crash.fingerprint) ?? [];
-        const known = crashes.find(({ start }) => start === crash.start);
+        const known = crashes.find(({ start }) => isSameStart(start, crash.start));
         if (known && crash.at - known.at < CRASH_LIFETIME_MILLISECONDS) {
             return;
         }
@@ -232,3 +232,8 @@
         .digest("base64")
         .slice(0, FINGERPRINT_CHARACTERS);
 }
+
+/** Whether two names may be of one start; peers that run a former build name only the server's id. */
+function isSameStart(left: string, right: string): boolean {
+    return left === right || left.startsWith(`${right} `) || right.startsWith(`${left} `);
+}
