--- a/packages/gateway/run_witness.ts
+++ b/packages/gateway/run_witness.ts
@@ -1,6 +1,7 @@
 import { monotonicMilliseconds } from "../clocks/mod.ts";
 import type { Directory, RegisteredServer } from "../directory/mod.ts";
 import { decideVersion } from "./_decide_version.ts";
+import { isProcessOf } from "./_is_process_of.ts";
 import type { EngineClient } from "./engine_client.ts";
 import type { EngineProcesses } from "./engine_processes.ts";
 import type { EngineProtocol } from "./engine_protocol.ts";
@@ -9,7 +10,7 @@
 import type { RunTrace } from "./run_trace.ts";
 
 const TIMEOUT_MILLISECONDS = 600;
-/** Time in milliseconds for which requests share one question to an engine. */
+/** Time in milliseconds for which requests that had arrived before share one question to an engine. */
 const SHARED_MILLISECONDS = 500;
 
 /** Dependencies of {@linkcode RunWitness}. */
@@ -22,7 +23,7 @@
 
 /** A stream of which nobody but the engines can tell what began it. */
 interface UnknownStream {
-    request: Pick<GatewayRequest, "promptSections" | "service">;
+    request: Pick<GatewayRequest, "promptSections" | "service" | "receivedAt">;
     /** Id of the caller's attempt that got its first event. */
     firstAttempt: string | undefined;
     /** Version that a record names without saying which process wrote the stream. */
@@ -44,6 +45,8 @@
 /** What one process says of all that it has run. */
 interface Account {
     startedAt: number | undefined;
+    /** Whether it runs requests now, or may have done so before an order changed its stage. */
+    decodes: "now" | "before" | "never";
     runs: ReadonlySet<string>;
     history: PromptHistory | undefined;
 }
@@ -75,7 +78,7 @@
     constructor(private readonly options: RunWitnessOptions) {}
 
     /**
-     * Asks all decode engines of a request's service, and those that have left lately, what they have run.
+     * Asks all engines of a request's service, and decode engines that have left lately, what they have run.
      *
      * @param stream The stream.
      * @returns What they say.
@@ -83,9 +86,9 @@
     async ask(stream: UnknownStream): Promise<Testimony> {
         const { directory, engineProcesses } = this.options;
         const { service } = stream.request;
-        const isWitness = (server: RegisteredServer) => server.service === service.name && server.stage === "decode";
+        const isWitness = (server: RegisteredServer) => server.service === service.name && server.stage !== undefined;
         const registered = [...directory.servers.values()].filter(isWitness);
-        const former = engineProcesses.former.filter(isWitness);
+        const former = engineProcesses.former.filter(server => isWitness(server) && server.stage === "decode");
         const traces = (await Promise.all([...registered, ...former].map(engine => this.#trace(engine, stream))))
             .flat();
         return {
@@ -99,7 +102,10 @@
     /** Traces of the process that is registered, or was, and of another one that answers in its place. */
     async #trace(engine: RegisteredServer, stream: UnknownStream): Promise<RunTrace[]> {
         const { directory } = this.options;
-        const account = await this.#account(engine);
+        const account = await this.#account(engine, stream.request.receivedAt);
+        if (engine.stage === "prefill" && (account === "silent" || account === "gone")) {
+            return [];
+        }
         const entry = directory.servers.get(engine.id);
         const isRegistered = entry?.startedAt === engine.startedAt;
         if (account === "silent" && isRegistered) {
@@ -109,7 +115,7 @@
             // Another process may have been there under this id before nobody was, unless the one that followed is known.
             return [{ kind: "untold", version: isRegistered || !entry ? undefined : engine.softwareVersion }];
         }
-        if (account.startedAt === engine.startedAt) {
+        if (isProcessOf(engine, account.startedAt)) {
             return [{ kind: findTrace(account, stream), version: engine.softwareVersion }];
         }
         const ended: RunTrace = { kind: "untold", version: engine.softwareVersion };
@@ -117,11 +123,12 @@
         return isAskedByEntry ? [ended] : [ended, { kind: findTrace(account, stream), version: undefined }];
     }
 
-    #account(engine: RegisteredServer): Promise<Account | "silent" | "gone"> {
+    #account(engine: RegisteredServer, since: number): Promise<Account | "silent" | "gone"> {
         const now = monotonicMilliseconds();
         const key = `${engine.id} ${engine.address}`;
         const shared = this.#questions.get(key);
-        if (shared && now - shared.startedAt < SHARED_MILLISECONDS) {
+        // The stream may have begun after an earlier question, but not after its caller took it up.
+        if (shared && shared.startedAt >= since && now - shared.startedAt < SHARED_MILLISECONDS) {
             return shared.answer;
         }
         const question = { startedAt: now, answer: this.#ask(engine) };
@@ -146,15 +153,21 @@
             return "silent";
         }
         const history = told.status === 200 ? engineProtocol.parsePromptHistory(told.body) : undefined;
-        return { startedAt: report.startedAt, runs: report.runs, history };
+        const { startedAt, runs, stage, sequence } = report;
+        // One that has not accepted an order has been at its stage since its start.
+        const decodes = stage !== "prefill" ? "now" : sequence > 0 ? "before" : "never";
+        return { startedAt, decodes, runs, history };
     }
 }
 
 /** What a process shows of a stream, by its account. */
 function findTrace(
-    { runs, history }: Account,
+    { decodes, runs, history }: Account,
     { request: { promptSections, service }, firstAttempt }: UnknownStream,
 ): RunTrace["kind"] {
+    if (decodes === "never") {
+        return "none";
+    }
     if (firstAttempt !== undefined && runs.has(firstAttempt)) {
         return "runs";
     }
@@ -167,7 +180,11 @@
         return history.isComplete ? "none" : "untold";
     }
     // What is generated is kept with the last part of its prompt.
-    return kept > section.tokens ? "generated" : "read";
+    if (kept > section.tokens) {
+        return "generated";
+    }
+    // It may have read the prompt for a prefill result.
+    return decodes === "now" ? "read" : "untold";
 }
 
 function isRead({ kind }: RunTrace): boolean {
