--- a/packages/gateway/decode_reserver.ts
+++ b/packages/gateway/decode_reserver.ts
@@ -108,8 +108,8 @@
                 load.recordFailure();
             }
             if (status === 421) {
-                serverLoads.markTerminated(server.id);
-                crashRegistry.recordServerEnd(server.id);
+                serverLoads.markTerminated(server.id, server.startedAt);
+                crashRegistry.recordServerEnd(server.id, server.startedAt);
             }
             load.avoidedUntil = monotonicMilliseconds()
                 + (unresponsive ? UNRESPONSIVE_AVOID_MILLISECONDS : REFUSED_AVOID_MILLISECONDS);
--- a/packages/gateway/engine_client.ts
+++ b/packages/gateway/engine_client.ts
@@ -34,7 +34,9 @@
     /**
      * @param context Shared objects of the gateway.
      */
-    constructor(private readonly context: Pick<GatewayContext, "serverClient" | "headers" | "metrics" | "logger">) {}
+    constructor(
+        private readonly context: Pick<GatewayContext, "serverClient" | "headers" | "metrics" | "logger" | "directory">,
+    ) {}
 
     /**
      * Calls an engine.
@@ -80,13 +82,18 @@
     }
 
     /**
-     * Sends a release to an engine without waiting for the response. If it fails, the engine lets the resource expire.
+     * Sends a release to an engine without waiting for the response. If it fails, the engine lets the resource expire. An
+     * engine that has started again holds nothing of before, and may have given the same name to what others hold.
      *
      * @param server The engine.
      * @param call The call.
      */
     release(server: RegisteredServer, call: EngineCall): void {
-        const { logger } = this.context;
+        const { logger, directory } = this.context;
+        const registered = directory.servers.get(server.id);
+        if (registered && registered.startedAt !== server.startedAt) {
+            return;
+        }
         const fields = { server: server.id, path: call.path };
         this.call(server, call, RELEASE_TIMEOUT_MILLISECONDS).catch(logFailure(logger, "release failed", fields));
     }
--- a/packages/gateway/leaving_servers.ts
+++ b/packages/gateway/leaving_servers.ts
@@ -2,6 +2,7 @@
 import type { Directory, RegisteredServer } from "../directory/mod.ts";
 import type { Logger } from "../logs/mod.ts";
 import type { Metrics } from "../metrics/mod.ts";
+import { nameServerStart } from "./_name_server_start.ts";
 
 /** Fraction of the drain time after which a leaving server gets nothing more; a request takes a while to arrive. */
 const USED_DRAIN_FRACTION = 0.8;
@@ -14,8 +15,7 @@
 type ServerStart = Pick<RegisteredServer, "id" | "startedAt">;
 
 /** What is known of a leaving server. */
-interface LeavingServer {
-    startedAt: number;
+interface LeavingServer extends ServerStart {
     /** Time in milliseconds of the first notice. */
     since: number;
     /** Whether the server itself said so to this instance. */
@@ -44,6 +44,7 @@
  * ```
  */
 export class LeavingServers {
+    /** By id and start, since an older entry of a server, or a peer that has read one, may come after a newer one. */
     readonly #servers = new Map<string, LeavingServer>();
 
     /**
@@ -69,7 +70,7 @@
         if (known?.firsthand === firsthand) {
             return;
         }
-        this.#servers.set(id, { startedAt, since: known?.since ?? clock.now(), firsthand });
+        this.#servers.set(nameServerStart(server), { id, startedAt, since: known?.since ?? clock.now(), firsthand });
         this.#forgetOldest();
         if (!known) {
             metrics.increment("servers_leaving_total", { source });
@@ -106,7 +107,7 @@
      */
     firsthand(): [string, number][] {
         const pairs: [string, number][] = [];
-        for (const [id, { startedAt, firsthand }] of this.#servers) {
+        for (const { id, startedAt, firsthand } of this.#servers.values()) {
             if (firsthand && this.options.directory.servers.get(id)?.startedAt === startedAt) {
                 pairs.push([id, startedAt]);
             }
@@ -114,9 +115,8 @@
         return pairs.slice(-MAXIMUM_REPORTED_SERVERS);
     }
 
-    #find({ id, startedAt }: ServerStart): LeavingServer | undefined {
-        const known = this.#servers.get(id);
-        return known?.startedAt === startedAt ? known : undefined;
+    #find(server: ServerStart): LeavingServer | undefined {
+        return this.#servers.get(nameServerStart(server));
     }
 
     #forgetOldest(): void {
--- a/packages/gateway/prefill_dispatcher.ts
+++ b/packages/gateway/prefill_dispatcher.ts
@@ -207,8 +207,8 @@
                 load.recordFailure();
                 load.avoidedUntil = monotonicMilliseconds() + AVOID_MILLISECONDS;
                 if (response.value.status === 421) {
-                    serverLoads.markTerminated(server.id);
-                    this.context.crashRegistry.recordServerEnd(server.id);
+                    serverLoads.markTerminated(server.id, server.startedAt);
+                    this.context.crashRegistry.recordServerEnd(server.id, server.startedAt);
                 }
                 return err(`The prefill engine answered with status ${response.value.status}`);
             }
