Tell other instances of a process without an entry also if it is slow to tell

Cause: the process was listed only if the engine told it before the first event was passed on. Change: it is listed as soon as it is known.

--- a/packages/gateway/decode_pass.ts
+++ b/packages/gateway/decode_pass.ts
@@ -184,7 +184,7 @@
         const { connection, body } = response.value;
         const { engineProcesses, streamVersions } = this.context;
         const stream = { server, connection, isRunning: () => !body.destroyed };
-        const identified = request.route.resumable ? engineProcesses.identify(stream) : undefined;
+        const identified = request.route.resumable ? engineProcesses.identify(stream, streamVersions) : undefined;
         const { softwareVersion } = progress;
         const onEvent = () => onFirstEvent(identified);
         const isAdmitted = identified && (softwareVersion === undefined
--- a/packages/gateway/engine_processes.ts
+++ b/packages/gateway/engine_processes.ts
@@ -57,7 +57,7 @@
  * @example
  * ```ts
  * const processes = new EngineProcesses({ directory, engineClient, engineProtocol, metrics, logger });
- * await processes.identify({ server, connection, isRunning: () => true }); // "v2"
+ * await processes.identify({ server, connection, isRunning: () => true }, streamVersions); // "v2"
  * ```
  */
 export class EngineProcesses {
@@ -100,9 +100,10 @@
      * Finds out the software version of the process that writes a stream.
      *
      * @param stream The stream.
+     * @param streamVersions Tells the other instances of a process without an entry.
      * @returns The version, once the entry of that process is known; undefined if it can't be told which process it is.
      */
-    async identify(stream: WrittenStream): Promise<string | undefined> {
+    async identify(stream: WrittenStream, streamVersions: UnregisteredRecorder): Promise<string | undefined> {
         const { server, isRunning } = stream;
         if (this.#isConfirmed(stream)) {
             return server.softwareVersion;
@@ -123,7 +124,9 @@
         });
         this.#outdated.set(server.id, server.startedAt);
         // The process that answers may have begun after the one that wrote has ended.
-        return isRunning() ? await this.#awaitEntry(server, statement) : undefined;
+        const isWriter = isRunning();
+        await this.#record(server, statement.startedAt, streamVersions);
+        return isWriter ? await this.#awaitEntry(server, statement) : undefined;
     }
 
     /**
@@ -146,10 +149,17 @@
         if (statement?.startedAt === undefined || isProcessOf(server, statement.startedAt)) {
             return true;
         }
-        const { service, id } = server;
-        const key = `${id} ${statement.startedAt}`;
-        const recorded = this.#recorded.get(key)
-            ?? streamVersions.addUnregistered(service, id, statement.startedAt);
+        return await this.#record(server, statement.startedAt, streamVersions);
+    }
+
+    /** Tells the other instances of a process without an entry, once; returns whether they will know of it. */
+    async #record(
+        { service, id }: RegisteredServer,
+        startedAt: number,
+        streamVersions: UnregisteredRecorder,
+    ): Promise<boolean> {
+        const key = `${id} ${startedAt}`;
+        const recorded = this.#recorded.get(key) ?? streamVersions.addUnregistered(service, id, startedAt);
         this.#recorded.set(key, recorded);
         const isRecorded = await within(recorded, RECORD_MILLISECONDS) ?? false;
         if (!isRecorded) {
