--- a/packages/gateway/crash_registry_test.ts
+++ b/packages/gateway/crash_registry_test.ts
@@ -49,8 +49,6 @@
     expect(registry.isBlocked(request)).toBe(false);
 });
 
-// Guards against a request that crashes the few servers of a service again and again, since they start again under their ids and
-// each counted once. What peers report, again and again, counts once.
 // Guards against sound requests that are blocked during an upgrade, since a former build reports a crash that this one has seen, too.
 test("a crash that a peer reports by the id of the server alone counts once", () => {
     const registry = createRegistry();
@@ -60,6 +58,8 @@
     expect(registry.isBlocked(request)).toBe(false);
 });
 
+// Guards against a request that crashes the few servers of a service again and again, since they start again under their ids and
+// each counted once. What peers report, again and again, counts once.
 test("each start of a server under one id that a request has crashed counts", () => {
     const registries = [createRegistry(), createRegistry()] as const;
     [1, 2, 3].forEach(startedAt => {
